--- /dev/null
+++ b/cmd/mangoshed/main.go
@@ -0,0 +1,4 @@
+// Command mangoshed is part of mangoshed.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/mangoshedctl/main.go
@@ -0,0 +1,4 @@
+// Command mangoshedctl is part of mangoshed.
+package main
+
+func main() {}
