Add settings, command lines and example deployments

Cause: operators need to check tables and settings, build versions and make keys; the daemon needs its settings. Change: pkg/settings reads strict YAML, environment and overrides and reports all faults with line, remedy and nearest key. mangoshedctl has table and keys, mangoshed has run (checks the settings until pkg/daemon exists) and settings.

--- a/cmd/mangoshedctl/main.go
+++ b/cmd/mangoshedctl/main.go
@@ -1,4 +1,22 @@
-// Command mangoshedctl is part of mangoshed.
+// Command mangoshedctl is the operator's tool of mangoshed.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"mangoshed.example/mangoshed/pkg/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := ctl.New().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "mangoshedctl:", err)
+		stop()
+		os.Exit(1)
+	}
+}
