Add the membership table and the distribution topology

Cause: daemons need equal roles and parents from equal views, without messages. Change: core/membership (platform list with revisions, announcements, order-independent hash, bucketed repair) and core/topology (readers, entries, relays, levels, ranked parents). A leaving instance has no role.

--- /dev/null
+++ b/core/membership/repair.go
@@ -0,0 +1,108 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"mangoshed.example/mangoshed/core/model"
+)
+
+// Buckets is the number of hash buckets that a repair compares. At 19,000 instances a
+// bucket holds 74 of them, and the hashes of all buckets fit in two packets.
+const Buckets = 256
+
+// Hash returns the order-independent hash of all listed instances with their states
+// and incarnations.
+func (t *Table) Hash() uint64 { return t.hash }
+
+// BucketHashes returns the hash of each bucket.
+func (t *Table) BucketHashes() []uint64 { return append([]uint64(nil), t.buckets[:]...) }
+
+// Bucket is the contents of one hash bucket.
+type Bucket struct {
+	Index     uint8
+	Instances []model.Instance
+}
+
+// Differing returns the contents of the buckets whose hashes differ from another
+// table's. A slice of the wrong length stands for an empty table.
+func (t *Table) Differing(remote []uint64) []Bucket {
+	if len(remote) != Buckets {
+		remote = make([]uint64, Buckets)
+	}
+	positions := [Buckets]int{}
+	var differing []Bucket
+	for i := range t.buckets {
+		if t.buckets[i] != remote[i] {
+			differing = append(differing, Bucket{Index: uint8(i)})
+			positions[i] = len(differing)
+		}
+	}
+	for _, e := range t.sorted {
+		if p := positions[e.bucket]; p > 0 {
+			differing[p-1].Instances = append(differing[p-1].Instances, e.instance)
+		}
+	}
+	return differing
+}
+
+// Repair takes over the differing buckets of another table at the given list
+// revision. It returns the announcements held here that the other table lacks, and
+// whether anything changed. A listing older than the one held is not taken over; its
+// announcements are.
+func (t *Table) Repair(revision uint64, buckets []Bucket, now time.Time) (missing []Announcement, changed bool) {
+	if revision >= t.revision {
+		changed = t.takeOver(revision, buckets)
+	}
+	for _, bucket := range buckets {
+		for _, instance := range bucket.Instances {
+			a := Announcement{ID: instance.ID, Incarnation: instance.Incarnation, State: instance.State}
+			held, listed := t.Get(instance.ID)
+			switch {
+			case !listed:
+			case a.newer(held.Incarnation, held.State):
+				t.Announce(a, now)
+				changed = true
+			case held.Incarnation != a.Incarnation || held.State != a.State:
+				missing = append(missing, Announcement{ID: held.ID, Incarnation: held.Incarnation, State: held.State})
+			}
+		}
+	}
+	return missing, changed
+}
+
+// takeOver replaces the listings of whole buckets.
+func (t *Table) takeOver(revision uint64, buckets []Bucket) bool {
+	delta := ListDelta{From: t.revision, To: revision}
+	replaced := [Buckets]bool{}
+	listed := map[model.InstanceID]struct{}{}
+	for _, bucket := range buckets {
+		replaced[bucket.Index] = true
+		for _, instance := range bucket.Instances {
+			if bucketOf(instance.ID) != bucket.Index {
+				continue
+			}
+			listed[instance.ID] = struct{}{}
+			if e, ok := t.byID[instance.ID]; !ok || !sameListing(e.instance, instance) {
+				delta.Upserts = append(delta.Upserts, instance)
+			}
+		}
+	}
+	for _, e := range t.sorted {
+		if _, ok := listed[e.instance.ID]; !ok && replaced[e.bucket] {
+			delta.Removed = append(delta.Removed, e.instance.ID)
+		}
+	}
+	if len(t.sorted)+len(delta.Upserts)-len(delta.Removed) > MaxInstances {
+		return false
+	}
+	if revision == t.revision && len(delta.Upserts)+len(delta.Removed) == 0 {
+		return false
+	}
+	t.apply(delta)
+	return true
+}
+
+func bucketOf(id model.InstanceID) uint8 {
+	return uint8(xxhash.Sum64String(string(id)))
+}
--- /dev/null
+++ b/core/topology/index.go
@@ -0,0 +1,161 @@
+package topology
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"mangoshed.example/mangoshed/core/membership"
+	"mangoshed.example/mangoshed/core/model"
+)
+
+// member is an instance with its priority, the hash of its ID.
+type member struct {
+	priority uint64
+	instance *model.Instance
+}
+
+func (m member) id() model.InstanceID { return m.instance.ID }
+
+// before orders members by falling priority. Equal hashes are ordered by ID, so that
+// all daemons agree.
+func (m member) before(o member) int {
+	if m.priority != o.priority {
+		return cmp.Compare(o.priority, m.priority)
+	}
+	return cmp.Compare(m.instance.ID, o.instance.ID)
+}
+
+// dataCentre holds the members of one data centre that can take roles.
+type dataCentre struct {
+	place model.Place
+	// top holds the relay and the spare relay.
+	top []member
+	// members holds all members by priority. It is filled only where the index
+	// needs it: in the data centre of the daemon that asks.
+	members []member
+}
+
+// region holds the data centres of one region and its entries.
+type region struct {
+	name              string
+	dataCentres       []*dataCentre
+	entry, spareEntry member
+}
+
+// index holds the roles that follow from a view.
+type index struct {
+	regions map[string]*region
+	places  map[model.Place]*dataCentre
+	readers []member
+	size    int
+}
+
+// newIndex assigns the roles. Leaving instances get none, so that their children move
+// before they stop; self always counts. Complete member lists are kept for the data
+// centres that keep selects.
+func newIndex(view membership.View, self model.InstanceID, storeRegion string, keep func(model.Place) bool) *index {
+	x := &index{regions: map[string]*region{}, places: map[model.Place]*dataCentre{}}
+	for i := range view.Instances {
+		instance := &view.Instances[i]
+		if instance.State == model.Leaving && instance.ID != self {
+			continue
+		}
+		x.size++
+		x.add(member{priority: xxhash.Sum64String(string(instance.ID)), instance: instance}, keep)
+	}
+	for _, dc := range x.places {
+		slices.SortFunc(dc.members, member.before)
+	}
+	for _, r := range x.regions {
+		r.elect()
+	}
+	x.electReaders(storeRegion)
+	return x
+}
+
+func (x *index) add(m member, keep func(model.Place) bool) {
+	dc := x.places[m.instance.Place]
+	if dc == nil {
+		dc = x.addPlace(m.instance.Place)
+	}
+	dc.offer(m)
+	if keep(dc.place) {
+		dc.members = append(dc.members, m)
+	}
+}
+
+func (x *index) addPlace(place model.Place) *dataCentre {
+	dc := &dataCentre{place: place}
+	x.places[place] = dc
+	r := x.regions[place.Region]
+	if r == nil {
+		r = &region{name: place.Region}
+		x.regions[place.Region] = r
+	}
+	r.dataCentres = append(r.dataCentres, dc)
+	return dc
+}
+
+// offer keeps the two members with the highest priorities.
+func (d *dataCentre) offer(m member) {
+	if len(d.top) == 2 && d.top[1].before(m) < 0 {
+		return
+	}
+	d.top = append(d.top, m)
+	slices.SortFunc(d.top, member.before)
+	if len(d.top) > 2 {
+		d.top = d.top[:2]
+	}
+}
+
+// elect chooses the entry and the spare entry of a region. The spare entry is in
+// another data centre where there is one, so that the loss of a data centre leaves
+// one of the two.
+func (r *region) elect() {
+	slices.SortFunc(r.dataCentres, func(a, b *dataCentre) int { return a.top[0].before(b.top[0]) })
+	r.entry = r.dataCentres[0].top[0]
+	switch {
+	case len(r.dataCentres) > 1:
+		r.spareEntry = r.dataCentres[1].top[0]
+	case len(r.dataCentres[0].top) > 1:
+		r.spareEntry = r.dataCentres[0].top[1]
+	}
+}
+
+// electReaders chooses the daemons that watch the store. When the store's region has
+// no member, entries of other regions take over by priority.
+func (x *index) electReaders(storeRegion string) {
+	if r := x.regions[storeRegion]; r != nil {
+		x.readers = r.readers()
+		return
+	}
+	for _, r := range x.regions {
+		x.readers = append(x.readers, r.entry)
+	}
+	slices.SortFunc(x.readers, member.before)
+	if len(x.readers) > maxReaders {
+		x.readers = x.readers[:maxReaders]
+	}
+}
+
+// readers returns the entry, the spare entry and the next relay or spare relay.
+func (r *region) readers() []member {
+	readers := []member{r.entry}
+	if r.spareEntry.instance != nil {
+		readers = append(readers, r.spareEntry)
+	}
+	var rest []member
+	for _, dc := range r.dataCentres {
+		for _, m := range dc.top {
+			if m.id() != r.entry.id() && (r.spareEntry.instance == nil || m.id() != r.spareEntry.id()) {
+				rest = append(rest, m)
+			}
+		}
+	}
+	slices.SortFunc(rest, member.before)
+	if len(rest) > 0 {
+		readers = append(readers, rest[0])
+	}
+	return readers
+}
