--- a/core/dissemination/codec.go
+++ b/core/dissemination/codec.go
@@ -117,7 +117,9 @@
 	case kindMembersFull:
 		return decodeAs(body, func(m membersFull) bool { return m.Part < m.Parts && len(m.Data) <= maxPart })
 	case kindFlood:
-		return decodeAs(body, func(m flood) bool { return validName(string(m.Origin)) && validName(m.Topic) && len(m.Data) <= MaxPublish })
+		return decodeAs(body, func(m flood) bool {
+			return validName(string(m.Origin)) && validName(m.Topic) && len(m.Data) <= MaxPublish
+		})
 	case kindQuery:
 		return decodeAs(body, func(query) bool { return true })
 	}
--- /dev/null
+++ b/core/dissemination/fleet_faults_test.go
@@ -0,0 +1,342 @@
+package dissemination
+
+import (
+	"crypto/ed25519"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/core/snapshot"
+)
+
+// Guards the convergence time with all daemons alive, and that one frame per remote
+// region crosses the paid link for a change.
+func TestConvergesWithAllAlive(t *testing.T) {
+	f := newFleet(t, 6)
+	f.startAll()
+	for v := model.Version(2); v < 12; v++ {
+		f.frames = map[model.Distance]int{}
+		f.publish(v)
+		took := f.runUntil(time.Second, f.converged(v))
+		f.requireConverged(v)
+		require.Less(t, took, 100*time.Millisecond)
+		f.run(150 * time.Millisecond)
+		require.Equal(t, 1, f.frames[model.CrossRegion], "version %d", v)
+		if v == 2 {
+			t.Logf("converged in %v; frames %v, bytes %v", took, f.frames, f.bytes)
+		}
+		f.run(50 * time.Millisecond)
+	}
+}
+
+// Guards convergence within 2 s when a daemon dies in the middle of a change.
+func TestConvergesWhenOneDies(t *testing.T) {
+	inStore := func(c *Core) bool { return c.self.Place.Region == storeRegion }
+	cases := map[string]func(c *Core) bool{
+		"primary reader": func(c *Core) bool { return c.plan.ReaderRank == 0 },
+		"second reader":  func(c *Core) bool { return c.plan.ReaderRank == 1 },
+		"third reader":   func(c *Core) bool { return c.plan.ReaderRank == 2 },
+		"entry":          func(c *Core) bool { return c.plan.IsEntry() && !inStore(c) },
+		"spare entry":    func(c *Core) bool { return c.plan.IsSpareEntry() && !inStore(c) },
+		"relay":          func(c *Core) bool { return c.plan.Relay == c.self.ID && !c.plan.IsEntry() && !inStore(c) },
+		"spare relay":    func(c *Core) bool { return c.plan.SpareRelay == c.self.ID && !inStore(c) },
+		"leaf":           func(c *Core) bool { return c.plan.Level == 1 && !inStore(c) },
+	}
+	for name, predicate := range cases {
+		for _, after := range []time.Duration{0, 3 * time.Millisecond, 25 * time.Millisecond, 31 * time.Millisecond} {
+			t.Run(name+"/"+after.String(), func(t *testing.T) {
+				f := newFleet(t, 6)
+				f.startAll()
+				f.publish(2)
+				f.run(after)
+				f.kill(f.role(predicate))
+				took := f.runUntil(5*time.Second, f.converged(2))
+				f.requireConverged(2)
+				require.Less(t, took, 2*time.Second)
+				t.Logf("%v", took)
+				f.publish(3)
+				require.Less(t, f.runUntil(5*time.Second, f.converged(3)), 2*time.Second, "the change after the death")
+			})
+		}
+	}
+}
+
+func primaryReader(c *Core) bool { return c.plan.ReaderRank == 0 }
+
+func remoteEntry(c *Core) bool { return c.plan.IsEntry() && c.self.Place.Region == remoteRegion }
+
+// Guards I1 and I9 when the store serves what must change nothing: an older manifest,
+// other contents of the version in effect, or a version that breaks a rule. The next
+// good version takes effect everywhere.
+func TestStoreServesWhatMustNotBeApplied(t *testing.T) {
+	cases := []struct {
+		name string
+		put  func(t *testing.T) (snapshot.Manifest, [][]byte)
+		kind RecordKind
+	}{
+		{"rolled back", func(t *testing.T) (snapshot.Manifest, [][]byte) { _, m, s := build(t, 3, 0, nil); return m, s }, RecordStale},
+		{"other contents", func(t *testing.T) (snapshot.Manifest, [][]byte) { _, m, s := build(t, 5, 9, nil); return m, s }, RecordConflict},
+		{"wrong digest", func(t *testing.T) (snapshot.Manifest, [][]byte) {
+			_, m, s := build(t, 6, 0, nil)
+			m.TableDigest[3]++
+			return m, s
+		}, RecordRejected},
+		{"huge bad version", func(t *testing.T) (snapshot.Manifest, [][]byte) {
+			_, m, s := build(t, 1<<62, 0, nil)
+			m.TableDigest[3]++
+			return m, s
+		}, RecordRejected},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, 3)
+			f.startAll()
+			f.publish(5)
+			f.run(time.Second)
+			f.requireConverged(5)
+			f.put(c.put(t))
+			f.run(time.Second)
+			reads := f.reads
+			f.notify()
+			f.run(10 * time.Second)
+			require.Equal(t, reads, f.reads, "a known version is fetched again")
+			f.requireConverged(5)
+			require.True(t, f.hasRecord(c.kind))
+			f.publish(7)
+			f.run(time.Second)
+			f.requireConverged(7)
+		})
+	}
+}
+
+// Guards the signed mode: nothing unsigned is applied, and a huge unsigned version
+// number in the store, in adverts and in beacons does not keep real versions waiting.
+func TestUnsignedVersionsBlockNothing(t *testing.T) {
+	key := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
+	signer, err := snapshot.NewSigner(key)
+	require.NoError(t, err)
+	f := newFleet(t, 3)
+	f.signer = signer
+	f.verifier, err = snapshot.NewVerifier(signer.PublicKey())
+	require.NoError(t, err)
+	f.startAll()
+	huge := mark{Version: 1 << 62, Prefix: model.DigestPrefix{1}}
+	lie := func() {
+		for _, id := range f.ids {
+			for _, peer := range f.ids {
+				if _, ok := f.nodes[id].links[peer]; ok {
+					f.deliver(f.nodes[id], Frame{Peer: peer, Data: encode(advert{Held: huge})})
+					f.deliver(f.nodes[id], Frame{Peer: peer, Data: encode(beacon{Held: huge})})
+				}
+			}
+		}
+	}
+	_, m, segments := build(t, 1<<62, 0, nil)
+	f.put(m, segments)
+	lie()
+	f.run(100 * time.Millisecond)
+	lie()
+	f.publish(2)
+	require.Less(t, f.runUntil(5*time.Second, f.converged(2)), 100*time.Millisecond)
+	f.requireConverged(2)
+	lie()
+	f.publish(3)
+	f.kill(f.role(primaryReader))
+	require.Less(t, f.runUntil(5*time.Second, f.converged(3)), 2*time.Second)
+	f.requireConverged(3)
+}
+
+// Guards the end of a partition of an hour: convergence within 5 s without a burst of
+// messages, and almost no traffic on the paid link during the partition.
+func TestPartitionHeals(t *testing.T) {
+	f := newFleet(t, 6)
+	f.startAll()
+	f.partition(true)
+	for v := model.Version(2); v <= 40; v++ {
+		f.publish(v)
+		f.run(90 * time.Second)
+	}
+	require.False(t, f.converged(40)())
+	f.partition(false)
+	f.frames, f.bytes = map[model.Distance]int{}, map[model.Distance]int{}
+	took := f.runUntil(20*time.Second, f.converged(40))
+	f.requireConverged(40)
+	require.Less(t, took, 5*time.Second)
+	require.Less(t, f.frames[model.CrossRegion], 40)
+	t.Logf("healed in %v; frames %v bytes %v", took, f.frames, f.bytes)
+}
+
+// Guards a paused reader: it wakes with an old view, changes nothing elsewhere, refuses
+// work until it has checked, and catches up.
+func TestPausedReaderWakes(t *testing.T) {
+	f := newFleet(t, 3)
+	f.startAll()
+	reader := f.nodes[f.role(primaryReader)]
+	reader.pausedUntil = f.now.Add(4 * time.Second)
+	f.publish(2)
+	require.Less(t, f.runUntil(3*time.Second, func() bool {
+		for _, id := range f.ids {
+			if n := f.nodes[id]; n != reader && n.applied.Version() != 2 {
+				return false
+			}
+		}
+		return true
+	}), 2*time.Second)
+	sawStale := false
+	f.runUntil(6*time.Second, func() bool { sawStale = sawStale || reader.stale && !reader.ready; return false })
+	require.True(t, sawStale, "the pause was not noticed")
+	require.True(t, reader.ready && !reader.stale)
+	f.requireConverged(2)
+}
+
+// Guards a reconnect storm: half of the daemons die together and come back.
+func TestHalfRestarts(t *testing.T) {
+	f := newFleet(t, 6)
+	f.startAll()
+	for i, id := range f.ids {
+		if i%2 == 0 {
+			f.kill(id)
+		}
+	}
+	f.publish(2)
+	f.run(time.Second)
+	f.frames, f.reads = map[model.Distance]int{}, 0
+	for i, id := range f.ids {
+		if i%2 == 0 {
+			f.start(id)
+		}
+	}
+	took := f.runUntil(14*time.Second, f.converged(2))
+	f.requireConverged(2)
+	f.run(10 * time.Second)
+	for _, id := range f.ids {
+		require.True(t, f.nodes[id].ready, "%s", id)
+	}
+	require.Less(t, f.reads, len(f.ids))
+	t.Logf("converged in %v; frames %v, store reads %d", took, f.frames, f.reads)
+}
+
+// Guards a store outage of hours: the version stays in effect, its end causes no
+// burst of reads, and the change published meanwhile converges in seconds.
+func TestStoreOutage(t *testing.T) {
+	f := newFleet(t, 6)
+	f.startAll()
+	f.storeDown = true
+	f.notify()
+	f.run(2 * time.Hour)
+	f.requireConverged(1)
+	f.reads = 0
+	f.storeDown = false
+	f.publish(2)
+	require.Less(t, f.runUntil(5*time.Second, f.converged(2)), time.Second)
+	f.run(10 * time.Second)
+	require.LessOrEqual(t, f.reads, 3, "store reads after the outage")
+}
+
+// Guards a newcomer whose store is stale: it must not take work with the old version
+// that the store serves.
+func TestNewcomerWithStaleStore(t *testing.T) {
+	for name, predicate := range map[string]func(*Core) bool{"reader": primaryReader, "remote entry": remoteEntry} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 3)
+			f.startAll()
+			for v := model.Version(2); v <= 9; v++ {
+				f.publish(v)
+				f.run(time.Second)
+			}
+			id := f.role(predicate)
+			f.kill(id)
+			f.run(10 * time.Second)
+			_, m, segments := build(t, 3, 0, nil)
+			f.put(m, segments)
+			f.start(id)
+			f.runUntil(5*time.Second, func() bool { return f.nodes[id].ready })
+			require.True(t, f.nodes[id].ready)
+			f.requireConverged(9)
+		})
+	}
+}
+
+// Guards updates that cross, repeat and arrive late at one daemon: whatever the order,
+// versions rise and the highest one stays.
+func TestFramesInAnyOrder(t *testing.T) {
+	f := newFleet(t, 3)
+	f.startAll()
+	var snapshots []*snapshot.Snapshot
+	for v := model.Version(1); v <= 6; v++ {
+		s, _, _ := build(t, v, 0, nil)
+		snapshots = append(snapshots, s)
+		f.good[v] = s.Digest()
+	}
+	d := func(from, to int) []byte {
+		bytes, err := snapshot.MakeDelta(snapshots[from-1], snapshots[to-1])
+		require.NoError(t, err)
+		return encode(delta(bytes))
+	}
+	entry := f.nodes[f.role(remoteEntry)]
+	parent := entry.core.eager.peer
+	for _, frame := range [][]byte{d(1, 3), d(1, 2), d(2, 3), d(1, 3), d(3, 5), d(1, 6), d(3, 4), d(5, 6), d(1, 2)} {
+		f.deliver(entry, Frame{Peer: parent, Data: frame})
+	}
+	require.Equal(t, model.Version(6), entry.applied.Version())
+	f.run(20 * time.Second)
+	require.Equal(t, model.Version(6), entry.applied.Version())
+}
+
+// Guards the membership: list changes and announcements reach every daemon, a view is
+// complete for its revision, and an older list changes nothing.
+func TestMembershipReachesEveryDaemon(t *testing.T) {
+	f := newFleet(t, 6)
+	f.startAll()
+	gone, leaving := f.ids[5], f.ids[15]
+	f.kill(gone)
+	f.list(gone)
+	f.deliver(f.nodes[leaving], Leave{})
+	f.run(2 * time.Second)
+	check := func() {
+		for _, id := range f.ids {
+			n := f.nodes[id]
+			if !n.alive {
+				continue
+			}
+			require.Equal(t, f.revision, n.view.Revision, "%s", id)
+			require.Len(t, n.view.Instances, len(f.listed), "%s", id)
+			for _, i := range n.view.Instances {
+				require.Equal(t, i.ID == leaving, i.State == model.Leaving, "%s about %s", id, i.ID)
+				require.Equal(t, f.nodes[i.ID].instance.Incarnation, i.Incarnation, "%s about %s", id, i.ID)
+			}
+		}
+	}
+	check()
+	f.revision--
+	f.listed = f.listed[:3]
+	f.notify()
+	f.run(10 * time.Second)
+	require.True(t, f.hasRecord(RecordStaleList))
+	f.revision++
+	f.listed = f.nodes[f.ids[0]].view.Instances
+	check()
+}
+
+// Guards published messages: each other daemon gets them once, within the byte budget.
+func TestPublishReachesEveryDaemonOnce(t *testing.T) {
+	f := newFleet(t, 6)
+	f.startAll()
+	f.deliver(f.nodes[f.ids[17]], Publish{Topic: "quarantine", Data: []byte("report")})
+	f.run(time.Second)
+	for _, id := range f.ids {
+		want := 1
+		if id == f.ids[17] {
+			want = 0
+		}
+		require.Len(t, f.nodes[id].delivered, want, "%s", id)
+	}
+	f.bytes = map[model.Distance]int{}
+	for range 1000 {
+		f.deliver(f.nodes[f.ids[17]], Publish{Topic: "quarantine", Data: make([]byte, MaxPublish)})
+	}
+	f.run(10 * time.Second)
+	total := f.bytes[model.SameDataCentre] + f.bytes[model.SameRegion] + f.bytes[model.CrossRegion]
+	require.Less(t, total, len(f.ids)*(floodBurst+10*floodRate+8*MaxPublish))
+}
--- a/core/membership/repair.go
+++ b/core/membership/repair.go
@@ -47,12 +47,13 @@
 }
 
 // Repair takes over the differing buckets of another table at the given list
-// revision. It returns the announcements held here that the other table lacks, and
-// whether anything changed. A listing older than the one held is not taken over; its
-// announcements are.
-func (t *Table) Repair(revision uint64, buckets []Bucket, now time.Time) (missing []Announcement, changed bool) {
+// revision. It returns the change of the list and the announcements held here that the
+// other table lacks, and reports whether anything changed. A listing older than the one
+// held is not taken over; its announcements are.
+func (t *Table) Repair(revision uint64, buckets []Bucket, now time.Time) (delta ListDelta, missing []Announcement, changed bool) {
+	delta = ListDelta{From: t.revision, To: t.revision}
 	if revision >= t.revision {
-		changed = t.takeOver(revision, buckets)
+		delta, changed = t.takeOver(revision, buckets)
 	}
 	for _, bucket := range buckets {
 		for _, instance := range bucket.Instances {
@@ -60,19 +61,18 @@
 			held, listed := t.Get(instance.ID)
 			switch {
 			case !listed:
-			case a.newer(held.Incarnation, held.State):
-				t.Announce(a, now)
+			case t.Announce(a, now):
 				changed = true
 			case held.Incarnation != a.Incarnation || held.State != a.State:
 				missing = append(missing, Announcement{ID: held.ID, Incarnation: held.Incarnation, State: held.State})
 			}
 		}
 	}
-	return missing, changed
+	return delta, missing, changed
 }
 
 // takeOver replaces the listings of whole buckets.
-func (t *Table) takeOver(revision uint64, buckets []Bucket) bool {
+func (t *Table) takeOver(revision uint64, buckets []Bucket) (ListDelta, bool) {
 	delta := ListDelta{From: t.revision, To: revision}
 	replaced := [Buckets]bool{}
 	listed := map[model.InstanceID]struct{}{}
@@ -94,13 +94,13 @@
 		}
 	}
 	if len(t.sorted)+len(delta.Upserts)-len(delta.Removed) > MaxInstances {
-		return false
+		return ListDelta{From: t.revision, To: t.revision}, false
 	}
 	if revision == t.revision && len(delta.Upserts)+len(delta.Removed) == 0 {
-		return false
+		return delta, false
 	}
 	t.apply(delta)
-	return true
+	return delta, true
 }
 
 func bucketOf(id model.InstanceID) uint8 {
