Add the audit trail; a closed link is not reported

Cause: the core expects no LinkDown after its own Close and dials again at once; operators need a trail. Change: pkg/peer's Close is silent and frees the peer for a new dial; pkg/audit keeps 1,000 entries and logs each.

--- /dev/null
+++ b/pkg/audit/audit.go
@@ -0,0 +1,160 @@
+// Package audit keeps the last entries of a daemon's audit trail: what became of every
+// version that the daemon saw. Each entry is also one line of the log.
+package audit
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mangoshed.example/mangoshed/core/model"
+)
+
+// Capacity is the usual number of entries of a trail.
+const Capacity = 1000
+
+// maxLoggedRows bounds the changed rows on one line of the log.
+const maxLoggedRows = 20
+
+// Kind classes entries.
+type Kind string
+
+// The kinds of entries.
+const (
+	Seen     Kind = "seen"
+	Accepted Kind = "accepted"
+	Rejected Kind = "rejected"
+	Applied  Kind = "applied"
+	Conflict Kind = "conflict"
+	Stale    Kind = "stale"
+)
+
+// Entry is one event of the trail.
+type Entry struct {
+	Time    time.Time
+	Kind    Kind
+	Version model.Version
+	// Digest is the table's digest; zero if it is not known.
+	Digest model.Digest
+	// Source is "store" or the ID of the daemon that the version came from.
+	Source string
+	// Reason tells why a version was rejected or is in conflict, else it is empty.
+	Reason string
+	// Rows describes the changed rows of an applied version.
+	Rows []string
+	// Age is the time since the version was published; 0 if it is not known.
+	Age time.Duration
+}
+
+// wire is the JSON form of an Entry.
+type wire struct {
+	Time       time.Time     `json:"time"`
+	Kind       Kind          `json:"kind"`
+	Version    model.Version `json:"version"`
+	Digest     string        `json:"digest,omitempty"`
+	Source     string        `json:"source,omitempty"`
+	Reason     string        `json:"reason,omitempty"`
+	Rows       []string      `json:"rows,omitempty"`
+	AgeSeconds float64       `json:"age_seconds,omitempty"`
+}
+
+// digestText returns the digest in hexadecimal, or "" if it is not known.
+func (e Entry) digestText() string {
+	if e.Digest == (model.Digest{}) {
+		return ""
+	}
+	return e.Digest.String()
+}
+
+// MarshalJSON writes the digest in hexadecimal and the age in seconds.
+func (e Entry) MarshalJSON() ([]byte, error) {
+	return json.Marshal(wire{
+		Time: e.Time.UTC(), Kind: e.Kind, Version: e.Version, Digest: e.digestText(), Source: e.Source,
+		Reason: e.Reason, Rows: e.Rows, AgeSeconds: e.Age.Seconds(),
+	})
+}
+
+// UnmarshalJSON reverses MarshalJSON.
+func (e *Entry) UnmarshalJSON(data []byte) error {
+	var w wire
+	if err := json.Unmarshal(data, &w); err != nil {
+		return err
+	}
+	digest, err := hex.DecodeString(w.Digest)
+	if err != nil || (len(digest) != 0 && len(digest) != len(e.Digest)) {
+		return fmt.Errorf("digest %q is not the hexadecimal form of 32 bytes", w.Digest)
+	}
+	*e = Entry{
+		Time: w.Time, Kind: w.Kind, Version: w.Version, Source: w.Source, Reason: w.Reason, Rows: w.Rows,
+		Age: time.Duration(w.AgeSeconds * float64(time.Second)),
+	}
+	copy(e.Digest[:], digest)
+	return nil
+}
+
+// Trail keeps the last entries. It is safe for concurrent use.
+type Trail struct {
+	log *zap.Logger
+
+	mu      sync.Mutex
+	entries []Entry // a ring once it is full
+	next    int     // index of the oldest entry of a full ring
+	limit   int
+}
+
+// NewTrail returns a trail of at most capacity entries; 0 takes Capacity.
+func NewTrail(log *zap.Logger, capacity int) *Trail {
+	if capacity <= 0 {
+		capacity = Capacity
+	}
+	return &Trail{log: log, limit: capacity}
+}
+
+// Record appends an entry and logs it. The oldest entry gives way if the trail is full.
+func (t *Trail) Record(e Entry) {
+	t.mu.Lock()
+	if len(t.entries) < t.limit {
+		t.entries = append(t.entries, e)
+	} else {
+		t.entries[t.next] = e
+		t.next = (t.next + 1) % t.limit
+	}
+	t.mu.Unlock()
+	fields := []zap.Field{zap.Uint64("version", uint64(e.Version)), zap.String("digest", e.digestText()), zap.String("source", e.Source)}
+	if e.Reason != "" {
+		fields = append(fields, zap.String("reason", e.Reason))
+	}
+	if e.Age != 0 {
+		fields = append(fields, zap.Duration("age", e.Age))
+	}
+	if len(e.Rows) > 0 {
+		shown := e.Rows[:min(len(e.Rows), maxLoggedRows)]
+		fields = append(fields, zap.Int("changed_rows", len(e.Rows)), zap.String("rows", fmt.Sprint(shown)))
+	}
+	event := "version_" + string(e.Kind)
+	switch e.Kind {
+	case Rejected, Conflict, Stale:
+		t.log.Warn(event, fields...)
+	default:
+		t.log.Info(event, fields...)
+	}
+}
+
+// Entries returns up to max entries, the newest first; 0 returns all.
+func (t *Trail) Entries(max int) []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := len(t.entries)
+	if max <= 0 || max > n {
+		max = n
+	}
+	out := make([]Entry, max)
+	for i := range out {
+		out[i] = t.entries[(t.next+n-1-i)%n]
+	}
+	return out
+}
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -62,6 +62,14 @@
 	l.transport.handler.LinkDown(l.peer, cause)
 }
 
+// silence ends the events of the link. The caller holds Transport.order.
+func (l *link) silence(reason string) {
+	l.events.Lock()
+	defer l.events.Unlock()
+	l.isDown = true
+	l.transport.cfg.Log.Info("link_closed", zap.String("peer", string(l.peer)), zap.String("reason", reason))
+}
+
 // deliver reports a frame unless the link was reported as down.
 func (l *link) deliver(data []byte) {
 	l.events.Lock()
@@ -100,10 +108,15 @@
 		delete(t.links, l.peer)
 	}
 	t.mu.Unlock()
+	l.stopSending()
+	l.down(cause)
+}
+
+// stopSending refuses further frames.
+func (l *link) stopSending() {
 	l.queue.Lock()
+	defer l.queue.Unlock()
 	l.closing = true
-	l.queue.Unlock()
-	l.down(cause)
 }
 
 // drop ends the link and closes its connection at once.
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -42,8 +42,9 @@
 )
 
 // Handler receives the events of links. Calls for one peer are in order: LinkUp, frames,
-// LinkDown. A dial that fails is reported by LinkDown alone. Handlers must not block;
-// they may call Transport's methods only from another goroutine. Frame owns its data.
+// LinkDown. A dial that fails is reported by LinkDown alone; a link that Close ends is
+// not reported. Handlers must not block and may call Transport's methods only from
+// another goroutine. Frame owns its data.
 type Handler interface {
 	LinkUp(model.InstanceID)
 	LinkDown(model.InstanceID, error)
@@ -203,17 +204,22 @@
 	return nil
 }
 
-// Close ends the link to a peer after its queue was sent, and reports LinkDown. It also
-// ends a dial that is under way.
+// Close ends the link to a peer after its queue was sent, or the dial that is under way.
+// No LinkDown follows, and a new Dial can be made at once.
 func (t *Transport) Close(peer model.InstanceID, reason string) {
+	t.order.Lock()
+	defer t.order.Unlock()
 	t.mu.Lock()
 	l, d := t.links[peer], t.dials[peer]
+	delete(t.links, peer)
+	delete(t.dials, peer)
 	t.mu.Unlock()
 	if d != nil {
 		d.cancel()
 	}
 	if l != nil {
-		t.end(l, &Error{Kind: KindClosed, Peer: peer, Err: errors.New(reason)})
+		l.stopSending()
+		l.silence(reason)
 		l.finish()
 	}
 }
