Add routing: the ingress's choice of an instance

Cause: a call goes to the nearest instance with capacity, and one change of the table or of a member must not cost a rebuild of 530 services. Own data centre, then the region and other regions by weight; power of two choices on reported load, which fades to the own calls within 1 s; newcomers get a tenth of their share, rising over 5 s; suspects get one probe per 1 to 10 s; a refusal as leaving shuts an instance out at once. Explain shows the state behind a choice.

--- /dev/null
+++ b/core/routing/routes.go
@@ -0,0 +1,232 @@
+package routing
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/core/table"
+)
+
+// routes is an immutable set of route tables. An update builds a new set and shares
+// with the old one what did not change.
+type routes struct {
+	base     time.Time // times of nodes count from here
+	version  model.Version
+	table    *table.Table
+	places   map[model.Place]int // index in the table's layout
+	members  []model.Instance
+	groups   map[string][]target // by service, sorted by instance ID
+	services map[string]*service
+}
+
+// service is the route table of one service for the own place.
+type service struct {
+	row     *table.Row
+	local   zone     // own data centre
+	region  []zone   // other data centres of the own region, weight over 0
+	remote  []region // other regions, weight over 0
+	members []target // all of the service, for Explain
+}
+
+// zone is the part of a service in one data centre.
+type zone struct {
+	place   model.Place
+	weight  uint32
+	targets []target // live instances only
+}
+
+// region is the part of a service in another region.
+type region struct {
+	name   string
+	weight uint32
+	zones  []zone
+}
+
+// derive returns the routes after an update, built from what changed since old, which is
+// nil at first.
+func derive(old *routes, self model.Place, version model.Version, tab *table.Table, members []model.Instance, now time.Time) *routes {
+	first := old == nil
+	if first {
+		old = &routes{base: now, table: &table.Table{}}
+	}
+	r := &routes{base: old.base, version: version, table: tab, members: members, places: old.places}
+	dirty := r.updateGroups(old, first, now)
+	sameLayout := !first && old.table.Layout.Equal(tab.Layout)
+	if !sameLayout {
+		r.places = make(map[model.Place]int, len(tab.Layout.DataCentres))
+		for i, place := range tab.Layout.DataCentres {
+			r.places[place] = i
+		}
+	}
+	if old.table == tab {
+		r.services = old.services
+		if len(dirty) > 0 {
+			r.services = maps.Clone(old.services)
+		}
+		for name := range dirty {
+			if row, ok := tab.Row(name); ok {
+				r.services[name] = r.build(self, row)
+			}
+		}
+		return r
+	}
+	r.services = make(map[string]*service, len(tab.Rows))
+	for i := range tab.Rows {
+		row := &tab.Rows[i]
+		was, known := old.services[row.Service]
+		if _, changed := dirty[row.Service]; changed || !known || !sameLayout || !was.row.Equal(row) {
+			r.services[row.Service] = r.build(self, row)
+			continue
+		}
+		// The copy points to the new row, so that the old table can be freed.
+		copied := *was
+		copied.row = row
+		r.services[row.Service] = &copied
+	}
+	return r
+}
+
+// change lists what an update does to the members of a service.
+type change struct {
+	gone map[model.InstanceID]target // filled with the old target when it is found
+	came []model.Instance
+}
+
+// updateGroups fills groups and returns the changes by service.
+func (r *routes) updateGroups(old *routes, first bool, now time.Time) map[string]*change {
+	changes := make(map[string]*change)
+	at := func(service string) *change {
+		c := changes[service]
+		if c == nil {
+			c = &change{gone: make(map[model.InstanceID]target)}
+			changes[service] = c
+		}
+		return c
+	}
+	diff(old.members, r.members,
+		func(lost *model.Instance) { at(lost.Service).gone[lost.ID] = target{} },
+		func(gained *model.Instance) {
+			c := at(gained.Service)
+			c.came = append(c.came, *gained)
+		})
+	r.groups = old.groups
+	if len(changes) == 0 {
+		return changes
+	}
+	r.groups = make(map[string][]target, len(old.groups))
+	maps.Copy(r.groups, old.groups)
+	for name, c := range changes {
+		if group := r.apply(c, r.groups[name], first, now); len(group) > 0 {
+			r.groups[name] = group
+		} else {
+			delete(r.groups, name)
+		}
+	}
+	return changes
+}
+
+// apply returns the members of a service after the change.
+func (r *routes) apply(c *change, old []target, first bool, now time.Time) []target {
+	group := make([]target, 0, len(old)+len(c.came))
+	for _, t := range old {
+		if _, lost := c.gone[t.inst.ID]; lost {
+			c.gone[t.inst.ID] = t
+		} else {
+			group = append(group, t)
+		}
+	}
+	for i := range c.came {
+		inst := &c.came[i]
+		group = append(group, target{inst: inst, node: r.nodeFor(c.gone[inst.ID], inst, first, now)})
+	}
+	slices.SortFunc(group, func(a, b target) int { return strings.Compare(string(a.inst.ID), string(b.inst.ID)) })
+	return group
+}
+
+// nodeFor keeps the node of an instance that only changed its state. A restart, seen by
+// a higher incarnation, starts anew.
+func (r *routes) nodeFor(was target, inst *model.Instance, first bool, now time.Time) *node {
+	if was.node != nil {
+		restarted := inst.Incarnation > was.inst.Incarnation && (was.inst.Incarnation != 0 || was.node.leaving.Load())
+		if !restarted {
+			return was.node
+		}
+	}
+	n := &node{rampFrom: int64(now.Sub(r.base))}
+	if first {
+		// At the own start all instances are new to this daemon; only those that the
+		// announcements show to be young are ramped up.
+		age := now.Sub(time.UnixMilli(int64(inst.Incarnation)))
+		n.settled = inst.Incarnation == 0 || age < 0 || age >= RampUp
+		n.rampFrom -= int64(age)
+	}
+	return n
+}
+
+// diff compares two lists that are sorted by ID. A changed instance is lost and gained.
+func diff(old, updated []model.Instance, lose, gain func(*model.Instance)) {
+	i, j := 0, 0
+	for i < len(old) && j < len(updated) {
+		a, b := &old[i], &updated[j]
+		switch {
+		case a.ID == b.ID:
+			if *a != *b {
+				lose(a)
+				gain(b)
+			}
+			i++
+			j++
+		case a.ID < b.ID:
+			lose(a)
+			i++
+		default:
+			gain(b)
+			j++
+		}
+	}
+	for ; i < len(old); i++ {
+		lose(&old[i])
+	}
+	for ; j < len(updated); j++ {
+		gain(&updated[j])
+	}
+}
+
+// build makes the route table of a service.
+func (r *routes) build(self model.Place, row *table.Row) *service {
+	members := r.groups[row.Service]
+	s := &service{row: row, members: members}
+	byPlace := make([][]target, len(r.places))
+	for _, t := range members {
+		if i, ok := r.places[t.inst.Place]; ok && t.inst.State == model.Live && row.DataCentres[i].Weight > 0 {
+			byPlace[i] = append(byPlace[i], t)
+		}
+	}
+	remote := make([]region, len(r.table.Layout.Regions))
+	for i, place := range r.table.Layout.DataCentres {
+		if len(byPlace[i]) == 0 {
+			continue
+		}
+		z := zone{place: place, weight: row.DataCentres[i].Weight, targets: byPlace[i]}
+		switch place.DistanceTo(self) {
+		case model.SameDataCentre:
+			s.local = z
+		case model.SameRegion:
+			s.region = append(s.region, z)
+		case model.CrossRegion:
+			if k, ok := slices.BinarySearch(r.table.Layout.Regions, place.Region); ok {
+				remote[k].zones = append(remote[k].zones, z)
+			}
+		}
+	}
+	for k := range remote {
+		remote[k].name, remote[k].weight = r.table.Layout.Regions[k], row.Regions[k].Weight
+		if remote[k].weight > 0 && len(remote[k].zones) > 0 {
+			s.remote = append(s.remote, remote[k])
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/core/routing/routing_test.go
@@ -0,0 +1,271 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/core/refusal"
+	"mangoshed.example/mangoshed/core/table"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var (
+	north1 = model.Place{Region: "north", DataCentre: "n1"}
+	north2 = model.Place{Region: "north", DataCentre: "n2"}
+	south1 = model.Place{Region: "south", DataCentre: "s1"}
+)
+
+// row returns a row over the layout of the three places with the given weights.
+func row(service string, n1, n2, s1, north, south uint32) table.Row {
+	return table.Row{
+		Service: service, Deadline: time.Second,
+		DataCentres: []table.Cell{{Weight: n1}, {Weight: n2}, {Weight: s1}},
+		Regions:     []table.Cell{{Weight: north}, {Weight: south}},
+	}
+}
+
+func tableOf(rows ...table.Row) *table.Table {
+	return &table.Table{Rows: rows, Layout: table.Layout{
+		DataCentres: []model.Place{north1, north2, south1}, Regions: []string{"north", "south"},
+	}}
+}
+
+func instance(service string, place model.Place, number int) model.Instance {
+	id := fmt.Sprintf("%s-%s-%03d", service, place.DataCentre, number)
+	return model.Instance{ID: model.InstanceID(id), Service: service, Place: place}
+}
+
+// sixteen returns 8 local, 4 regional and 4 remote instances, sorted by ID.
+func sixteen() []model.Instance {
+	var list []model.Instance
+	for _, group := range []struct {
+		place model.Place
+		n     int
+	}{{north1, 8}, {north2, 4}, {south1, 4}} {
+		for i := range group.n {
+			list = append(list, instance("shifts", group.place, i))
+		}
+	}
+	return list
+}
+
+func newRouter(members []model.Instance, rows ...table.Row) *Router {
+	r := New(model.Instance{ID: "self", Place: north1}, 1)
+	r.swap(1, tableOf(rows...), members, start)
+	return r
+}
+
+// nodeOf gives tests access to what the router knows about an instance.
+func (r *Router) nodeOf(id model.InstanceID) *node {
+	for _, group := range r.routes.Load().groups {
+		for _, t := range group {
+			if t.inst.ID == id {
+				return t.node
+			}
+		}
+	}
+	return nil
+}
+
+// Guards against a step outwards while nearer capacity exists, and against calls to
+// instances that have weight 0, leave, are full, suspect or excluded while others exist.
+func TestPickPrefersTheNearestCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weight := rapid.Uint32Range(0, 3)
+		cells := row("shifts", weight.Draw(t, "n1"), weight.Draw(t, "n2"), weight.Draw(t, "s1"), 1, weight.Draw(t, "south"))
+		members := sixteen()
+		states := rapid.SliceOfN(rapid.IntRange(0, 4), len(members), len(members)).Draw(t, "states")
+		var exclude []model.InstanceID
+		for i := range members {
+			if states[i] == 1 {
+				members[i].State = model.Leaving
+			}
+		}
+		r := newRouter(members, cells)
+		best := map[model.Distance]int{}
+		for i, m := range members {
+			n := r.nodeOf(m.ID)
+			switch states[i] {
+			case 2:
+				n.report(Load{InFlight: 9, Slots: 9}, 0)
+			case 3:
+				n.fail(0, false)
+			case 4:
+				exclude = append(exclude, m.ID)
+			}
+			k := map[model.Place]int{north1: 0, north2: 1, south1: 2}[m.Place]
+			if states[i] == 0 && cells.DataCentres[k].Weight > 0 && (m.Place.Region == "north" || cells.Regions[1].Weight > 0) {
+				best[m.Place.DistanceTo(north1)]++
+			}
+		}
+		d, why := r.Pick(Query{Service: "shifts", Exclude: exclude}, start)
+		if len(best) == 0 {
+			require.True(t, why != nil || d.Reason == Full || d.Reason == Suspects)
+			return
+		}
+		require.Nil(t, why)
+		want := model.SameDataCentre
+		for best[want] == 0 {
+			want++
+		}
+		require.Equal(t, want, d.Instance.Place.DistanceTo(north1))
+		for i, m := range members {
+			if m.ID == d.Instance.ID {
+				require.Zero(t, states[i])
+			}
+		}
+	})
+}
+
+// Guards against shares inside the region that do not follow the data centres' weights.
+func TestSpillFollowsWeights(t *testing.T) {
+	r := New(model.Instance{Place: south1}, 7)
+	members := []model.Instance{instance("shifts", north1, 0), instance("shifts", north2, 0)}
+	r.swap(1, tableOf(row("shifts", 1, 3, 1, 1, 1)), members, start)
+	counts := map[model.Place]int{}
+	for range 8000 {
+		d, why := r.Pick(Query{Service: "shifts"}, start)
+		require.Nil(t, why)
+		require.Equal(t, Remote, d.Reason)
+		counts[d.Instance.Place]++
+		r.Report(d, Outcome{}, start)
+	}
+	require.InDelta(t, 6000, counts[north2], 200)
+}
+
+// Guards against a herd onto a new instance that looks idle, and against a ramp that
+// does not end.
+func TestNewInstanceRampsUp(t *testing.T) {
+	members := sixteen()
+	r := newRouter(members[1:], row("shifts", 1, 1, 1, 1, 1))
+	joined := start.Add(time.Minute)
+	r.swap(1, tableOf(row("shifts", 1, 1, 1, 1, 1)), members, joined)
+	for _, m := range members[1:8] {
+		r.nodeOf(m.ID).report(Load{InFlight: 5, Slots: 9}, int64(time.Minute))
+	}
+	share := func(at time.Time) int {
+		count := 0
+		for range 8000 {
+			d, why := r.Pick(Query{Service: "shifts"}, at)
+			require.Nil(t, why)
+			if d.Instance.ID == members[0].ID {
+				count++
+			}
+			r.Report(d, Outcome{}, at)
+		}
+		return count
+	}
+	require.InDelta(t, 100, share(joined), 40, "a tenth of an eighth of 8,000 calls")
+	require.InDelta(t, 550, share(joined.Add(RampUp/2)), 90)
+	require.Greater(t, share(joined.Add(RampUp)), 900)
+}
+
+// Guards against more than one call that tests a suspect, and against a suspicion that
+// never ends or does not grow.
+func TestSuspectGetsOneProbe(t *testing.T) {
+	members := sixteen()[:2]
+	r := newRouter(members, row("shifts", 1, 1, 1, 1, 1))
+	n := r.nodeOf(members[0].ID)
+	n.fail(0, false)
+	picks := func(at time.Time) (probes []Decision) {
+		for range 200 {
+			d, why := r.Pick(Query{Service: "shifts"}, at)
+			require.Nil(t, why)
+			if d.Instance.ID == members[0].ID {
+				require.Equal(t, Probe, d.Reason)
+				probes = append(probes, d)
+				continue
+			}
+			r.Report(d, Outcome{}, at)
+		}
+		return probes
+	}
+	require.Empty(t, picks(start.Add(suspicionMin-1)))
+	due := start.Add(suspicionMin)
+	probes := picks(due)
+	require.Len(t, probes, 1)
+	r.Report(probes[0], Outcome{Failed: true}, due)
+	require.Empty(t, picks(due.Add(2*suspicionMin-1)), "a failed probe doubles the suspicion")
+	probes = picks(due.Add(2 * suspicionMin))
+	require.Len(t, probes, 1)
+	r.Report(probes[0], Outcome{}, due.Add(2*suspicionMin))
+	require.False(t, n.suspect())
+}
+
+// Guards against new work for an instance that has said it leaves, and against a
+// restarted instance that stays shut out.
+func TestLeavingGetsNothingUntilRestart(t *testing.T) {
+	members := sixteen()[:1]
+	members[0].Incarnation = 5
+	r := newRouter(members, row("shifts", 1, 1, 1, 1, 1))
+	d, why := r.Pick(Query{Service: "shifts"}, start)
+	require.Nil(t, why)
+	r.Report(d, Outcome{Refused: refusal.Leaving}, start)
+	_, why = r.Pick(Query{Service: "shifts"}, start)
+	require.Equal(t, refusal.NoInstance, why.Kind)
+	require.Equal(t, refusal.NotRun, why.Run)
+	restarted := []model.Instance{members[0]}
+	restarted[0].Incarnation = 6
+	r.swap(1, tableOf(row("shifts", 1, 1, 1, 1, 1)), restarted, start)
+	_, why = r.Pick(Query{Service: "shifts"}, start)
+	require.Nil(t, why)
+}
+
+// Guards against stale load: it fades within 1 s down to the own calls.
+func TestLoadFades(t *testing.T) {
+	n := &node{settled: true}
+	n.inFlight.Store(2)
+	n.report(Load{InFlight: 8, Slots: 9, Queued: 4}, 0)
+	for _, step := range []struct {
+		age   time.Duration
+		calls float64
+		full  bool
+	}{{0, 12, true}, {loadLife / 2, 7, false}, {loadLife, 2, false}} {
+		calls, _, _ := n.load(int64(step.age))
+		require.InDelta(t, step.calls, calls, 0.01)
+		require.Equal(t, step.full, n.full(int64(step.age)))
+	}
+	_, ok := ParseLoad("3/9")
+	require.False(t, ok)
+	load, ok := ParseLoad(Load{InFlight: 3, Slots: 9, Queued: 1}.String())
+	require.True(t, ok)
+	require.Equal(t, Load{InFlight: 3, Slots: 9, Queued: 1}, load)
+}
+
+// Guards against an incremental update that differs from a build from scratch.
+func TestIncrementalUpdateEqualsRebuild(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New(model.Instance{Place: north1}, 1)
+		services := []string{"files", "records", "shifts"}
+		for step := range 5 {
+			at := start.Add(time.Duration(step) * time.Hour)
+			var members []model.Instance
+			var rows []table.Row
+			for _, s := range services {
+				for i, place := range []model.Place{north1, north1, north2, south1} {
+					inst := instance(s, place, i)
+					inst.State = model.State(rapid.IntRange(0, 1).Draw(t, "state"))
+					if rapid.Bool().Draw(t, "listed") {
+						members = append(members, inst)
+					}
+				}
+				if rapid.IntRange(0, 4).Draw(t, "row") > 0 {
+					rows = append(rows, row(s, rapid.Uint32Range(0, 2).Draw(t, "w"), 1, 1, 1, 1))
+				}
+			}
+			r.swap(model.Version(step+1), tableOf(rows...), members, at)
+			fresh := New(model.Instance{Place: north1}, 1)
+			fresh.swap(model.Version(step+1), tableOf(rows...), members, start)
+			for _, s := range services {
+				want, got := fresh.Explain(s, start), r.Explain(s, at.Add(RampUp))
+				require.Equal(t, want, got)
+			}
+		}
+	})
+}
