Add the server for callers

Cause: callers need whole answers, typed refusals and retries that never run a request twice. Change: pkg/caller takes calls over HTTP/1.1 and HTTP/2, refuses requests that daemon and upstream could read differently, replaces hop and origin headers, keeps up to 64 KB of a body for another attempt (16 MB in total) and sends keyed requests to the owner of the key. A refusal after several attempts says not-run only if none of them may have run. The Dispatcher is the same path for an owner's own dispatch. Draining answers what runs. Latency is not measured yet.

--- /dev/null
+++ b/pkg/caller/server.go
@@ -0,0 +1,321 @@
+// Package caller takes the calls of callers over HTTP and passes each to an upstream of
+// the service that its Host names: the ingress side of a call.
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/core/refusal"
+	"mangoshed.example/mangoshed/core/retry"
+	"mangoshed.example/mangoshed/core/routing"
+	"mangoshed.example/mangoshed/pkg/forward"
+	"mangoshed.example/mangoshed/pkg/identity"
+	"mangoshed.example/mangoshed/pkg/stream"
+)
+
+const (
+	// headerTimeout bounds the time in which a caller sends a request's header.
+	headerTimeout = 10 * time.Second
+	// keepAlive is the time after which an unused connection of a caller is closed.
+	keepAlive = 2 * time.Minute
+	// lingerTime is how long a draining server answers requests that were under way
+	// on idle connections before it closes them.
+	lingerTime = 500 * time.Millisecond
+)
+
+// Config configures a Server.
+type Config struct {
+	Self   model.Instance
+	Router *routing.Router
+	// Local is the guard of the local upstream.
+	Local http.RoundTripper
+	// Remote reaches the daemons beside other instances.
+	Remote Remote
+	// Owners finds the owners of idempotency keys.
+	Owners Owners
+	// Identity enables ServeTLS; nil for plain HTTP only.
+	Identity *identity.Source
+	// Registry takes the metrics; nil for none.
+	Registry prometheus.Registerer
+	// Idle bounds the time without a byte in either direction of a body.
+	// Default: stream.IdleTimeout.
+	Idle time.Duration
+	// Linger is the time for which a draining server still answers on open
+	// connections. Default: 500 ms.
+	Linger time.Duration
+	// ErrorLog takes the errors of connections; nil drops them.
+	ErrorLog *log.Logger
+}
+
+// Server answers callers.
+type Server struct {
+	*Dispatcher
+	config   Config
+	http     *http.Server
+	draining atomic.Bool
+
+	mu        sync.Mutex
+	listeners []net.Listener
+}
+
+// New returns a server that does not listen yet. It fails when the registry refuses
+// the metrics.
+func New(config Config) (*Server, error) {
+	if config.Idle == 0 {
+		config.Idle = stream.IdleTimeout
+	}
+	if config.Linger == 0 {
+		config.Linger = lingerTime
+	}
+	if config.ErrorLog == nil {
+		config.ErrorLog = log.New(io.Discard, "", 0)
+	}
+	budget := retry.NewBudget()
+	d := &Dispatcher{
+		self: config.Self.ID, router: config.Router, local: config.Local, remote: config.Remote, owners: config.Owners,
+		budget: budget, metrics: newMetrics(budget),
+	}
+	if config.Registry != nil {
+		if err := d.register(config.Registry); err != nil {
+			return nil, err
+		}
+	}
+	s := &Server{Dispatcher: d, config: config}
+	s.http = &http.Server{
+		Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: keepAlive, ErrorLog: config.ErrorLog,
+		DisableGeneralOptionsHandler: true,
+		// The typed refusal at MaxHeaderBytes comes first.
+		MaxHeaderBytes: MaxHeaderBytes + MaxHeaderBytes/2,
+	}
+	if config.Identity != nil {
+		s.http.TLSConfig = config.Identity.OptionalServerTLS("h2", "http/1.1")
+	}
+	return s, nil
+}
+
+// Serve accepts plain HTTP until Drain.
+func (s *Server) Serve(listener net.Listener) error {
+	s.track(listener)
+	return s.ended(s.http.Serve(listener))
+}
+
+// ServeTLS accepts HTTPS until Drain. Own services show their certificates here.
+func (s *Server) ServeTLS(listener net.Listener) error {
+	s.track(listener)
+	return s.ended(s.http.ServeTLS(listener, "", ""))
+}
+
+func (s *Server) track(listener net.Listener) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listeners = append(s.listeners, listener)
+}
+
+func (s *Server) ended(err error) error {
+	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() {
+		return nil
+	}
+	return err
+}
+
+// Drain stops accepting connections, refuses new calls on open ones and waits for the
+// running calls until the context ends.
+func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	s.mu.Lock()
+	for _, listener := range s.listeners {
+		_ = listener.Close()
+	}
+	s.mu.Unlock()
+	timer := time.NewTimer(s.config.Linger)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return s.http.Shutdown(ctx)
+}
+
+// Close cuts everything.
+func (s *Server) Close() error { return s.http.Close() }
+
+// ServeHTTP answers one call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	s.inFlight.Inc()
+	defer s.inFlight.Dec()
+	var own bool
+	if r.TLS != nil {
+		peer, err := identity.PeerOf(*r.TLS)
+		own = err == nil && peer.Service != ""
+	}
+	c, limit, refused := s.admit(r, own)
+	ctx, cancel := r.Context(), context.CancelFunc(nil)
+	if limit > 0 {
+		ctx, cancel = context.WithTimeout(ctx, limit)
+	} else {
+		ctx, cancel = context.WithCancel(ctx)
+	}
+	defer cancel()
+	control := http.NewResponseController(w)
+	if r.ProtoMajor == 1 {
+		// The deadline of the previous answer on the connection no longer counts.
+		_ = control.SetWriteDeadline(time.Time{})
+	}
+	var upload *stream.Upload
+	if r.ContentLength != 0 {
+		_ = control.EnableFullDuplex()
+		upload = stream.NewUpload(w, r, s.config.Idle, cancel)
+		defer upload.End()
+	}
+	// finish precedes each answer.
+	finish := func() {
+		if upload != nil && !upload.Done() && r.ProtoMajor == 1 {
+			// The rest of the body would be read as the next request.
+			w.Header().Set("Connection", "close")
+		}
+	}
+	if refused != nil {
+		s.answerRefusal(w, r, refused, started, finish)
+		return
+	}
+	if upload != nil {
+		c.body = newBody(upload, r.ContentLength, &s.memory)
+		defer c.body.free()
+	}
+	s.prepare(c, r)
+	resp, err := s.send(ctx, c) //nolint:bodyclose // stream.Answer closes it
+	if err != nil {
+		s.answerRefusal(w, r, s.refusalFor(ctx, c, err), started, finish)
+		return
+	}
+	s.answer(w, r, resp, started, finish, cancel)
+}
+
+// answer passes the upstream's answer, or another daemon's refusal, to the caller.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, resp *http.Response, started time.Time, finish, cancel func()) {
+	finish()
+	observe := s.answered
+	if kind := resp.Header.Get(refusal.HeaderKind); kind != "" {
+		s.refuse(refusal.Kind(kind), resp.Header.Get(refusal.HeaderRun))
+		observe = s.rejected
+	}
+	delete(resp.Header, refusal.HeaderLoad)
+	if err := stream.Answer(w, r.Method, resp, s.config.Idle, cancel); err != nil {
+		s.cuts.Inc()
+		// The caller must not take the part for the whole.
+		panic(http.ErrAbortHandler)
+	}
+	s.lastWrite(w, r)
+	observe.Observe(time.Since(started).Seconds())
+}
+
+func (s *Server) answerRefusal(w http.ResponseWriter, r *http.Request, refused *refusal.Refusal, started time.Time, finish func()) {
+	finish()
+	if refused.Kind == refusal.Leaving {
+		w.Header().Set("Connection", "close")
+	}
+	s.refuse(refused.Kind, refused.Run.String())
+	refusal.Write(w, refused)
+	s.lastWrite(w, r)
+	s.rejected.Observe(time.Since(started).Seconds())
+}
+
+// lastWrite bounds the write of what is still buffered when the handler returns.
+func (s *Server) lastWrite(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoMajor == 1 {
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.config.Idle))
+	}
+}
+
+// admit returns the call and its time limit, or its refusal.
+func (s *Server) admit(r *http.Request, own bool) (*call, time.Duration, *refusal.Refusal) {
+	if s.draining.Load() {
+		return nil, 0, &refusal.Refusal{Kind: refusal.Leaving, Run: refusal.NotRun, Remedy: "connect again; this daemon stops"}
+	}
+	if refused := check(r, own); refused != nil {
+		return nil, 0, refused
+	}
+	c := &call{service: serviceOf(r.Host), request: r}
+	row, refused := s.router.Service(c.service)
+	if refused != nil {
+		return nil, 0, refused
+	}
+	if row.Internal && !own {
+		return nil, 0, &refusal.Refusal{
+			Kind: refusal.InternalOnly, Run: refusal.NotRun, Remedy: "call internal services with a client certificate of an own service",
+		}
+	}
+	limit := row.Deadline
+	if own {
+		remaining, err := forward.Remaining(r.Header)
+		if err != nil {
+			return nil, 0, bad(err.Error())
+		}
+		if remaining > 0 {
+			limit = min(limit, remaining)
+		}
+		if value := r.Header.Get(refusal.HeaderDepth); value != "" {
+			depth, err := strconv.ParseUint(value, 10, 16)
+			if err != nil || depth >= MaxDepth {
+				return nil, 0, bad("end the chain of calls; " + refusal.HeaderDepth + " is too large or no number")
+			}
+			c.depth = int(depth) + 1
+		}
+	}
+	c.repeatable = row.MayRepeat(r.Method)
+	if !c.repeatable {
+		c.key = r.Header.Get(refusal.HeaderKey)
+	}
+	return c, limit, nil
+}
+
+// prepare replaces what the caller may not say and adds what daemons say to each other.
+func (s *Server) prepare(c *call, r *http.Request) {
+	h := r.Header
+	stream.StripHop(h)
+	for _, name := range replacedHeaders {
+		delete(h, name)
+	}
+	address, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		address = r.RemoteAddr
+	}
+	proto := "http"
+	if r.TLS != nil {
+		proto = "https"
+	}
+	h["X-Forwarded-For"] = []string{address}
+	h["X-Forwarded-Proto"] = []string{proto}
+	h[refusal.HeaderService] = []string{c.service}
+	h[refusal.HeaderDepth] = depthValue(c.depth)
+	r.Host, r.RequestURI = c.service, ""
+}
+
+// replacedHeaders would let a caller claim to be another, or change what an upstream
+// takes the request for.
+var replacedHeaders = [...]string{
+	"Forwarded", "X-Forwarded-For", "X-Forwarded-Host", "X-Forwarded-Port", "X-Forwarded-Proto", "X-Real-Ip", "X-Original-Url",
+	"X-Rewrite-Url", "X-Http-Method-Override", "Proxy", "Host", "Expect",
+}
+
+// refusalFor returns the refusal that the caller gets for a failure.
+func (s *Server) refusalFor(ctx context.Context, c *call, err error) *refusal.Refusal {
+	refused := failureOf(nil, err)
+	if c.body.broken() && ctx.Err() == nil {
+		return &refusal.Refusal{Kind: refusal.BadRequest, Run: refused.Run, Remedy: "send the whole body in the form that the header announces"}
+	}
+	return refused
+}
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -130,7 +130,7 @@
 	out := r.WithContext(ctx)
 	out.Host, out.RequestURI = service, ""
 	if r.ContentLength != 0 {
-		body := stream.NewUpload(w, r.Body, s.config.Idle, cancel)
+		body := stream.NewUpload(w, r, s.config.Idle, cancel)
 		defer body.End()
 		out.Body = body
 	}
--- a/pkg/stream/stream.go
+++ b/pkg/stream/stream.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -53,13 +54,16 @@
 	for name, values := range resp.Header {
 		header[name] = values
 	}
+	if _, ok := header["Content-Type"]; !ok {
+		// Keeps net/http from guessing one.
+		header["Content-Type"] = nil
+	}
 	announced := len(resp.Trailer)
 	for name := range resp.Trailer {
 		header.Add("Trailer", name)
 	}
-	if announced > 0 {
-		// A length and trailers exclude each other in HTTP/1.1.
-		header.Del("Content-Length")
+	if HasBody(method, resp.StatusCode) {
+		setLength(header, resp.ContentLength, announced)
 	}
 	w.WriteHeader(resp.StatusCode)
 	if !HasBody(method, resp.StatusCode) {
@@ -77,6 +81,16 @@
 	return nil
 }
 
+// setLength makes the header agree with the body. A length and trailers exclude each
+// other in HTTP/1.1.
+func setLength(header http.Header, length int64, trailers int) {
+	if length < 0 || trailers > 0 {
+		delete(header, "Content-Length")
+	} else if value := strconv.FormatInt(length, 10); header.Get("Content-Length") != value {
+		header["Content-Length"] = []string{value}
+	}
+}
+
 // HasBody reports whether an answer with the status to a request with the method may
 // have a body.
 func HasBody(method string, status int) bool {
--- a/pkg/stream/watch.go
+++ b/pkg/stream/watch.go
@@ -32,45 +32,66 @@
 // Stop ends the watch. It returns false if the watch has expired or was stopped before.
 func (w *Watch) Stop() bool { return w.timer.Stop() }
 
+// drainTime is how long the rest of a body that nobody wants may take to arrive, so that
+// the sender can read the answer before the connection closes.
+const drainTime = time.Second
+
 // Upload is a request body on its way to an upstream. Both a sender that pauses and a
 // receiver that does not take the bytes end it after the idle time.
 type Upload struct {
-	body  io.ReadCloser
-	mu    sync.Mutex
-	watch *Watch
+	body    io.ReadCloser
+	control *http.ResponseController
+	left    int64 // bytes of the announced length that are not read yet; under 0 without one
+	mu      sync.Mutex
+	watch   *Watch
+	done    bool
 }
 
-// NewUpload wraps the body of a request that w answers. cancel ends the call.
-func NewUpload(w http.ResponseWriter, body io.ReadCloser, idle time.Duration, cancel func()) *Upload {
-	control := http.NewResponseController(w)
-	return &Upload{body: body, watch: NewWatch(idle, func() {
-		_ = control.SetReadDeadline(time.Now())
+// NewUpload wraps the body of the request that w answers. cancel ends the call.
+func NewUpload(w http.ResponseWriter, r *http.Request, idle time.Duration, cancel func()) *Upload {
+	u := &Upload{body: r.Body, left: r.ContentLength, control: http.NewResponseController(w)}
+	u.watch = NewWatch(idle, func() {
+		_ = u.control.SetReadDeadline(time.Now())
 		cancel()
-	})}
+	})
+	return u
 }
 
 // Read reads from the sender.
 func (u *Upload) Read(p []byte) (int, error) {
 	u.touch()
 	n, err := u.body.Read(p)
-	if err != nil {
-		u.End()
+	u.left -= int64(n)
+	if err != nil || u.left == 0 {
+		u.stop(errors.Is(err, io.EOF) || err == nil)
 		return n, err
 	}
 	u.touch()
 	return n, nil
 }
 
-// Close does not close the sender's body, which the HTTP server owns.
-func (u *Upload) Close() error {
-	u.End()
-	return nil
+// Close leaves the body to the HTTP server, which owns it.
+func (u *Upload) Close() error { return nil }
+
+// Done reports whether the body has been read to its end.
+func (u *Upload) Done() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.done
 }
 
-// End stops the watch; it must be called before the handler returns.
+// End must be called before the handler returns. It ends a read that still waits.
 func (u *Upload) End() {
+	u.stop(false)
+	if !u.Done() {
+		_ = u.control.SetReadDeadline(time.Now().Add(drainTime))
+	}
+}
+
+func (u *Upload) stop(done bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.done = u.done || done
 	if u.watch != nil {
 		u.watch.Stop()
 		u.watch = nil
