Join distribution and calls in a daemon, and run both in a demo

Cause: the packages were built apart; nothing ran from an edited row to a caller's answer. Change: pkg/daemon wires sockets, distribution, ingress, forwarding and the admin server; pkg/demo runs a deployment on loopback and counts; mangoshed run and mangoshedctl demo start them.

--- a/cmd/mangoshed/commands.go
+++ b/cmd/mangoshed/commands.go
@@ -8,12 +8,12 @@
 	"github.com/urfave/cli/v3"
 
 	"mangoshed.example/mangoshed/pkg/buildinfo"
+	"mangoshed.example/mangoshed/pkg/daemon"
 	"mangoshed.example/mangoshed/pkg/settings"
 )
 
 // runDaemon runs one daemon until ctx ends and its drain is complete.
-// TODO: set to daemon.Run when pkg/daemon exists; until then run only checks the settings.
-var runDaemon = func(context.Context, *settings.Settings) error { return nil }
+var runDaemon = daemon.Run
 
 // usageError reports a command line that cannot be run.
 type usageError struct {
--- a/cmd/mangoshedctl/main.go
+++ b/cmd/mangoshedctl/main.go
@@ -1,4 +1,5 @@
-// Command mangoshedctl is the operator's tool of mangoshed.
+// Command mangoshedctl is the operator's program of mangoshed: it checks, compares and
+// builds tables, makes keys, asks daemons for their state, and runs the demo.
 package main
 
 import (
--- a/pkg/demo/deployment.go
+++ b/pkg/demo/deployment.go
@@ -4,7 +4,9 @@
 package demo
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 
@@ -100,3 +102,18 @@
 	}
 	return all
 }
+
+// regions returns the names of the deployment's regions, sorted.
+func (d Deployment) regions() []string {
+	var names []string
+	for _, place := range d.Places {
+		names = append(names, place.Region)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// sortedServices returns the services sorted by name, as a table has them.
+func (d Deployment) sortedServices() []Service {
+	return slices.SortedFunc(slices.Values(d.Services), func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+}
