--- a/core/table/table.go
+++ b/core/table/table.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"slices"
+	"sort"
 	"strings"
 	"time"
 
@@ -107,7 +108,7 @@
 
 // Row returns the row of the service.
 func (t *Table) Row(service string) (*Row, bool) {
-	i, ok := slices.BinarySearchFunc(t.Rows, service, func(r Row, s string) int { return strings.Compare(r.Service, s) })
+	i, ok := sort.Find(len(t.Rows), func(i int) int { return strings.Compare(service, t.Rows[i].Service) })
 	if !ok {
 		return nil, false
 	}
--- a/core/table/table_test.go
+++ b/core/table/table_test.go
@@ -67,7 +67,7 @@
 		"extra column":        {strings.Replace(header, "internal", "internal,owner", 1) + "shifts,reads,no,bob,800,3,,1,,1,\n", []string{"column owner: unknown column"}},
 		"duplicate column":    {strings.Replace(header, "klang/b", "klang/a", 2) + shifts, []string{"column weight:klang/a: duplicate column", "column limit_per_s:klang/a: duplicate column"}},
 		"unnamed column":      {strings.Replace(header, "internal", "internal,", 1) + "shifts,reads,no,,800,3,,1,,1,\n", []string{"column 4 has no name"}},
-		"undeclared region":   {strings.Replace(header, "klang/b", "penang/b", 2) + shifts, []string{`column weight:penang/b: value "penang": region is not declared; add the columns weight:penang and`}},
+		"undeclared region":   {strings.Replace(header, "klang/b", "penang/b", 2) + strings.Replace(shifts, ",3,", ",0,", 1), []string{`column weight:penang/b: value "penang": region is not declared; add the columns weight:penang and`, "column weight:klang: value \"1\": region takes calls"}},
 		"region without data centre": {
 			strings.TrimSpace(header) + ",weight:ipoh,limit_per_s:ipoh\nshifts,reads,no,800,3,,1,,1,,0,\n",
 			[]string{`column weight:ipoh: value "ipoh": region has no data centre`},
--- a/core/table/validate.go
+++ b/core/table/validate.go
@@ -136,25 +136,23 @@
 // keeps its calls to itself.
 func checkSums(f *faults, line int, l Layout, r *Row) {
 	var total uint64
-	var empty []int // regions that take calls but have no weight
+	for _, cell := range r.DataCentres {
+		total += uint64(cell.Weight)
+	}
+	if total == 0 {
+		f.add(line, "", r.Service, "data-centre weights sum to zero", "give at least one data centre a weight above 0, or remove the row")
+		return
+	}
 	dc := 0
 	for i, region := range l.Regions {
 		var sum uint64
 		for ; dc < len(l.DataCentres) && l.DataCentres[dc].Region <= region; dc++ { // both lists are sorted by region
 			sum += uint64(r.DataCentres[dc].Weight)
 		}
-		total += sum
 		if sum == 0 && r.Regions[i].Weight > 0 {
-			empty = append(empty, i)
+			f.add(line, prefixWeight+region, strconv.FormatUint(uint64(r.Regions[i].Weight), 10),
+				"region takes calls of other regions but its data-centre weights sum to zero",
+				"set the region's weight to 0, or give one of its data centres a weight above 0")
 		}
 	}
-	if total == 0 {
-		f.add(line, "", r.Service, "data-centre weights sum to zero", "give at least one data centre a weight above 0, or remove the row")
-		return
-	}
-	for _, i := range empty {
-		f.add(line, prefixWeight+l.Regions[i], strconv.FormatUint(uint64(r.Regions[i].Weight), 10),
-			"region takes calls of other regions but its data-centre weights sum to zero",
-			"set the region's weight to 0, or give one of its data centres a weight above 0")
-	}
 }
--- a/pkg/ctl/keys.go
+++ b/pkg/ctl/keys.go
@@ -31,6 +31,7 @@
 	out := &cli.StringFlag{Name: "out", Usage: "output `DIR`", Value: "."}
 	leaf := []cli.Flag{
 		out,
+		formatFlag(),
 		&cli.StringFlag{Name: "authority", Usage: "`DIR` with the authority's ca.pem and ca.key", Value: "."},
 		&cli.IntFlag{
 			Name: "days", Usage: "life of the certificate in `DAYS`", Value: int(identity.LeafValidity / (24 * time.Hour)),
@@ -48,7 +49,7 @@
 		Commands: []*cli.Command{
 			{
 				Name: "authority", Usage: "make the fleet's certificate authority: ca.pem and ca.key", Action: makeAuthority,
-				Flags: []cli.Flag{out, &cli.StringFlag{Name: "name", Usage: "common `NAME`", Value: "mangoshed"}},
+				Flags: []cli.Flag{out, formatFlag(), &cli.StringFlag{Name: "name", Usage: "common `NAME`", Value: "mangoshed"}},
 			},
 			{
 				Name: "instance", Usage: "make the certificate of the daemon beside an instance: ID.pem and ID.key", ArgsUsage: "ID",
@@ -60,32 +61,48 @@
 			},
 			{
 				Name: "sign", Usage: "make an operator's key pair for table build --sign: sign.key and sign.pub", Action: makeSigningKey,
-				Flags: []cli.Flag{out},
+				Flags: []cli.Flag{out, formatFlag()},
 			},
 		},
 		Action: group,
 	}
 }
 
+// keyResult is the JSON form of what a keys command made.
+type keyResult struct {
+	PublicFile  string `json:"public_file"`
+	PrivateFile string `json:"private_file"`
+	KeyID       string `json:"key_id,omitempty"`
+	PublicKey   string `json:"public_key,omitempty"`
+}
+
 // writePair writes a public and a private file; an existing file is never replaced,
 // because a lost private key cannot be restored.
-func writePair(cmd *cli.Command, publicName string, public []byte, privateName string, private []byte) error {
-	publicPath, privatePath := filepath.Join(cmd.String("out"), publicName), filepath.Join(cmd.String("out"), privateName)
-	for _, path := range []string{publicPath, privatePath} {
+func writePair(cmd *cli.Command, publicName string, public []byte, privateName string, private []byte) (keyResult, error) {
+	directory := cmd.String("out")
+	result := keyResult{PublicFile: filepath.Join(directory, publicName), PrivateFile: filepath.Join(directory, privateName)}
+	for _, path := range []string{result.PublicFile, result.PrivateFile} {
 		if _, err := os.Lstat(path); !errors.Is(err, fs.ErrNotExist) {
-			return &FileError{Path: path, Remedy: "use another --out, or move the file away", Err: fs.ErrExist}
+			return result, &FileError{Path: path, Remedy: "use another --out, or move the file away", Err: fs.ErrExist}
 		}
 	}
-	if err := writeFile(privatePath, private, modePrivate); err != nil {
-		return err
+	if err := writeFile(result.PrivateFile, private, modePrivate); err != nil {
+		return result, err
 	}
-	if err := writeFile(publicPath, public, modePublic); err != nil {
+	return result, writeFile(result.PublicFile, public, modePublic)
+}
+
+// writeCertificate writes a certificate and its key and prints their names.
+func writeCertificate(cmd *cli.Command, certName, keyName string, pair identity.KeyPair) error {
+	result, err := writePair(cmd, certName, pair.Cert, keyName, pair.Key)
+	if err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(cmd.Root().Writer, "%s\n%s (private)\n", publicPath, privatePath)
-	return err
+	return show(cmd, result, result.lines())
 }
 
+func (r keyResult) lines() []string { return []string{r.PublicFile, r.PrivateFile + " (private)"} }
+
 func makeAuthority(_ context.Context, cmd *cli.Command) error {
 	if _, err := arguments(cmd); err != nil {
 		return err
@@ -94,7 +111,7 @@
 	if err != nil {
 		return err
 	}
-	return writePair(cmd, authorityCert, pair.Cert, authorityKey, pair.Key)
+	return writeCertificate(cmd, authorityCert, authorityKey, pair)
 }
 
 func makeInstance(_ context.Context, cmd *cli.Command) error {
@@ -138,7 +155,7 @@
 	if err != nil {
 		return err
 	}
-	return writePair(cmd, name+".pem", pair.Cert, name+".key", pair.Key)
+	return writeCertificate(cmd, name+".pem", name+".key", pair)
 }
 
 func makeSigningKey(_ context.Context, cmd *cli.Command) error {
@@ -154,9 +171,11 @@
 		return err
 	}
 	text := snapshot.FormatPublicKey(public)
-	if err := writePair(cmd, "sign.pub", []byte(text+"\n"), "sign.key", data); err != nil {
+	result, err := writePair(cmd, "sign.pub", []byte(text+"\n"), "sign.key", data)
+	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(cmd.Root().Writer, "key ID %s; add to the settings of every daemon:\nsigning_keys: [%s]\n", snapshot.KeyID(public), text)
-	return err
+	result.KeyID, result.PublicKey = snapshot.KeyID(public), text
+	return show(cmd, result, append(result.lines(),
+		"key ID "+result.KeyID+"; add to the settings of every daemon:", "signing_keys: ["+text+"]"))
 }
