--- a/pkg/distribution/runner.go
+++ b/pkg/distribution/runner.go
@@ -224,7 +224,9 @@
 		r.cfg.Transport.Close(a.Peer, a.Reason)
 	case dissemination.Send:
 		if err := r.cfg.Transport.Send(a.Peer, a.Data); err != nil {
-			r.cfg.Log.Debug("send_failed", zap.Error(err))
+			// The core can know a link that is gone when its LinkUp was still queued while
+			// the core gave up the dial.
+			r.queue.put(dissemination.LinkDown{Peer: a.Peer, Err: err}, 0)
 		}
 	case dissemination.Watch:
 		r.store.watch(a.On)
--- a/pkg/distribution/store.go
+++ b/pkg/distribution/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -180,7 +181,7 @@
 
 // fetch reads the segments of a manifest.
 func (s *store) fetch(m snapshot.Manifest) {
-	s.once("segments/"+m.TableDigest.String(), func(ctx context.Context) {
+	s.once(fmt.Sprintf("segments of %d/%s", m.Version, m.TableDigest), func(ctx context.Context) {
 		segments := make([][]byte, len(m.Segments))
 		group, groupCtx := errgroup.WithContext(ctx)
 		group.SetLimit(parallelSegments)
