Add mangoshedctl status, audit and explain

Cause: operators look at many daemons at once. Change: three commands that ask all given daemons in parallel, as text or JSON; a daemon that does not answer is named and makes the command fail, the others are shown. The operator interface uses routing.Explanation. Measured: tests only.

--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -23,6 +23,9 @@
 		Commands: []*cli.Command{
 			tableCommand(),
 			keysCommand(),
+			statusCommand(),
+			auditCommand(),
+			explainCommand(),
 		},
 		Action: group,
 	}
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"mangoshed.example/mangoshed/core/routing"
 	"mangoshed.example/mangoshed/pkg/audit"
 )
 
@@ -50,18 +51,22 @@
 // Status returns the state of the daemon.
 func (c *Client) Status(ctx context.Context) (Status, error) {
 	var s Status
-	return s, c.do(ctx, http.MethodGet, "/v1/status", nil, &s)
+	err := c.do(ctx, http.MethodGet, "/v1/status", nil, &s)
+	return s, err
 }
 
 // Audit returns up to max entries of the trail, the newest first; 0 returns all.
 func (c *Client) Audit(ctx context.Context, max int) ([]audit.Entry, error) {
 	var entries []audit.Entry
-	return entries, c.do(ctx, http.MethodGet, "/v1/audit", url.Values{"max": {strconv.Itoa(max)}}, &entries)
+	err := c.do(ctx, http.MethodGet, "/v1/audit", url.Values{"max": {strconv.Itoa(max)}}, &entries)
+	return entries, err
 }
 
-// Explain reads how calls to a service are routed now into explanation.
-func (c *Client) Explain(ctx context.Context, service string, explanation any) error {
-	return c.do(ctx, http.MethodGet, "/v1/explain", url.Values{"service": {service}}, explanation)
+// Explain returns how calls to a service are routed now.
+func (c *Client) Explain(ctx context.Context, service string) (routing.Explanation, error) {
+	var e routing.Explanation
+	err := c.do(ctx, http.MethodGet, "/v1/explain", url.Values{"service": {service}}, &e)
+	return e, err
 }
 
 // Drain starts a graceful shutdown of the daemon.
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/core/routing"
 	"mangoshed.example/mangoshed/pkg/audit"
 )
 
@@ -58,9 +59,8 @@
 // use and do not block.
 type Daemon interface {
 	Status() Status
-	// Explain returns how calls to a service are routed now, in a form that
-	// encoding/json can write.
-	Explain(service string) any
+	// Explain returns how calls to a service are routed now.
+	Explain(service string) routing.Explanation
 	// Audit returns up to max entries of the trail, the newest first; 0 returns all.
 	Audit(max int) []audit.Entry
 	// Drain starts a graceful shutdown. It has no effect when one is under way.
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/core/routing"
 	"mangoshed.example/mangoshed/pkg/audit"
 )
 
@@ -19,9 +20,11 @@
 	drains int
 }
 
-func (f *fake) Status() Status             { return f.status }
-func (f *fake) Explain(service string) any { return map[string]string{"service": service} }
-func (f *fake) Drain()                     { f.drains++; f.status.State = "leaving" }
+func (f *fake) Status() Status { return f.status }
+func (f *fake) Explain(service string) routing.Explanation {
+	return routing.Explanation{Service: service}
+}
+func (f *fake) Drain() { f.drains++; f.status.State = "leaving" }
 func (f *fake) Audit(max int) []audit.Entry {
 	return []audit.Entry{{Kind: audit.Applied, Version: model.Version(max)}}
 }
@@ -60,10 +63,11 @@
 	entries, err := client.Audit(t.Context(), 5)
 	require.NoError(t, err)
 	require.Equal(t, model.Version(5), entries[0].Version)
-	var explanation map[string]string
-	require.NoError(t, client.Explain(t.Context(), "shifts", &explanation))
-	require.Equal(t, "shifts", explanation["service"])
-	require.ErrorContains(t, client.Explain(t.Context(), "", &explanation), "use /v1/explain?service=NAME")
+	explanation, err := client.Explain(t.Context(), "shifts")
+	require.NoError(t, err)
+	require.Equal(t, "shifts", explanation.Service)
+	_, err = client.Explain(t.Context(), "")
+	require.ErrorContains(t, err, "use /v1/explain?service=NAME")
 
 	code, body := get(t, address, "/readyz")
 	require.Equal(t, http.StatusServiceUnavailable, code)
--- a/pkg/peer/bench_test.go
+++ b/pkg/peer/bench_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"os"
 	"runtime"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -110,32 +108,39 @@
 	b.ReportMetric(float64(t[Sent].Bytes+t[Received].Bytes)/float64(b.N), "wire-B")
 }
 
+// star starts a parent with n children and returns the children's names, a channel of
+// their events, and the memory that each child with its link takes at both ends.
+func star(b *testing.B, n int) (*Transport, []model.InstanceID, recorder, float64) {
+	f := newFleet(b)
+	parent, rp := f.start("parent", east, func(c *Config) { c.HandshakesPerSecond = 1 << 20 })
+	before := memory()
+	shared := make(recorder, 1000)
+	names := make([]model.InstanceID, n)
+	for i := range n {
+		names[i] = model.InstanceID(fmt.Sprintf("child-%d", i))
+		child, rc := f.start(names[i], east, nil)
+		child.Dial(instance(parent))
+		rc.next(b, "up")
+		rp.next(b, "up")
+		go func() {
+			for e := range rc {
+				shared <- e
+				if e.kind == "down" {
+					return
+				}
+			}
+		}()
+	}
+	return parent, names, shared, float64(memory()-before) / float64(n)
+}
+
 // BenchmarkOneHop reports the cost of one change of 200 bytes from a parent to its
-// children, from the first Send to the last arrival.
+// children, from the first Send to the last arrival, and the memory of a child and its
+// link at both ends.
 func BenchmarkOneHop(b *testing.B) {
 	for _, n := range []int{1, 16, 128} {
 		b.Run(fmt.Sprintf("links=%d", n), func(b *testing.B) {
-			f := newFleet(b)
-			parent, rp := f.start("parent", east, func(c *Config) { c.HandshakesPerSecond = 1 << 20 })
-			before := memory()
-			shared := make(recorder, 1000)
-			names := make([]model.InstanceID, n)
-			for i := range n {
-				names[i] = model.InstanceID(fmt.Sprintf("child-%d", i))
-				child, rc := f.start(names[i], east, nil)
-				child.Dial(instance(parent))
-				rc.next(b, "up")
-				rp.next(b, "up")
-				go func() {
-					for e := range rc {
-						shared <- e
-						if e.kind == "down" {
-							return
-						}
-					}
-				}()
-			}
-			b.ReportMetric(float64(memory()-before)/float64(n), "B/link-both-ends")
+			parent, names, shared, bytes := star(b, n)
 			change := make([]byte, 200)
 			cpu := processorTime(b)
 			for b.Loop() {
@@ -147,22 +152,27 @@
 				}
 			}
 			b.ReportMetric(float64(processorTime(b)-cpu)/float64(b.N*n), "cpu-ns/link")
+			b.ReportMetric(bytes, "B/link")
 		})
 	}
 }
 
-// memory returns the resident size after a collection.
-func memory() int64 {
+// BenchmarkIdleLinks reports the processor time of idle links within a data centre.
+func BenchmarkIdleLinks(b *testing.B) {
+	const links, seconds = 128, 60
+	star(b, links)
+	cpu := processorTime(b)
+	<-time.After(seconds * time.Second)
+	b.ReportMetric(float64((processorTime(b)-cpu).Microseconds())/(links*seconds), "cpu-us/s/link")
+}
+
+// memory returns the heap and the stacks in use after a collection.
+func memory() uint64 {
 	runtime.GC()
 	runtime.GC()
-	status, _ := os.ReadFile("/proc/self/status")
-	var kb int64
-	for line := range strings.Lines(string(status)) {
-		if _, err := fmt.Sscanf(line, "VmRSS: %d", &kb); err == nil {
-			break
-		}
-	}
-	return kb << 10
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
 }
 
 // processorTime returns the process's user and system time.
