--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -24,6 +24,9 @@
 			tableCommand(),
 			keysCommand(),
 			demoCommand(),
+			statusCommand(),
+			auditCommand(),
+			explainCommand(),
 		},
 		Action: group,
 	}
--- a/pkg/daemon/admin.go
+++ b/pkg/daemon/admin.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mangoshed.example/mangoshed/core/routing"
 	"mangoshed.example/mangoshed/pkg/audit"
 	"mangoshed.example/mangoshed/pkg/buildinfo"
 	"mangoshed.example/mangoshed/pkg/operator"
@@ -56,7 +57,7 @@
 }
 
 // Explain implements operator.Daemon.
-func (v adminView) Explain(service string) any { return v.d.calls.explain(service) }
+func (v adminView) Explain(service string) routing.Explanation { return v.d.calls.explain(service) }
 
 // Audit implements operator.Daemon.
 func (v adminView) Audit(max int) []audit.Entry { return v.d.trail.Entries(max) }
