Measure the demo's idle cost after the links have settled

Cause: right after start the links are still being made: 514 to 874 bytes/s per daemon were reported as idle cost. Change: the demo waits 3 s before the idle window.

--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -21,6 +21,9 @@
 	convergenceTimeout = 14 * time.Second
 	// drainTimeout bounds the graceful stop at the end.
 	drainTimeout = 10 * time.Second
+	// settleTime lets the links and subscriptions that follow from the first complete
+	// instance list be made before the idle cost is measured.
+	settleTime = 3 * time.Second
 	// idleWindow is the time over which the idle cost of the links is measured.
 	idleWindow = 2 * time.Second
 	// pollInterval is the time between two looks at the daemons' readiness.
@@ -147,6 +150,7 @@
 
 // measureIdle measures the control bytes without changes and calls.
 func (r *run) measureIdle(ctx context.Context) {
+	pause(ctx, settleTime)
 	before := sumTraffic(r.site.daemons)
 	pause(ctx, idleWindow)
 	spent := sumTraffic(r.site.daemons).minus(before)
