--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -23,6 +23,9 @@
 	dialTimeout = time.Second
 	// maxConns bounds the connections to one peer. Each carries up to maxStreams calls.
 	maxConns = 4
+	// busyConn is the number of calls on a connection from which on another one is
+	// opened: encryption and framing of one connection run on one core at a time.
+	busyConn = 3
 	// maxPeers bounds the peers with connections; the least recently used idle one
 	// goes first.
 	maxPeers = 512
--- a/pkg/forward/peer.go
+++ b/pkg/forward/peer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,29 +65,26 @@
 	}
 }
 
+// tryReserve takes the least busy connection. When all are busy it starts another one,
+// but waits for it only if there is none to use.
 func (p *peer) tryReserve() (*link, *attempt) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	alive := p.links[:0]
+	p.links = slices.DeleteFunc(p.links, func(l *link) bool { return l.conn.Err() != nil })
+	slices.SortFunc(p.links, func(a, b *link) int { return a.conn.InFlight() - b.conn.InFlight() })
 	var found *link
 	for _, l := range p.links {
-		if found == nil && l.conn.Reserve() == nil {
+		if l.conn.Reserve() == nil {
 			found = l
+			break
 		}
-		if found == l || l.conn.Err() == nil {
-			alive = append(alive, l)
-		}
-	}
-	clear(p.links[len(alive):])
-	p.links = alive
-	if found != nil {
-		return found, nil
 	}
-	if p.pending == nil {
+	grow := found != nil && len(p.links) < maxConns && found.conn.InFlight() > busyConn
+	if p.pending == nil && (found == nil || grow) {
 		p.pending = &attempt{done: make(chan struct{})}
 		go p.connect(p.pending, len(p.links) >= maxConns)
 	}
-	return nil, p.pending
+	return found, p.pending
 }
 
 // connect opens a connection and publishes it.
--- a/pkg/stream/stream.go
+++ b/pkg/stream/stream.go
@@ -17,7 +17,7 @@
 	// of a body, so that a slow peer cannot hold a slot.
 	IdleTimeout = 10 * time.Second
 	// bufferSize is the largest part of a body that is in memory per direction.
-	bufferSize = 32 << 10
+	bufferSize = 64 << 10
 )
 
 var buffers = sync.Pool{New: func() any { return new([bufferSize]byte) }}
