Keep callers' connections over refusals; refuse after a pause

Cause: a refusal before the body was read closed the caller's connection, which under overload is most answers; and nothing kept an old view from running what must run once. SetStale refuses requests that must not be repeated, not run. Tests for own-service certificates, an owner's dispatch and the kept bodies.

--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -12,10 +14,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+	"pgregory.net/rapid"
 
 	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/refusal"
@@ -23,6 +27,7 @@
 	"mangoshed.example/mangoshed/core/routing"
 	"mangoshed.example/mangoshed/core/snapshot"
 	"mangoshed.example/mangoshed/core/table"
+	"mangoshed.example/mangoshed/pkg/identity"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -99,8 +104,8 @@
 	body       string
 }
 
-// exchange sends raw bytes on a new connection and reads one answer.
-func exchange(t testing.TB, addr, raw string) (reply, error) {
+// ask sends raw bytes on a new connection and reads one answer.
+func ask(t testing.TB, addr, raw string) (reply, error) {
 	t.Helper()
 	conn, err := net.Dial("tcp", addr)
 	require.NoError(t, err)
@@ -165,7 +170,7 @@
 		"two lengths":        {"POST / HTTP/1.1\r\nHost: shifts\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
-			resp, err := exchange(t, addr, c.raw)
+			resp, err := ask(t, addr, c.raw)
 			require.NoError(t, err)
 			require.Equal(t, c.status, resp.StatusCode)
 			require.Equal(t, string(c.kind), resp.Header.Get(refusal.HeaderKind))
@@ -189,7 +194,7 @@
 	raw := "POST /a?q=%2F HTTP/1.1\r\nHost: SHIFTS:80\r\nConnection: close, X-Secret\r\nX-Secret: 1\r\nKeep-Alive: 1\r\nUpgrade: h2c\r\n" +
 		"Forwarded: for=10.9.9.9\r\nX-Forwarded-For: 10.9.9.9\r\nTrailer: Checksum\r\nTransfer-Encoding: chunked\r\n\r\n" +
 		"3\r\nabc\r\n0\r\nChecksum: 7\r\n\r\n"
-	_, err := exchange(t, addr, raw)
+	_, err := ask(t, addr, raw)
 	require.NoError(t, err)
 	r := <-got
 	for _, name := range []string{"Connection", "X-Secret", "Keep-Alive", "Upgrade", "Forwarded", "Trailer"} {
@@ -254,7 +259,7 @@
 			if c.chunked {
 				length = fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(c.body), c.body)
 			}
-			resp, err := exchange(t, addr, c.method+" / HTTP/1.1\r\nHost: shifts\r\n"+length)
+			resp, err := ask(t, addr, c.method+" / HTTP/1.1\r\nHost: shifts\r\n"+length)
 			require.NoError(t, err)
 			require.Equal(t, c.attempts, attempts)
 			require.Equal(t, c.status, resp.StatusCode)
@@ -263,6 +268,129 @@
 	}
 }
 
+// Guards against kept bodies that change, or that take memory without bound.
+func TestBodyReplaysWhatItKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		content := rapid.SliceOfN(rapid.Byte(), 0, 300).Draw(t, "content")
+		memory := &replayMemory{}
+		b := newBody(iotest.HalfReader(bytes.NewReader(content)), -1, memory)
+		for range rapid.IntRange(0, 3).Draw(t, "attempts") {
+			part := make([]byte, rapid.IntRange(0, len(content)).Draw(t, "read"))
+			attempt := b.attempt()
+			_, err := io.ReadFull(attempt, part)
+			require.NoError(t, err)
+			require.NoError(t, attempt.Close())
+			require.True(t, b.replayable())
+		}
+		got, err := io.ReadAll(b.attempt())
+		require.NoError(t, err)
+		require.Equal(t, string(content), string(got))
+		b.free()
+		require.Zero(t, memory.used.Load())
+	})
+	memory := &replayMemory{}
+	memory.used.Store(replayTotal)
+	b := newBody(strings.NewReader("abc"), 3, memory)
+	got, err := io.ReadAll(b.attempt())
+	require.NoError(t, err)
+	require.Equal(t, "abc", string(got))
+	require.False(t, b.replayable())
+}
+
+// Guards against refusals that cost callers their connection, and against a view of
+// before a pause being used for what must run once.
+func TestRefusalKeepsConnection(t *testing.T) {
+	server, addr := start(t, Config{Local: guardFunc(func(*http.Request) (*http.Response, error) {
+		return nil, &refusal.Refusal{Kind: refusal.Limited, Run: refusal.NotRun}
+	})})
+	conn, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for _, want := range []refusal.Kind{refusal.Limited, refusal.NoVersion, refusal.Limited} {
+		server.SetStale(want == refusal.NoVersion)
+		_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: shifts\r\nContent-Length: 5\r\n\r\nhello")
+		require.NoError(t, err)
+		got, err := readAnswer(reader, "POST")
+		require.NoError(t, err)
+		require.Equal(t, string(want), got.Header.Get(refusal.HeaderKind))
+		require.Equal(t, "not-run", got.Header.Get(refusal.HeaderRun))
+	}
+}
+
+// Guards against internal services and headers of daemons being open to strangers or
+// closed to own services.
+func TestOwnServicesProveThemselves(t *testing.T) {
+	authority, _, err := identity.NewAuthority("test", time.Now())
+	require.NoError(t, err)
+	source := func(holder identity.Peer) *identity.Source {
+		pair, err := authority.Issue(holder, time.Now(), time.Hour)
+		require.NoError(t, err)
+		s, err := identity.FromPEM(authority.CertPEM(), pair.Cert, pair.Key)
+		require.NoError(t, err)
+		return s
+	}
+	ledger := instance("a")
+	ledger.Service = "ledger"
+	server, _ := start(t, Config{
+		Identity: source(identity.Peer{Instance: "a"}), Router: newRouter(t, ledger),
+		Local: guardFunc(func(r *http.Request) (*http.Response, error) {
+			deadline, _ := r.Context().Deadline()
+			require.Less(t, time.Until(deadline), time.Minute/2)
+			return answer(200, r.Header.Get(refusal.HeaderDepth)), nil
+		}),
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	done := make(chan error, 1)
+	go func() { done <- server.ServeTLS(listener) }()
+	call := func(config *tls.Config, header string) reply {
+		conn, err := tls.Dial("tcp", listener.Addr().String(), config)
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: ledger\r\n"+header+"\r\n")
+		require.NoError(t, err)
+		got, err := readAnswer(bufio.NewReader(conn), "GET")
+		require.NoError(t, err)
+		return got
+	}
+	own := source(identity.Peer{Service: "reports"}).ClientTLS("a", "http/1.1")
+	got := call(own, "Mangoshed-Remaining-Ms: 20000\r\nMangoshed-Depth: 3\r\n")
+	require.Equal(t, "4", got.body)
+	require.Equal(t, 400, call(own, "Mangoshed-Dispatch: 1\r\n").StatusCode)
+	require.Equal(t, 400, call(own, "Mangoshed-Depth: 64\r\n").StatusCode)
+	stranger := &tls.Config{InsecureSkipVerify: true}
+	require.Equal(t, string(refusal.InternalOnly), call(stranger, "").Header.Get(refusal.HeaderKind))
+	require.Equal(t, 400, call(stranger, "Mangoshed-Depth: 1\r\n").StatusCode)
+	require.NoError(t, server.Close())
+	require.NoError(t, <-done)
+}
+
+// Guards against an owner's dispatch that runs twice or that the target takes for a
+// caller's.
+func TestOwnerDispatchesOnce(t *testing.T) {
+	for run, want := range map[refusal.Run]int{refusal.NotRun: 3, refusal.MayHaveRun: 1} {
+		attempts := 0
+		server, _ := start(t, Config{
+			Router: newRouter(t, instance("b"), instance("c"), instance("d")),
+			Remote: remoteFunc(func(_ *model.Instance, r *http.Request) (*http.Response, error) {
+				attempts++
+				require.Equal(t, "1", r.Header.Get(refusal.HeaderDispatch))
+				return nil, &refusal.Refusal{Kind: refusal.Cut, Run: run}
+			}),
+		})
+		req, err := http.NewRequestWithContext(t.Context(), "GET", "/", nil)
+		require.NoError(t, err)
+		req.Header.Set(refusal.HeaderService, "shifts")
+		resp, err := server.RoundTrip(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		require.Error(t, err)
+		require.Equal(t, want, attempts)
+	}
+}
+
 // Guards against retries beyond the budget while everything fails.
 func TestRetryBudgetBoundsLoad(t *testing.T) {
 	var attempts atomic.Int32
@@ -274,7 +402,7 @@
 		}),
 	})
 	for range 200 {
-		_, err := exchange(t, addr, get("shifts", "/"))
+		_, err := ask(t, addr, get("shifts", "/"))
 		require.NoError(t, err)
 	}
 	require.LessOrEqual(t, attempts.Load(), int32(200+200/retry.CallsPerRetry+2))
@@ -298,12 +426,12 @@
 		}),
 	})
 	raw := "POST / HTTP/1.1\r\nHost: shifts\r\nIdempotency-Key: k1\r\nContent-Length: 0\r\n\r\n"
-	resp, err := exchange(t, addr, raw)
+	resp, err := ask(t, addr, raw)
 	require.NoError(t, err)
 	require.Equal(t, "k1", resp.body)
 	require.Equal(t, model.InstanceID("c"), <-ran)
 	known = false
-	resp, err = exchange(t, addr, raw)
+	resp, err = ask(t, addr, raw)
 	require.NoError(t, err)
 	require.Equal(t, string(refusal.NotOwner), resp.Header.Get(refusal.HeaderKind))
 	require.Equal(t, "not-run", resp.Header.Get(refusal.HeaderRun))
@@ -359,7 +487,7 @@
 				resp.Header.Set("Mangoshed-Load", "1/9/0")
 				return resp, nil
 			})})
-			resp, err := exchange(t, addr, c.method+" / HTTP/1.1\r\nHost: shifts\r\n\r\n")
+			resp, err := ask(t, addr, c.method+" / HTTP/1.1\r\nHost: shifts\r\n\r\n")
 			if !c.whole {
 				require.Error(t, err)
 				return
@@ -456,14 +584,14 @@
 	})
 	t.Run("idle upstream", func(t *testing.T) {
 		_, addr := start(t, Config{Local: local, Idle: 10 * time.Millisecond})
-		_, err := exchange(t, addr, get("shifts", "/body"))
+		_, err := ask(t, addr, get("shifts", "/body"))
 		require.Error(t, err)
 		<-entered
 		require.Error(t, <-ended)
 	})
 	t.Run("idle caller", func(t *testing.T) {
 		_, addr := start(t, Config{Local: local, Idle: 10 * time.Millisecond})
-		resp, err := exchange(t, addr, "POST /upload HTTP/1.1\r\nHost: shifts\r\nContent-Length: 9\r\n\r\nx")
+		resp, err := ask(t, addr, "POST /upload HTTP/1.1\r\nHost: shifts\r\nContent-Length: 9\r\n\r\nx")
 		require.NoError(t, err)
 		require.NotEmpty(t, resp.Header.Get(refusal.HeaderKind))
 		require.Equal(t, "may-have-run", resp.Header.Get(refusal.HeaderRun))
@@ -486,7 +614,7 @@
 	}
 	running := make(chan result, 1)
 	go func() {
-		resp, err := exchange(t, addr, get("shifts", "/"))
+		resp, err := ask(t, addr, get("shifts", "/"))
 		running <- result{resp.body, err}
 	}()
 	<-entered
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -65,6 +65,7 @@
 	config   Config
 	http     *http.Server
 	draining atomic.Bool
+	stale    atomic.Bool
 
 	mu        sync.Mutex
 	listeners []net.Listener
@@ -130,6 +131,10 @@
 	return err
 }
 
+// SetStale says whether the daemon's view may be old, as after a pause. Meanwhile requests
+// that must not be repeated are refused (not run).
+func (s *Server) SetStale(on bool) { s.stale.Store(on) }
+
 // Drain stops accepting connections, refuses new calls on open ones and waits for the
 // running calls until the context ends.
 func (s *Server) Drain(ctx context.Context) error {
@@ -151,9 +156,20 @@
 // Close cuts everything.
 func (s *Server) Close() error { return s.http.Close() }
 
+// exchange is one call of a caller with its answer.
+type exchange struct {
+	w       http.ResponseWriter
+	r       *http.Request
+	started time.Time
+	cancel  context.CancelFunc
+	upload  *stream.Upload // nil without a request body
+	expects bool           // the caller waits for 100 Continue
+	call    *call          // nil if the call was not admitted
+}
+
 // ServeHTTP answers one call.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	started := time.Now()
+	e := &exchange{w: w, r: r, started: time.Now(), expects: r.Header.Get("Expect") != ""}
 	s.inFlight.Inc()
 	defer s.inFlight.Dec()
 	var own bool
@@ -162,75 +178,90 @@
 		own = err == nil && peer.Service != ""
 	}
 	c, limit, refused := s.admit(r, own)
-	ctx, cancel := r.Context(), context.CancelFunc(nil)
-	if limit > 0 {
-		ctx, cancel = context.WithTimeout(ctx, limit)
-	} else {
-		ctx, cancel = context.WithCancel(ctx)
+	if refused != nil {
+		limit = s.config.Idle
 	}
+	ctx, cancel := context.WithTimeout(r.Context(), limit)
 	defer cancel()
+	e.cancel = cancel
 	control := http.NewResponseController(w)
 	if r.ProtoMajor == 1 {
 		// The deadline of the previous answer on the connection no longer counts.
 		_ = control.SetWriteDeadline(time.Time{})
 	}
-	var upload *stream.Upload
 	if r.ContentLength != 0 {
 		_ = control.EnableFullDuplex()
-		upload = stream.NewUpload(w, r, s.config.Idle, cancel)
-		defer upload.End()
-	}
-	// finish precedes each answer.
-	finish := func() {
-		if upload != nil && !upload.Done() && r.ProtoMajor == 1 {
-			// The rest of the body would be read as the next request.
-			w.Header().Set("Connection", "close")
-		}
+		e.upload = stream.NewUpload(w, r, s.config.Idle, cancel)
+		defer e.upload.End()
 	}
 	if refused != nil {
-		s.answerRefusal(w, r, refused, started, finish)
+		s.answerRefusal(e, refused)
 		return
 	}
-	if upload != nil {
-		c.body = newBody(upload, r.ContentLength, &s.memory)
+	e.call = c
+	if e.upload != nil {
+		c.body = newBody(e.upload, r.ContentLength, &s.memory)
 		defer c.body.free()
 	}
 	s.prepare(c, r)
 	resp, err := s.send(ctx, c) //nolint:bodyclose // stream.Answer closes it
 	if err != nil {
-		s.answerRefusal(w, r, s.refusalFor(ctx, c, err), started, finish)
+		s.answerRefusal(e, s.refusalFor(ctx, c, err))
 		return
 	}
-	s.answer(w, r, resp, started, finish, cancel)
+	s.answer(e, resp)
 }
 
 // answer passes the upstream's answer, or another daemon's refusal, to the caller.
-func (s *Server) answer(w http.ResponseWriter, r *http.Request, resp *http.Response, started time.Time, finish, cancel func()) {
-	finish()
+func (s *Server) answer(e *exchange, resp *http.Response) {
 	observe := s.answered
 	if kind := resp.Header.Get(refusal.HeaderKind); kind != "" {
 		s.refuse(refusal.Kind(kind), resp.Header.Get(refusal.HeaderRun))
 		observe = s.rejected
+		e.drain()
 	}
+	e.finishUpload()
 	delete(resp.Header, refusal.HeaderLoad)
-	if err := stream.Answer(w, r.Method, resp, s.config.Idle, cancel); err != nil {
+	if err := stream.Answer(e.w, e.r.Method, resp, s.config.Idle, e.cancel); err != nil {
 		s.cuts.Inc()
 		// The caller must not take the part for the whole.
 		panic(http.ErrAbortHandler)
 	}
-	s.lastWrite(w, r)
-	observe.Observe(time.Since(started).Seconds())
+	s.lastWrite(e.w, e.r)
+	observe.Observe(time.Since(e.started).Seconds())
 }
 
-func (s *Server) answerRefusal(w http.ResponseWriter, r *http.Request, refused *refusal.Refusal, started time.Time, finish func()) {
-	finish()
+func (s *Server) answerRefusal(e *exchange, refused *refusal.Refusal) {
+	e.drain()
+	e.finishUpload()
 	if refused.Kind == refusal.Leaving {
-		w.Header().Set("Connection", "close")
+		e.w.Header().Set("Connection", "close")
 	}
 	s.refuse(refused.Kind, refused.Run.String())
-	refusal.Write(w, refused)
-	s.lastWrite(w, r)
-	s.rejected.Observe(time.Since(started).Seconds())
+	refusal.Write(e.w, refused)
+	s.lastWrite(e.w, e.r)
+	s.rejected.Observe(time.Since(e.started).Seconds())
+}
+
+// drain reads the rest of a short body before a refusal, so that the connection can be
+// used again: under overload most answers are refusals.
+func (e *exchange) drain() {
+	if e.upload == nil || e.upload.Done() || e.expects || e.r.ContentLength < 0 || e.r.ContentLength > replayBytes {
+		return
+	}
+	var rest io.Reader = e.upload
+	if e.call != nil {
+		rest = e.call.body.attempt()
+	}
+	_, _ = io.Copy(io.Discard, rest)
+}
+
+// finishUpload precedes each answer. On HTTP/1.1 the rest of an unread body would be
+// taken for the next request.
+func (e *exchange) finishUpload() {
+	if e.upload != nil && !e.upload.Done() && e.r.ProtoMajor == 1 {
+		e.w.Header().Set("Connection", "close")
+	}
 }
 
 // lastWrite bounds the write of what is still buffered when the handler returns.
@@ -276,6 +307,12 @@
 		}
 	}
 	c.repeatable = row.MayRepeat(r.Method)
+	if !c.repeatable && s.stale.Load() {
+		return nil, 0, &refusal.Refusal{
+			Kind: refusal.NoVersion, Run: refusal.NotRun, RetryAfter: time.Second,
+			Remedy: "the daemon checks its version and instances after a pause; try again",
+		}
+	}
 	if !c.repeatable {
 		c.key = r.Header.Get(refusal.HeaderKey)
 	}
