Suspect silent instances; bound the calls in flight

Change: a call that times out after at least 250 ms makes its instance suspect if the instance has answered no other call meanwhile. A daemon refuses more than 4,096 calls in flight (overloaded, not run). Conclusion: behind a partition an ingress loses the calls of one deadline per peer and then one probe per suspicion.

--- a/core/routing/node.go
+++ b/core/routing/node.go
@@ -21,6 +21,10 @@
 	// 30 s that the platform's list lags behind.
 	suspicionMin = time.Second
 	suspicionMax = 10 * time.Second
+	// silence is the time without any answer after which a timed-out call speaks
+	// against the instance. It is far above a path's round-trip time of 16 ms, so that
+	// calls with short deadlines do not shut out an instance that is only slow.
+	silence = 250 * time.Millisecond
 )
 
 // Load is what an instance reports with each answer.
@@ -60,9 +64,10 @@
 	rampFrom int64 // start of the ramp; never changes
 	settled  bool  // known from the first update on, so without a ramp
 
-	inFlight atomic.Int64 // own calls
-	reported atomic.Uint64
-	loadAt   atomic.Int64
+	inFlight   atomic.Int64 // own calls
+	reported   atomic.Uint64
+	loadAt     atomic.Int64
+	answeredAt atomic.Int64 // any answer, refusals included
 
 	strikes      atomic.Int32 // failures in a row; 0 means not suspect
 	suspectUntil atomic.Int64
@@ -116,6 +121,11 @@
 	return now >= until && n.suspectUntil.CompareAndSwap(until, now+int64(suspicion(n.strikes.Load())))
 }
 
+// silent reports whether the instance has answered nothing since then, for long enough.
+func (n *node) silent(since, now int64) bool {
+	return n.answeredAt.Load() < since && now-since >= int64(silence)
+}
+
 // fail makes the instance suspect. Of a suspect only a failed probe counts: other
 // failures belong to calls that started before the suspicion.
 func (n *node) fail(now int64, probe bool) {
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -44,6 +44,7 @@
 
 	node *node
 	base time.Time
+	at   int64
 }
 
 // Outcome is what became of a call to an instance.
@@ -56,6 +57,10 @@
 	Failed bool
 	// Refused is the kind of the instance's refusal, empty if it answered.
 	Refused refusal.Kind
+	// TimedOut says that the deadline passed before the answer. It speaks against an
+	// instance that has answered no other call meanwhile, as one that a partition
+	// hides behind an open connection.
+	TimedOut bool
 	// Cancelled says that the caller gave up, which tells nothing about the instance.
 	Cancelled bool
 }
@@ -136,13 +141,18 @@
 		return Decision{}, noInstance
 	}
 	t.node.inFlight.Add(1)
-	return Decision{Instance: *t.inst, Row: svc.row, Version: routes.version, Reason: why, node: t.node, base: routes.base}, nil
+	return Decision{Instance: *t.inst, Row: svc.row, Version: routes.version, Reason: why, node: t.node, base: routes.base, at: s.now}, nil
 }
 
 // Observe takes the load that came with the header of an answer whose body still runs.
 func (r *Router) Observe(d Decision, load Load, now time.Time) {
-	if d.node != nil && load.Slots > 0 {
-		d.node.report(load, int64(now.Sub(d.base)))
+	if d.node == nil {
+		return
+	}
+	at := int64(now.Sub(d.base))
+	d.node.answeredAt.Store(at)
+	if load.Slots > 0 {
+		d.node.report(load, at)
 	}
 }
 
@@ -153,17 +163,19 @@
 	}
 	at := int64(now.Sub(d.base))
 	n := d.node
-	r.Observe(d, o.Load, now)
 	n.inFlight.Add(-1)
 	switch {
-	case o.Failed:
+	case o.Failed, o.TimedOut && n.silent(d.at, at):
 		n.fail(at, d.Reason == Probe)
-	case o.Cancelled:
+		return
+	case o.Cancelled, o.TimedOut:
+		return
 	case o.Refused == refusal.Leaving:
 		n.leaving.Store(true)
 	default:
 		n.strikes.Store(0)
 	}
+	r.Observe(d, o.Load, now)
 	if o.Refused == refusal.Overloaded && o.Load.Slots == 0 {
 		// The instance is full but did not say of how many; it counts as full until
 		// the report is too old.
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -199,6 +200,53 @@
 	require.False(t, n.suspect())
 }
 
+// Guards against calls that keep going to an instance behind a partition, and against
+// shutting out an instance that answers others.
+func TestTimeoutsSpeakAgainstSilentInstances(t *testing.T) {
+	r := newRouter(sixteen()[:1], row("shifts", 1, 1, 1, 1, 1))
+	n := r.nodeOf(sixteen()[0].ID)
+	for _, c := range []struct {
+		wait     time.Duration
+		answered bool
+		suspect  bool
+	}{{silence - 1, false, false}, {silence, true, false}, {silence, false, true}} {
+		late, _ := r.Pick(Query{Service: "shifts"}, start)
+		other, _ := r.Pick(Query{Service: "shifts"}, start)
+		if c.answered {
+			r.Observe(other, Load{}, start.Add(time.Millisecond))
+		}
+		r.Report(late, Outcome{TimedOut: true}, start.Add(c.wait))
+		require.Equal(t, c.suspect, n.suspect())
+		r.Report(other, Outcome{Cancelled: true}, start.Add(c.wait))
+		n.answeredAt.Store(-1)
+	}
+	require.Zero(t, n.inFlight.Load())
+}
+
+// Guards against calls in flight that are lost or counted twice while tables change.
+func TestConcurrentUse(t *testing.T) {
+	members := sixteen()
+	r := newRouter(members, row("shifts", 1, 1, 1, 1, 1))
+	var group sync.WaitGroup
+	for worker := range 4 {
+		group.Go(func() {
+			for i := range 500 {
+				at := start.Add(time.Duration(i) * time.Millisecond)
+				if i%10 == worker {
+					r.swap(model.Version(i), tableOf(row("shifts", 1, uint32(i%3), 1, 1, 1)), members[worker:], at)
+				}
+				if d, why := r.Pick(Query{Service: "shifts"}, at); why == nil {
+					r.Report(d, Outcome{Load: Load{InFlight: i % 12, Slots: 9}, Failed: i%50 == 0}, at)
+				}
+			}
+		})
+	}
+	group.Wait()
+	for _, c := range r.Explain("shifts", start).Instances {
+		require.Zero(t, r.nodeOf(c.ID).inFlight.Load())
+	}
+}
+
 // Guards against new work for an instance that has said it leaves, and against a
 // restarted instance that stays shut out.
 func TestLeavingGetsNothingUntilRestart(t *testing.T) {
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -600,10 +600,11 @@
 	})
 }
 
-// Guards against a planned stop that cuts a running call or takes new ones.
+// Guards against a planned stop that cuts a running call or takes new ones, and against
+// calls in flight without bound.
 func TestDrainCutsNothing(t *testing.T) {
 	entered, release := make(chan struct{}, 1), make(chan struct{})
-	server, addr := start(t, Config{Linger: time.Nanosecond, Local: guardFunc(func(*http.Request) (*http.Response, error) {
+	server, addr := start(t, Config{MaxCalls: 1, Linger: time.Nanosecond, Local: guardFunc(func(*http.Request) (*http.Response, error) {
 		entered <- struct{}{}
 		<-release
 		return answer(200, "done"), nil
@@ -618,6 +619,10 @@
 		running <- result{resp.body, err}
 	}()
 	<-entered
+	second, err := ask(t, addr, get("shifts", "/"))
+	require.NoError(t, err)
+	require.Equal(t, string(refusal.Overloaded), second.Header.Get(refusal.HeaderKind))
+	require.Equal(t, "not-run", second.Header.Get(refusal.HeaderRun))
 	stopping := make(chan struct{})
 	server.http.RegisterOnShutdown(func() { close(stopping) })
 	var drained sync.WaitGroup
@@ -628,7 +633,7 @@
 	require.NoError(t, got.err)
 	require.Equal(t, "done", got.body)
 	drained.Wait()
-	_, err := net.Dial("tcp", addr)
+	_, err = net.Dial("tcp", addr)
 	require.Error(t, err)
 	_, _, refused := server.admit(&http.Request{}, false)
 	require.Equal(t, refusal.Leaving, refused.Kind)
--- a/pkg/caller/dispatch.go
+++ b/pkg/caller/dispatch.go
@@ -183,9 +183,11 @@
 	d.chosen[decision.Reason].Inc()
 	started := time.Now()
 	resp, err := d.pass(ctx, c, number, &decision.Instance)
-	outcome := routing.Outcome{Latency: time.Since(started), Cancelled: ctx.Err() != nil || c.body.broken()}
+	outcome := routing.Outcome{Latency: time.Since(started)}
 	if failed := failureOf(resp, err); failed != nil {
 		outcome.Refused = failed.Kind
+		outcome.TimedOut = errors.Is(ctx.Err(), context.DeadlineExceeded)
+		outcome.Cancelled = ctx.Err() != nil || c.body.broken()
 		outcome.Failed = !outcome.Cancelled && (failed.Kind == refusal.UpstreamFailed || failed.Kind == refusal.Cut)
 	}
 	if resp != nil {
--- a/pkg/caller/metrics.go
+++ b/pkg/caller/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -21,11 +22,10 @@
 	cuts      prometheus.Counter
 	answered  prometheus.Observer
 	rejected  prometheus.Observer
-	inFlight  prometheus.Gauge
 	collected []prometheus.Collector
 }
 
-func newMetrics(budget *retry.Budget) *metrics {
+func newMetrics(budget *retry.Budget, running *atomic.Int64) *metrics {
 	m := &metrics{
 		chosen: make(map[routing.Reason]prometheus.Counter), retries: make(map[retry.Reason]prometheus.Counter),
 	}
@@ -58,13 +58,13 @@
 		Buckets: prometheus.ExponentialBuckets(0.00025, 2, 18),
 	}, []string{"outcome"})
 	m.answered, m.rejected = duration.WithLabelValues("answered"), duration.WithLabelValues("refused")
-	m.inFlight = prometheus.NewGauge(prometheus.GaugeOpts{
+	inFlight := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: telemetry.Namespace, Name: "calls_in_flight", Help: "Callers' calls that run.",
-	})
+	}, func() float64 { return float64(running.Load()) })
 	left := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: telemetry.Namespace, Name: "retry_budget_retries", Help: "Retries that the budget holds.",
 	}, func() float64 { return float64(budget.Retries()) })
-	m.collected = []prometheus.Collector{chosen, retries, m.refused, m.cuts, duration, m.inFlight, left}
+	m.collected = []prometheus.Collector{chosen, retries, m.refused, m.cuts, duration, inFlight, left}
 	return m
 }
 
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -33,6 +33,8 @@
 	// lingerTime is how long a draining server answers requests that were under way
 	// on idle connections before it closes them.
 	lingerTime = 500 * time.Millisecond
+	// defaultMaxCalls bounds the calls in flight, because each takes about 25 KB.
+	defaultMaxCalls = 4096
 )
 
 // Config configures a Server.
@@ -55,6 +57,9 @@
 	// Linger is the time for which a draining server still answers on open
 	// connections. Default: 500 ms.
 	Linger time.Duration
+	// MaxCalls bounds the calls in flight; more are refused (overloaded, not run).
+	// Default: 4,096.
+	MaxCalls int
 	// ErrorLog takes the errors of connections; nil drops them.
 	ErrorLog *log.Logger
 }
@@ -66,6 +71,7 @@
 	http     *http.Server
 	draining atomic.Bool
 	stale    atomic.Bool
+	running  atomic.Int64
 
 	mu        sync.Mutex
 	listeners []net.Listener
@@ -80,20 +86,24 @@
 	if config.Linger == 0 {
 		config.Linger = lingerTime
 	}
+	if config.MaxCalls == 0 {
+		config.MaxCalls = defaultMaxCalls
+	}
 	if config.ErrorLog == nil {
 		config.ErrorLog = log.New(io.Discard, "", 0)
 	}
 	budget := retry.NewBudget()
 	d := &Dispatcher{
 		self: config.Self.ID, router: config.Router, local: config.Local, remote: config.Remote, owners: config.Owners,
-		budget: budget, metrics: newMetrics(budget),
+		budget: budget,
 	}
+	s := &Server{Dispatcher: d, config: config}
+	d.metrics = newMetrics(budget, &s.running)
 	if config.Registry != nil {
 		if err := d.register(config.Registry); err != nil {
 			return nil, err
 		}
 	}
-	s := &Server{Dispatcher: d, config: config}
 	s.http = &http.Server{
 		Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: keepAlive, ErrorLog: config.ErrorLog,
 		DisableGeneralOptionsHandler: true,
@@ -170,14 +180,17 @@
 // ServeHTTP answers one call.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e := &exchange{w: w, r: r, started: time.Now(), expects: r.Header.Get("Expect") != ""}
-	s.inFlight.Inc()
-	defer s.inFlight.Dec()
+	running := s.running.Add(1)
+	defer s.running.Add(-1)
 	var own bool
 	if r.TLS != nil {
 		peer, err := identity.PeerOf(*r.TLS)
 		own = err == nil && peer.Service != ""
 	}
 	c, limit, refused := s.admit(r, own)
+	if running > int64(s.config.MaxCalls) {
+		refused = tooMany
+	}
 	if refused != nil {
 		limit = s.config.Idle
 	}
@@ -271,6 +284,10 @@
 	}
 }
 
+var tooMany = &refusal.Refusal{
+	Kind: refusal.Overloaded, Run: refusal.NotRun, RetryAfter: time.Second, Remedy: "the daemon has too many calls in flight; try again",
+}
+
 // admit returns the call and its time limit, or its refusal.
 func (s *Server) admit(r *http.Request, own bool) (*call, time.Duration, *refusal.Refusal) {
 	if s.draining.Load() {
