Add at-most-once keys: registry and ownership without a coordination service

Cause: a claim that is sent again, through any daemon and any stale view, must not run twice. Change: core/once. Ownership depends on the key's creation time: an instance owns keys from its Since on, which is later than every key that an acknowledging instance can have run. The design's rule (acknowledgement by every listed instance) is unsafe when an instance restarts: it forgets the acknowledgements that it gave and may act on an older list. Now answers name known instances and incarnations, and a list read after the start is required (while the platform cannot be read, a confirmed instance may vouch, if removed IDs are never listed again).

--- /dev/null
+++ b/core/once/registry_test.go
@@ -0,0 +1,112 @@
+package once
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoshed.example/mangoshed/core/model"
+)
+
+var begin = time.Unix(3_000_000, 0)
+
+// confirmed returns the core of a service's only instance, and a time at which it owns new keys.
+func confirmed(cfg Config) (*Core, time.Time) {
+	cfg.Self = model.Instance{ID: "a", Service: "s", Incarnation: 1}
+	c := New(cfg, begin)
+	c.List(begin, List{Revision: 1, Instances: []model.Instance{cfg.Self}, Fresh: true})
+	now := begin.Add(5 * time.Second)
+	c.Checked(now)
+	return c, now
+}
+
+// Guards against forgotten keys in a full registry, answers beyond the byte bound, keys that
+// outlive or miss their window, and runs during a pause.
+func TestRegistry(t *testing.T) {
+	c, now := confirmed(Config{MaxKeys: 2, MaxAnswerBytes: 10})
+	decide := func(name string, created time.Time) Decision {
+		decision, _ := c.Begin(now, NewKey("s", name, created.UnixMilli()))
+		return decision
+	}
+	require.Equal(t, Run, decide("one", now))
+	require.Equal(t, Run, decide("two", now))
+	require.Equal(t, Full, decide("three", now))
+	require.Equal(t, Duplicate, decide("one", now))
+	require.Equal(t, Future, decide("early", now.Add(Skew+time.Millisecond)))
+	require.Equal(t, Unknown, decide("before the takeover", begin))
+	require.Equal(t, Unknown, decide("too old", now.Add(-Window-time.Millisecond)))
+	one, two := NewKey("s", "one", 0).ID, NewKey("s", "two", 0).ID
+	c.Finish(one, Done, []byte("12345678"))
+	c.Finish(two, Failed, []byte("123"))
+	rec, _ := c.Registry().Lookup(one)
+	require.Equal(t, Record{one, now.UnixMilli(), Done, []byte("12345678"), hashDigest(one)}, rec)
+	rec, _ = c.Registry().Lookup(two)
+	require.Nil(t, rec.Answer, "the answers together exceed the bound")
+	c.Clear(one)
+	require.Equal(t, Duplicate, decide("one", now), "only a running key can be cleared")
+	now = now.Add(Window + 2*Skew - bucketMillis*time.Millisecond)
+	c.Tick(now)
+	require.Equal(t, Paused, decide("after a pause", now))
+	require.Equal(t, Duplicate, decide("one", now))
+	now = now.Add(3 * bucketMillis * time.Millisecond)
+	c.Tick(now)
+	c.Checked(now)
+	require.Equal(t, Run, decide("three", now))
+	keys, bytes, running := c.Registry().Len()
+	require.Equal(t, [3]int{1, 0, 1}, [3]int{keys, bytes, running})
+	c.Clear(NewKey("s", "three", 0).ID)
+	require.Equal(t, Run, decide("three", now), "a true not-run clears the key")
+}
+
+// fleet runs n cores that deliver messages at once and counts the messages.
+func fleet(n int) (cores map[model.InstanceID]*Core, settle func(now time.Time, fresh ...model.InstanceID), messages *int) {
+	cores, messages = map[model.InstanceID]*Core{}, new(int)
+	list := List{Revision: 1}
+	for i := range n {
+		list.Instances = append(list.Instances, model.Instance{ID: model.InstanceID(fmt.Sprintf("i%02d", i)), Service: "s", ForwardAddr: "10.0.0.1:8443"})
+	}
+	for _, instance := range list.Instances {
+		instance.Incarnation = 1
+		cores[instance.ID] = New(Config{Self: instance}, begin)
+	}
+	settle = func(now time.Time, ids ...model.InstanceID) {
+		var queue []Send
+		for _, id := range ids {
+			list.Fresh = true
+			queue = append(queue, cores[id].List(now, list)...)
+		}
+		for len(queue) > 0 {
+			s := queue[0]
+			reply, more := cores[s.To.ID].Handle(now, s.Message)
+			queue = append(append(queue[1:], more...), cores[s.Message.From.ID].Reply(now, s, reply)...)
+			*messages += 2
+		}
+	}
+	return cores, settle, messages
+}
+
+// Guards against a start of a whole service that never settles and reports the messages that the
+// restart of one of 36 instances costs.
+func TestMessagesPerRestart(t *testing.T) {
+	const n = 36
+	cores, settle, messages := fleet(n)
+	var ids []model.InstanceID
+	for id := range cores {
+		ids = append(ids, id)
+	}
+	settle(begin, ids...)
+	for id, c := range cores {
+		require.True(t, c.Confirmed(), id)
+	}
+	t.Logf("whole service of %d: %d messages", n, *messages)
+	*messages = 0
+	self := cores["i07"].cfg.Self
+	self.Incarnation = 2
+	cores["i07"] = New(Config{Self: self}, begin)
+	settle(begin, "i07")
+	require.True(t, cores["i07"].Confirmed())
+	t.Logf("restart of one of %d: %d messages; 7400 restarts a day: %.1f messages/s in the fleet", n, *messages, 7400*float64(*messages)/86400)
+	require.LessOrEqual(t, *messages, 2*2*(n-1))
+}
