--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -295,6 +295,9 @@
 // Traffic returns the control bytes on the wire since the start.
 func (d *Daemon) Traffic() peer.Traffic { return d.transport.Traffic() }
 
+// Links returns the number of open control links.
+func (d *Daemon) Links() int { return d.transport.Links() }
+
 // errorLog returns a logger for the errors of an HTTP server's connections.
 func (d *Daemon) errorLog(server string) *log.Logger {
 	std, err := zap.NewStdLogAt(d.log.With(zap.String("server", server)), zap.DebugLevel)
--- a/pkg/demo/deployment.go
+++ b/pkg/demo/deployment.go
@@ -30,6 +30,8 @@
 type Service struct {
 	Name      string
 	Instances int
+	// FirstPlace is the index of the place of the first instance.
+	FirstPlace int
 	// Internal marks a service that only own services may call.
 	Internal bool
 }
@@ -96,7 +98,7 @@
 			all = append(all, model.Instance{
 				ID:      model.InstanceID(fmt.Sprintf("%s-%d", service.Name, i+1)),
 				Service: service.Name,
-				Place:   d.Places[i%len(d.Places)],
+				Place:   d.Places[(service.FirstPlace+i)%len(d.Places)],
 			})
 		}
 	}
--- a/pkg/demo/progress.go
+++ b/pkg/demo/progress.go
@@ -28,6 +28,13 @@
 	p.versions = append(p.versions, 0)
 }
 
+// restart forgets what the daemon held, because a new process starts without a version.
+func (p *progress) restart(daemon int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.versions[daemon] = 0
+}
+
 func (p *progress) published(v model.Version) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/demo/site.go
+++ b/pkg/demo/site.go
@@ -38,6 +38,7 @@
 	progress     *progress
 	signer       *snapshot.Signer
 	signingKeys  []string
+	seeded       bool // daemons started from now on know others
 	log          *zap.Logger
 
 	table   *table.Table
@@ -101,6 +102,13 @@
 		return err
 	}
 	s.applications = append(s.applications, app)
+	s.daemons = append(s.daemons, nil)
+	s.progress.add()
+	return s.startDaemon(len(s.daemons)-1, instance)
+}
+
+// startDaemon starts the daemon beside the application with the same index.
+func (s *site) startDaemon(index int, instance model.Instance) error {
 	pair, err := s.authority.Issue(identity.Peer{Instance: instance.ID}, time.Now(), identity.LeafValidity)
 	if err != nil {
 		return err
@@ -114,16 +122,14 @@
 		return err
 	}
 	s.clients = append(s.clients, client)
-	index := len(s.daemons)
 	d, err := daemon.New(daemon.Config{
-		Settings: s.settings(instance, app.address()), Identity: source, Platform: client, Log: s.log,
+		Settings: s.settings(instance, s.applications[index].address()), Identity: source, Platform: client, Log: s.log,
 		OnApply: func(v model.Version) { s.progress.applied(index, v) },
 	})
 	if err != nil {
 		return err
 	}
-	s.daemons = append(s.daemons, d)
-	s.progress.add()
+	s.daemons[index] = d
 	return d.Start()
 }
 
@@ -138,6 +144,9 @@
 	all.Upstream.Slots, all.Upstream.Connections = s.deployment.Slots, s.deployment.Connections
 	all.Platform.Address, all.Platform.Region = s.address, s.deployment.StoreRegion
 	all.SigningKeys = s.signingKeys
+	if s.seeded {
+		all.Seeds = s.seeds(instance)
+	}
 	return &all
 }
 
@@ -236,7 +245,9 @@
 // kill ends everything at once.
 func (s *site) kill() {
 	for _, d := range s.daemons {
-		d.Kill()
+		if d != nil {
+			d.Kill()
+		}
 	}
 	for _, a := range s.applications {
 		a.close()
