--- /dev/null
+++ b/core/topology/capacity_test.go
@@ -0,0 +1,89 @@
+package topology
+
+import (
+	"testing"
+
+	"mangoshed.example/mangoshed/core/membership"
+	"mangoshed.example/mangoshed/core/model"
+)
+
+// BenchmarkDesignSize reports the tree at the design size and the members that a
+// failure moves to other parents.
+func BenchmarkDesignSize(b *testing.B) {
+	view := fleet(designSize, designDCs, designRegions)
+	for b.Loop() {
+		before := plans(view)
+		reportShape(b, before)
+		reportMoves(b, view, before)
+	}
+	b.ReportMetric(0, "ns/op")
+}
+
+// reportShape reports children by role and depths.
+func reportShape(b *testing.B, all map[model.InstanceID]Plan) {
+	eager, lazy, paid := map[model.InstanceID]int{}, map[model.InstanceID]int{}, 0
+	deepest, total := 0, 0
+	for id, p := range all {
+		hops := depth(all, id)
+		deepest, total = max(deepest, hops), total+hops
+		eager[parent(p, 0)]++
+		lazy[parent(p, 1)]++
+		for rank := range min(2, len(p.Parents)) {
+			if p.Parents[rank].Place.Region != p.Self.Place.Region {
+				paid++
+			}
+		}
+	}
+	most, mostEager, inner := 0, 0, 0
+	for id := range all {
+		children := eager[id] + lazy[id]
+		most, mostEager = max(most, children), max(mostEager, eager[id])
+		if children > 0 {
+			inner++
+		}
+	}
+	b.ReportMetric(float64(deepest), "hops-max")
+	b.ReportMetric(float64(total)/float64(len(all)), "hops-mean")
+	b.ReportMetric(float64(most), "children-max")
+	b.ReportMetric(float64(mostEager), "eager-children-max")
+	b.ReportMetric(float64(inner)/float64(len(all)), "share-with-children")
+	b.ReportMetric(float64(paid), "paid-links")
+}
+
+// reportMoves reports the members whose eager or lazy parent differs after a failure.
+func reportMoves(b *testing.B, view membership.View, before map[model.InstanceID]Plan) {
+	var leaf, inner, relay, entry, primary model.Instance
+	for id, p := range before {
+		switch {
+		case p.ReaderRank == 0:
+			primary = p.Self
+		case p.IsEntry() && (entry.ID == "" || id < entry.ID):
+			entry = p.Self
+		case p.ReaderRank < 0 && id == p.Relay && !p.IsSpareEntry() && (relay.ID == "" || id < relay.ID):
+			relay = p.Self
+		case p.Level == 3 && (leaf.ID == "" || id < leaf.ID):
+			leaf = p.Self
+		case p.Level == 1 && (inner.ID == "" || id < inner.ID):
+			inner = p.Self
+		}
+	}
+	one := func(dead model.Instance) func(model.Instance) bool {
+		return func(i model.Instance) bool { return i.ID == dead.ID }
+	}
+	for _, failure := range []struct {
+		name string
+		drop func(model.Instance) bool
+	}{
+		{"leaf", one(leaf)},
+		{"level-1", one(inner)},
+		{"relay", one(relay)},
+		{"entry", one(entry)},
+		{"primary-reader", one(primary)},
+		{"data-centre", func(i model.Instance) bool { return i.Place == entry.Place }},
+		{"region", func(i model.Instance) bool { return i.Place.Region == entry.Place.Region }},
+	} {
+		moved := compare(before, plans(without(view, failure.drop)))
+		b.ReportMetric(float64(moved.eager), "eager-moves/"+failure.name)
+		b.ReportMetric(float64(moved.lazy), "lazy-moves/"+failure.name)
+	}
+}
--- a/pkg/demo/fleet_test.go
+++ b/pkg/demo/fleet_test.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// settleTime exceeds the 30 s after which links of the start are closed.
-	settleTime = 40 * time.Second
+	// linkSettleTime exceeds the 30 s after which links of the start are closed.
+	linkSettleTime = 40 * time.Second
 	// quietWindow covers one beacon period of the paid link.
 	quietWindow = 30 * time.Second
 	// benchChanges is the number of edits, and changeInterval their distance; it
@@ -65,7 +65,7 @@
 	require.NoError(b, f.awaitReady(b.Context(), time.Minute))
 	m := &measured{B: b, fleet: f, n: float64(s.Daemons)}
 	b.ReportMetric(millis(time.Since(started)), "start-ms")
-	pause(b.Context(), settleTime)
+	pause(b.Context(), linkSettleTime)
 	m.measureQuiet()
 	m.measureChanges(float64(s.Regions - 1))
 	links := float64(f.links())
