--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -17,6 +17,7 @@
 	"testing/iotest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
@@ -391,11 +392,14 @@
 	}
 }
 
-// Guards against retries beyond the budget while everything fails.
+// Guards against retries beyond the budget while everything fails, and against decisions
+// that are not counted.
 func TestRetryBudgetBoundsLoad(t *testing.T) {
 	var attempts atomic.Int32
+	registry := prometheus.NewRegistry()
 	server, addr := start(t, Config{
-		Router: newRouter(t, instance("b"), instance("c"), instance("d")),
+		Registry: registry,
+		Router:   newRouter(t, instance("b"), instance("c"), instance("d")),
 		Remote: remoteFunc(func(*model.Instance, *http.Request) (*http.Response, error) {
 			attempts.Add(1)
 			return nil, &refusal.Refusal{Kind: refusal.Overloaded, Run: refusal.NotRun}
@@ -407,6 +411,23 @@
 	}
 	require.LessOrEqual(t, attempts.Load(), int32(200+200/retry.CallsPerRetry+2))
 	require.Zero(t, server.budget.Retries())
+	families, err := registry.Gather()
+	require.NoError(t, err)
+	counts := map[string]float64{}
+	for _, family := range families {
+		for _, m := range family.GetMetric() {
+			name := family.GetName()
+			for _, label := range m.GetLabel() {
+				name += " " + label.GetValue()
+			}
+			counts[name] = m.GetCounter().GetValue() + float64(m.GetHistogram().GetSampleCount())
+		}
+	}
+	require.EqualValues(t, 200, counts["mangoshed_calls_refused_total overloaded not-run"])
+	require.EqualValues(t, 200, counts["mangoshed_call_duration_seconds refused"])
+	require.EqualValues(t, attempts.Load(), counts["mangoshed_chosen_total local"])
+	require.EqualValues(t, attempts.Load()-200, counts["mangoshed_retry_decisions_total again"])
+	require.Positive(t, counts["mangoshed_retry_decisions_total budget"])
 }
 
 // Guards against keyed requests that miss the owner of the key.
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -129,6 +129,8 @@
 	defer cancel()
 	out := r.WithContext(ctx)
 	out.Host, out.RequestURI = service, ""
+	// A transport would probe a body of unknown kind for its first byte.
+	out.Body = http.NoBody
 	if r.ContentLength != 0 {
 		body := stream.NewUpload(w, r, s.config.Idle, cancel)
 		defer body.End()
