--- /dev/null
+++ b/core/quarantine/quarantine_test.go
@@ -0,0 +1,136 @@
+package quarantine
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fleet simulates callers that resend one deadly and eight innocent requests to random
+// instances until they get through or are refused for good.
+func fleet(t *testing.T, seed uint64, instances int, loss float64, delay int) (crashes, innocent int) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	now := time.Unix(1000, 0)
+	tables := make([]*Table, instances)
+	for i := range tables {
+		tables[i] = NewTable()
+	}
+	type late struct {
+		round, to int
+		report    []Entry
+	}
+	var network []late
+	publish := func(round, from int, report []Entry) {
+		for to := range tables {
+			if to != from && len(report) > 0 && rng.Float64() >= loss {
+				network = append(network, late{round + rng.IntN(delay+1), to, report})
+			}
+		}
+	}
+	const killer = Fingerprint(0)
+	served := map[Fingerprint]bool{}
+	convicted := false
+	for round := 0; round < 500 && (len(served) < 8 || !convicted); round++ {
+		now = now.Add(100 * time.Millisecond)
+		for _, l := range network {
+			if l.round == round {
+				tables[l.to].Merge(now, l.report)
+			}
+		}
+		runs := make([]map[Fingerprint]*Run, instances)
+		for f := Fingerprint(0); f <= 8; f++ {
+			if served[f] {
+				continue
+			}
+			at := rng.IntN(instances)
+			run, verdict := tables[at].Start(now, f)
+			require.False(t, verdict == Refused && f != killer, "an innocent request is convicted")
+			convicted = convicted || verdict == Refused
+			if verdict == Allowed {
+				if runs[at] == nil {
+					runs[at] = map[Fingerprint]*Run{}
+				}
+				run.Expose()
+				runs[at][f] = run
+			}
+		}
+		for at, running := range runs {
+			if running[killer] != nil {
+				crashes++
+				publish(round+1, at, tables[at].Crash(now))
+			}
+			for f, run := range running {
+				publish(round+1, at, tables[at].End(now, run, running[killer] == nil))
+				if running[killer] == nil {
+					served[f] = true
+				}
+			}
+		}
+	}
+	return crashes, len(served)
+}
+
+// Guards against a deadly request that takes the fleet down instance by instance, and against
+// innocent requests in flight with it that are refused.
+func TestDeadlyRequest(t *testing.T) {
+	const instances = 6
+	for name, c := range map[string]struct {
+		loss  float64
+		delay int
+		most  int
+	}{
+		"reports in time":       {0, 0, 2},
+		"reports late":          {0, 5, 2 * instances},
+		"half of reports lost":  {0.5, 2, 2 * instances},
+		"all reports are lost":  {1, 0, 2 * instances},
+		"one in ten is missing": {0.1, 0, 2 * instances},
+	} {
+		t.Run(name, func(t *testing.T) {
+			highest, total := 0, 0
+			for seed := range uint64(200) {
+				crashes, innocent := fleet(t, seed, instances, c.loss, c.delay)
+				require.Equal(t, 8, innocent, "seed %d", seed)
+				require.LessOrEqual(t, crashes, c.most, "seed %d", seed)
+				highest, total = max(highest, crashes), total+crashes
+			}
+			t.Logf("crashes: mean %.2f, highest %d of 200 runs", float64(total)/200, highest)
+		})
+	}
+}
+
+// Guards against a table that grows without bound, loses convictions to suspects, or keeps
+// entries after their term; and against a clearance that lifts a conviction.
+func TestTable(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable()
+	table.Merge(now, []Entry{{1, Convicted, 60_000}, {2, Suspect, 1 << 62}, {3, Suspect, -5}})
+	table.Merge(now, []Entry{{1, Cleared, 0}, {2, Cleared, 0}})
+	require.Equal(t, []Entry{{1, Convicted, 60_000}}, table.Snapshot(now))
+	for f := range Fingerprint(2 * MaxEntries) {
+		table.Merge(now, []Entry{{f + 10, Suspect, 1000 + int64(f)}})
+	}
+	require.Equal(t, MaxEntries, table.Len())
+	_, verdict := table.Start(now, 1)
+	require.Equal(t, Refused, verdict)
+	run, verdict := table.Start(now.Add(time.Minute), 1)
+	require.Equal(t, Allowed, verdict)
+	require.Empty(t, table.Crash(now), "a request of which no byte was sent is not a suspect")
+	run.Expose()
+	table.End(now, run, false)
+	require.Len(t, table.Crash(now), 1, "the crash shows after the connection broke")
+	require.Empty(t, table.Crash(now), "a request is judged once")
+	require.NotEqual(t, Of("s", "GET", "/a", nil), Of("s", "GET", "/", []byte("a")))
+}
+
+// BenchmarkTableMemory reports the memory of a full table.
+func BenchmarkTableMemory(b *testing.B) {
+	for b.Loop() {
+		table := NewTable()
+		for f := range Fingerprint(MaxEntries) {
+			table.Merge(time.Unix(1000, 0), []Entry{{f, Suspect, 1000}})
+		}
+	}
+	b.ReportAllocs()
+}
