Keep a returning daemon off the paid link once its region has answered

Cause: a new daemon whose second seed is dead widens its questions every 500 ms until 2 s are over, although the first seed has sent version and list. When half of 192 daemons in 3 regions came back, the handshakes with seeds of other regions put 1.7 MB on the paid link; it grows with the fleet. Change: the stages of other regions and of the store are entered only without a version and a list.

--- a/core/dissemination/bootstrap.go
+++ b/core/dissemination/bootstrap.go
@@ -112,13 +112,18 @@
 	c.members.table.Announce(c.ownAnnouncement().membership(), c.now)
 }
 
-// enterStage asks neighbours at the stage's distance; a stage without any is skipped.
+// enterStage asks neighbours at the stage's distance; a stage without any is skipped. A
+// daemon that has an answer of its region does not cross the paid link for another one:
+// the return of half of a fleet would otherwise load it with handshakes.
 func (c *Core) enterStage(stage int) {
-	for ; stage < stageStore; stage++ {
+	for ; stage < stageStore && (stage < stageFar || !c.has()); stage++ {
 		if c.askStage(stage) {
 			break
 		}
 	}
+	if stage >= stageFar && c.has() {
+		stage = stageRegion
+	}
 	c.boot.stage, c.boot.stageAt = stage, c.now
 }
 
