--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -82,6 +82,8 @@
 		req.Body, req.ContentLength = http.NoBody, 0
 	}
 	req.GetBody = nil
+	// A caller that closes its own connection must not end the one that others share.
+	req.Close = false
 	written := link.written()
 	resp, err := link.conn.RoundTrip(req)
 	if err == nil {
