Refuse to start with a wrong certificate; name the remedy in usage errors

Cause: trying wrong input on both programs showed a daemon that started with another instance's certificate or an expired one and was refused by every peer, errors for flags without a remedy below a page of help, 14 lines of missing keys when no settings file was named, and the HTML page of a foreign server in the error of mangoshedctl status.

Change: daemon.New returns a CertificateError for a certificate of another holder or an expired one. The gauge mangoshed_certificate_expiry_timestamp_seconds shows the end of the own certificate. pkg/usage holds the usage error that both programs had each, and covers wrong and missing flags. run without a file says how to name one. The operator's client checks the form of the address and no longer prints foreign bodies.

--- a/cmd/mangoshed/commands.go
+++ b/cmd/mangoshed/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 
@@ -10,26 +11,19 @@
 	"mangoshed.example/mangoshed/pkg/buildinfo"
 	"mangoshed.example/mangoshed/pkg/daemon"
 	"mangoshed.example/mangoshed/pkg/settings"
+	"mangoshed.example/mangoshed/pkg/usage"
 )
 
 // runDaemon runs one daemon until ctx ends and its drain is complete.
 var runDaemon = daemon.Run
 
-// usageError reports a command line that cannot be run.
-type usageError struct {
-	problem string
-	remedy  string
-}
-
-func (e *usageError) Error() string { return e.problem + "; " + e.remedy }
-
 func newCommand() *cli.Command {
 	override := &cli.StringSliceFlag{Name: "set", Usage: "override a key: `KEY=VALUE`, for example upstream.slots=12"}
-	return &cli.Command{
+	return usage.Prepare(&cli.Command{
 		Name:    "mangoshed",
 		Usage:   "distribute configuration to an upstream's daemon and route its calls",
 		Version: buildinfo.Version(),
-		Action:  group,
+		Action:  usage.Group,
 		// Values such as lists of addresses contain commas.
 		DisableSliceFlagSeparator: true,
 		Commands: []*cli.Command{
@@ -41,29 +35,29 @@
 				},
 			},
 			{
-				Name: "settings", Usage: "check settings or print an example", Action: group,
+				Name: "settings", Usage: "check settings or print an example", Action: usage.Group,
 				Commands: []*cli.Command{
 					{Name: "check", Usage: "report all faults of a settings file", ArgsUsage: "FILE", Action: check, Flags: []cli.Flag{override}},
 					{Name: "example", Usage: "print complete, commented settings", Action: printExample},
 				},
 			},
 		},
-	}
-}
-
-// group is the action of a command that only has subcommands.
-func group(_ context.Context, cmd *cli.Command) error {
-	if cmd.Args().Len() == 0 {
-		return cli.ShowSubcommandHelp(cmd)
-	}
-	return &usageError{problem: fmt.Sprintf("%s has no command %q", cmd.FullName(), cmd.Args().First()), remedy: "see " + cmd.FullName() + " --help"}
+	})
 }
 
 func run(ctx context.Context, cmd *cli.Command) error {
 	if cmd.Args().Len() > 0 {
-		return &usageError{problem: "run takes no arguments", remedy: "name the file with --settings"}
+		return &usage.Error{Problem: "run takes no arguments", Remedy: "name the file with --settings"}
+	}
+	path := cmd.String("settings")
+	s, err := settings.Load(path, os.Environ(), cmd.StringSlice("set")...)
+	var faults *settings.Errors
+	if path == "" && errors.As(err, &faults) {
+		return &usage.Error{
+			Problem: fmt.Sprintf("no settings file is named, and the environment and --set leave %d faults, the first being %v", len(faults.List), faults.List[0]),
+			Remedy:  "name a file with --settings or " + settings.EnvFile + "; mangoshed settings example prints one",
+		}
 	}
-	s, err := settings.Load(cmd.String("settings"), os.Environ(), cmd.StringSlice("set")...)
 	if err != nil {
 		return err
 	}
@@ -72,7 +66,7 @@
 
 func check(_ context.Context, cmd *cli.Command) error {
 	if cmd.Args().Len() != 1 {
-		return &usageError{problem: "settings check takes one file", remedy: "use mangoshed settings check FILE"}
+		return &usage.Error{Problem: "settings check takes one file", Remedy: "use mangoshed settings check FILE"}
 	}
 	if _, err := settings.Load(cmd.Args().First(), os.Environ(), cmd.StringSlice("set")...); err != nil {
 		return err
--- a/pkg/ctl/audit.go
+++ b/pkg/ctl/audit.go
@@ -12,6 +12,7 @@
 	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/pkg/audit"
 	"mangoshed.example/mangoshed/pkg/operator"
+	"mangoshed.example/mangoshed/pkg/usage"
 )
 
 func auditCommand() *cli.Command {
@@ -24,7 +25,7 @@
 			}
 			max := cmd.Int("max")
 			if max < 0 {
-				return &UsageError{Problem: fmt.Sprintf("--max %d is negative", max), Remedy: "use 0 to show all entries"}
+				return &usage.Error{Problem: fmt.Sprintf("--max %d is negative", max), Remedy: "use 0 to show all entries"}
 			}
 			answers, failed := ask(ctx, cmd, func(ctx context.Context, c *operator.Client) ([]audit.Entry, error) { return c.Audit(ctx, max) })
 			return showAnswers(cmd, answers, auditLines(answers), failed)
--- a/pkg/ctl/build.go
+++ b/pkg/ctl/build.go
@@ -13,6 +13,7 @@
 
 	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/snapshot"
+	"mangoshed.example/mangoshed/pkg/usage"
 )
 
 // Names of the store's keys, and of the files below the output directory.
@@ -112,7 +113,7 @@
 		return &FileError{Path: path, Remedy: "use another output directory", Err: err}
 	}
 	if version <= present.Version {
-		return &UsageError{
+		return &usage.Error{
 			Problem: fmt.Sprintf("%s holds version %d, which daemons would keep instead of version %d", path, present.Version, version),
 			Remedy:  fmt.Sprintf("use --version %d or above", present.Version+1),
 		}
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -2,7 +2,6 @@
 package ctl
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -12,11 +11,12 @@
 	"github.com/urfave/cli/v3"
 
 	"mangoshed.example/mangoshed/pkg/buildinfo"
+	"mangoshed.example/mangoshed/pkg/usage"
 )
 
 // New returns the root command of mangoshedctl.
 func New() *cli.Command {
-	return &cli.Command{
+	return usage.Prepare(&cli.Command{
 		Name:    "mangoshedctl",
 		Usage:   "operate mangoshed: tables, keys and daemons",
 		Version: buildinfo.Version(),
@@ -28,19 +28,10 @@
 			auditCommand(),
 			explainCommand(),
 		},
-		Action: group,
-	}
-}
-
-// UsageError reports a command line that cannot be run.
-type UsageError struct {
-	Problem string
-	Remedy  string
+		Action: usage.Group,
+	})
 }
 
-// Error returns the problem and the remedy.
-func (e *UsageError) Error() string { return e.Problem + "; " + e.Remedy }
-
 // FileError reports a file that cannot be read or written.
 type FileError struct {
 	Path   string
@@ -54,23 +45,12 @@
 // Unwrap returns the cause.
 func (e *FileError) Unwrap() error { return e.Err }
 
-// group is the action of a command that only has subcommands.
-func group(_ context.Context, cmd *cli.Command) error {
-	if cmd.Args().Len() == 0 {
-		return cli.ShowSubcommandHelp(cmd)
-	}
-	return &UsageError{
-		Problem: fmt.Sprintf("%s has no command %q", cmd.FullName(), cmd.Args().First()),
-		Remedy:  "see " + cmd.FullName() + " --help",
-	}
-}
-
 // arguments returns the positional arguments, which the names describe.
 func arguments(cmd *cli.Command, names ...string) ([]string, error) {
 	if cmd.Args().Len() != len(names) {
-		return nil, &UsageError{
-			Problem: fmt.Sprintf("%s takes %d arguments, not %d", cmd.FullName(), len(names), cmd.Args().Len()),
-			Remedy:  fmt.Sprintf("use %s %s", cmd.FullName(), strings.Join(names, " ")),
+		return nil, &usage.Error{
+			Problem: fmt.Sprintf("%s has %d arguments in place of %d", cmd.FullName(), cmd.Args().Len(), len(names)),
+			Remedy:  strings.TrimSpace("use " + cmd.FullName() + " " + strings.Join(names, " ")),
 		}
 	}
 	return cmd.Args().Slice(), nil
@@ -88,7 +68,7 @@
 		Name: "format", Value: formatText, Usage: "output `FORMAT`: text or json",
 		Validator: func(format string) error {
 			if format != formatText && format != formatJSON {
-				return &UsageError{Problem: fmt.Sprintf("format %q is unknown", format), Remedy: "use text or json"}
+				return &usage.Error{Problem: fmt.Sprintf("format %q is unknown", format), Remedy: "use text or json"}
 			}
 			return nil
 		},
--- a/pkg/ctl/daemons_test.go
+++ b/pkg/ctl/daemons_test.go
@@ -80,7 +80,7 @@
 	require.Regexp(t, `shifts-1 .*3.0/9 `, out)
 	require.Regexp(t, `shifts-2 .*live, full .*\(estimate\) +10%`, out)
 	_, err = runCommand(t, "explain", "-a", a)
-	require.ErrorContains(t, err, "takes 1 arguments")
+	require.ErrorContains(t, err, "has 0 arguments in place of 1; use mangoshedctl explain SERVICE")
 	_, err = runCommand(t, "status")
-	require.ErrorContains(t, err, "address")
+	require.ErrorContains(t, err, `required flag "address" not set; see mangoshedctl status --help`)
 }
--- a/pkg/ctl/demo.go
+++ b/pkg/ctl/demo.go
@@ -11,6 +11,7 @@
 
 	"mangoshed.example/mangoshed/pkg/demo"
 	"mangoshed.example/mangoshed/pkg/telemetry"
+	"mangoshed.example/mangoshed/pkg/usage"
 )
 
 func demoCommand() *cli.Command {
@@ -38,7 +39,7 @@
 		Signed: cmd.Bool("signed"), Seed: cmd.Uint64("seed"),
 	}
 	if options.Changes < 1 || options.Duration <= 0 {
-		return &UsageError{Problem: "--changes and --duration must be above 0", Remedy: "for example --changes 20 --duration 10s"}
+		return &usage.Error{Problem: "--changes and --duration must be above 0", Remedy: "for example --changes 20 --duration 10s"}
 	}
 	if level := cmd.String("log-level"); level != "none" {
 		logger, err := telemetry.NewLogger(os.Stderr, level)
--- a/pkg/ctl/keys.go
+++ b/pkg/ctl/keys.go
@@ -18,6 +18,7 @@
 	"mangoshed.example/mangoshed/core/table"
 	"mangoshed.example/mangoshed/pkg/identity"
 	"mangoshed.example/mangoshed/pkg/settings"
+	"mangoshed.example/mangoshed/pkg/usage"
 )
 
 const (
@@ -37,7 +38,7 @@
 			Name: "days", Usage: "life of the certificate in `DAYS`", Value: int(identity.LeafValidity / (24 * time.Hour)),
 			Validator: func(days int) error {
 				if days < 1 || days > maxLeafDays {
-					return &UsageError{Problem: fmt.Sprintf("%d days is out of range", days), Remedy: fmt.Sprintf("use 1 to %d", maxLeafDays)}
+					return &usage.Error{Problem: fmt.Sprintf("%d days is out of range", days), Remedy: fmt.Sprintf("use 1 to %d", maxLeafDays)}
 				}
 				return nil
 			},
@@ -64,7 +65,7 @@
 				Flags: []cli.Flag{out, formatFlag()},
 			},
 		},
-		Action: group,
+		Action: usage.Group,
 	}
 }
 
@@ -128,7 +129,7 @@
 		return err
 	}
 	if !table.IsLabel(args[0]) {
-		return &UsageError{Problem: fmt.Sprintf("service name %q is not a DNS label", args[0]), Remedy: "use lower-case letters, digits and hyphens"}
+		return &usage.Error{Problem: fmt.Sprintf("service name %q is not a DNS label", args[0]), Remedy: "use lower-case letters, digits and hyphens"}
 	}
 	return issue(cmd, args[0], identity.Peer{Service: args[0]})
 }
@@ -136,7 +137,7 @@
 // issue writes the certificate of a holder; the name is that of the files.
 func issue(cmd *cli.Command, name string, holder identity.Peer) error {
 	if !settings.IsInstanceID(name) {
-		return &UsageError{Problem: fmt.Sprintf("name %q has the wrong form", name), Remedy: "use 1 to 128 letters, digits, hyphens, dots and underscores"}
+		return &usage.Error{Problem: fmt.Sprintf("name %q has the wrong form", name), Remedy: "use 1 to 128 letters, digits, hyphens, dots and underscores"}
 	}
 	directory := cmd.String("authority")
 	cert, err := readFile(filepath.Join(directory, authorityCert))
--- a/pkg/ctl/table.go
+++ b/pkg/ctl/table.go
@@ -11,6 +11,7 @@
 	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/table"
 	"mangoshed.example/mangoshed/pkg/settings"
+	"mangoshed.example/mangoshed/pkg/usage"
 )
 
 func tableCommand() *cli.Command {
@@ -28,7 +29,7 @@
 			{Name: "diff", Usage: "show the rows that differ", ArgsUsage: "OLD NEW", Action: diffTables, Flags: []cli.Flag{formatFlag()}},
 			buildCommand(),
 		},
-		Action: group,
+		Action: usage.Group,
 	}
 }
 
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -95,6 +95,9 @@
 		trail:          audit.NewTrail(cfg.Log, cfg.Settings.Limits.AuditEntries),
 		drainRequested: make(chan struct{}),
 	}
+	if err := d.checkCertificate(); err != nil {
+		return nil, err
+	}
 	if err := d.bind(); err != nil {
 		d.closeSockets()
 		return nil, err
@@ -168,6 +171,9 @@
 	if d.calls, err = newCalls(d); err != nil {
 		return err
 	}
+	if err := d.registry.Register(newCertificateExpiry(d.cfg.Identity)); err != nil {
+		return err
+	}
 	d.admin, err = operator.NewServer(s.Listen.AdminAddress, adminView{d}, d.registry)
 	return err
 }
@@ -211,24 +217,6 @@
 	})
 }
 
-// certificateInterval is the time between two readings of the certificate files.
-const certificateInterval = time.Minute
-
-func (d *Daemon) reloadCertificates(ctx context.Context) {
-	ticker := time.NewTicker(certificateInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if err := d.cfg.Identity.Reload(); err != nil {
-				d.log.Warn("certificate_reload_failed", zap.Error(err))
-			}
-		}
-	}
-}
-
 // Drain announces that the instance is leaving, refuses new work as not run, waits for
 // running calls until ctx ends, and stops the daemon. It returns an error when calls were
 // still running at the end. Further calls of Drain do nothing.
--- a/pkg/identity/identity.go
+++ b/pkg/identity/identity.go
@@ -13,6 +13,7 @@
 	"os"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"mangoshed.example/mangoshed/core/model"
 )
@@ -126,6 +127,9 @@
 // Self returns the holder of the own certificate.
 func (s *Source) Self() Peer { return s.current.Load().self }
 
+// Expiry returns the end of the own certificate's validity.
+func (s *Source) Expiry() time.Time { return s.current.Load().cert.Leaf.NotAfter }
+
 func readFile(name string) ([]byte, error) {
 	data, err := os.ReadFile(name)
 	if err != nil {
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"mangoshed.example/mangoshed/core/routing"
@@ -22,6 +22,9 @@
 	maxAnswerBytes = 16 << 20
 )
 
+// notAdmin is the remedy for an answer of another kind of server.
+const notAdmin = "check that the address is a daemon's listen.admin_address"
+
 // Error reports an admin server that cannot be reached or that refuses a request.
 type Error struct {
 	Address string
@@ -80,6 +83,9 @@
 	failed := func(status int, remedy string, err error) error {
 		return &Error{Address: c.address, Status: status, Remedy: remedy, Err: err}
 	}
+	if _, _, err := net.SplitHostPort(c.address); err != nil {
+		return failed(0, "write the address as HOST:PORT, without a scheme", err)
+	}
 	target := url.URL{Scheme: "http", Host: c.address, Path: path, RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, method, target.String(), nil)
 	if err != nil {
@@ -97,12 +103,12 @@
 	if resp.StatusCode >= http.StatusBadRequest {
 		var f failure
 		if json.Unmarshal(data, &f) != nil || f.Problem == "" {
-			f = failure{Problem: strings.TrimSpace(string(data)), Remedy: "check the address"}
+			f = failure{Problem: http.StatusText(resp.StatusCode), Remedy: notAdmin}
 		}
 		return failed(resp.StatusCode, f.Remedy, fmt.Errorf("status %d: %s", resp.StatusCode, f.Problem))
 	}
 	if err := json.Unmarshal(data, into); err != nil {
-		return failed(resp.StatusCode, "check that the address is a daemon's listen.admin_address", err)
+		return failed(resp.StatusCode, notAdmin, err)
 	}
 	return nil
 }
--- /dev/null
+++ b/pkg/usage/usage.go
@@ -0,0 +1,43 @@
+// Package usage reports command lines that cannot be run, in one form for both programs.
+package usage
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Error reports a command line that cannot be run.
+type Error struct {
+	Problem string
+	Remedy  string
+}
+
+// Error returns the problem and the remedy.
+func (e *Error) Error() string { return e.Problem + "; " + e.Remedy }
+
+// Group is the action of a command that only has subcommands.
+func Group(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() == 0 {
+		return cli.ShowSubcommandHelp(cmd)
+	}
+	return &Error{
+		Problem: fmt.Sprintf("%s has no command %q", cmd.FullName(), cmd.Args().First()),
+		Remedy:  "see " + cmd.FullName() + " --help",
+	}
+}
+
+// Prepare makes a command and its subcommands return an *Error for wrong flags, in place
+// of the library's printed help. It returns the command.
+func Prepare(cmd *cli.Command) *cli.Command {
+	cmd.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+		problem := strings.TrimSpace(err.Error())
+		return &Error{Problem: strings.ToLower(problem[:1]) + problem[1:], Remedy: "see " + cmd.FullName() + " --help"}
+	}
+	for _, sub := range cmd.Commands {
+		Prepare(sub)
+	}
+	return cmd
+}
