--- a/core/topology/capacity_test.go
+++ b/core/topology/capacity_test.go
@@ -12,7 +12,7 @@
 func BenchmarkDesignSize(b *testing.B) {
 	view := fleet(designSize, designDCs, designRegions)
 	for b.Loop() {
-		before := plans(view)
+		before := BuildAll(view, storeRegion)
 		reportShape(b, before)
 		reportMoves(b, view, before)
 	}
@@ -82,7 +82,7 @@
 		{"data-centre", func(i model.Instance) bool { return i.Place == entry.Place }},
 		{"region", func(i model.Instance) bool { return i.Place.Region == entry.Place.Region }},
 	} {
-		moved := compare(before, plans(without(view, failure.drop)))
+		moved := compare(before, BuildAll(without(view, failure.drop), storeRegion))
 		b.ReportMetric(float64(moved.eager), "eager-moves/"+failure.name)
 		b.ReportMetric(float64(moved.lazy), "lazy-moves/"+failure.name)
 	}
