Check deadlines by the clock before an attempt; wait before a leaving owner

Cause: after a pause the context's timer can lag behind the clock, so that an attempt started after its deadline; and a keyed call used up its attempts at once on an owner that leaves, which stays the owner until the list changes. Change: the clock decides before each attempt (deadline, not run); keyed calls back off before they ask a leaving owner again. Calls in flight are bounded by 1,024 instead of 4,096, because 4,096 answers in copy would take 365 MB. Figures: 89 KB per call x 1,024 = 91 MB at most; 210 calls/s per daemon at the design size with 100 ms each are 21 calls. Conclusion: no attempt starts after its deadline.

--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -389,6 +389,14 @@
 		}
 		require.Error(t, err)
 		require.Equal(t, want, attempts)
+		late, cancel := context.WithDeadline(t.Context(), time.Now().Add(-time.Second))
+		resp, err = server.RoundTrip(req.WithContext(late))
+		cancel()
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		require.ErrorIs(t, err, tooLate)
+		require.Equal(t, want, attempts)
 	}
 }
 
--- a/pkg/caller/dispatch.go
+++ b/pkg/caller/dispatch.go
@@ -134,8 +134,13 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		remaining = time.Until(deadline)
 	}
+	kind := failed.Kind
+	if c.key != "" && kind == refusal.Leaving {
+		// The owner of a key changes only with the list, so the next attempt waits.
+		kind = refusal.NotOwner
+	}
 	verdict := retry.Decide(retry.Attempt{
-		Number: number, Kind: failed.Kind, Run: failed.Run, Repeatable: c.repeatable,
+		Number: number, Kind: kind, Run: failed.Run, Repeatable: c.repeatable,
 		Replayable: c.body.replayable(), Depth: c.depth, Remaining: remaining,
 	}, d.budget, rand.Uint64())
 	d.retries[verdict.Reason].Inc()
@@ -204,8 +209,14 @@
 	return resp, nil
 }
 
+// tooLate is checked by the clock, because the context's timer can lag after a pause.
+var tooLate = &refusal.Refusal{Kind: refusal.Deadline, Run: refusal.NotRun, Remedy: "allow more time"}
+
 // pass hands the request to the local guard or to the daemon beside the instance.
 func (d *Dispatcher) pass(ctx context.Context, c *call, number int, inst *model.Instance) (*http.Response, error) {
+	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
+		return nil, tooLate
+	}
 	out := c.request.WithContext(ctx)
 	if number > 1 {
 		// A transport of an earlier attempt may still read the header.
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -33,8 +33,9 @@
 	// lingerTime is how long a draining server answers requests that were under way
 	// on idle connections before it closes them.
 	lingerTime = 500 * time.Millisecond
-	// defaultMaxCalls bounds the calls in flight, because each takes about 25 KB.
-	defaultMaxCalls = 4096
+	// defaultMaxCalls bounds the calls in flight: each takes about 25 KB, and 64 KB more
+	// while its answer is copied.
+	defaultMaxCalls = 1024
 )
 
 // Config configures a Server.
@@ -58,7 +59,7 @@
 	// connections. Default: 500 ms.
 	Linger time.Duration
 	// MaxCalls bounds the calls in flight; more are refused (overloaded, not run).
-	// Default: 4,096.
+	// Default: 1,024.
 	MaxCalls int
 	// ErrorLog takes the errors of connections; nil drops them.
 	ErrorLog *log.Logger
