Remove settings that nothing reads; add a TLS address for callers

Cause: health_path, calls_in_flight, header_bytes and recorded_response_bytes were accepted without effect; own services had no address to show their certificates at. Change: the four keys are gone (a file with them gets an error that names the line); queue_length defaults to 6; listen.caller_tls_address is new. The expected line of one test moved by one with the new line of the example. Measured: settings tests pass.

--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -140,6 +140,7 @@
 	used := map[string]string{}
 	for _, listener := range [][2]string{
 		{"listen.caller_address", s.Listen.CallerAddress},
+		{"listen.caller_tls_address", s.Listen.CallerTLSAddress},
 		{"listen.forward_address", s.Listen.ForwardAddress},
 		{"listen.admin_address", s.Listen.AdminAddress},
 		{"upstream.address", s.Upstream.Address},
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -43,6 +43,9 @@
 type Listen struct {
 	// CallerAddress (TCP) takes calls of callers.
 	CallerAddress string `yaml:"caller_address" validate:"required,ip_port"`
+	// CallerTLSAddress (TCP) takes calls of callers over TLS, where own services show their
+	// certificates; default none.
+	CallerTLSAddress string `yaml:"caller_tls_address" validate:"omitempty,ip_port"`
 	// ForwardAddress (TCP) takes calls of other daemons, which reach it by this address.
 	ForwardAddress string `yaml:"forward_address" validate:"required,reachable"`
 	// ControlAddress (UDP) takes control traffic of other daemons, which reach it by this address.
@@ -59,10 +62,9 @@
 	Slots int `yaml:"slots" validate:"min=1,max=10000"`
 	// Connections is the highest number of connections to it; default 120.
 	Connections int `yaml:"connections" validate:"min=1,max=10000,gtefield=Slots"`
-	// QueueLength is the number of requests that wait for a slot; default 64.
-	QueueLength int `yaml:"queue_length" validate:"min=0,max=10000"`
-	// HealthPath is the path of its health endpoint; default /healthz.
-	HealthPath string `yaml:"health_path" validate:"startswith=/"`
+	// QueueLength is the number of requests that wait for a slot, half of
+	// them of each class; default 6.
+	QueueLength int `yaml:"queue_length" validate:"min=2,max=10000"`
 }
 
 // Platform describes the platform service.
@@ -94,16 +96,10 @@
 type Limits struct {
 	// CallerConnections is the highest number of callers' connections; default 2000.
 	CallerConnections int `yaml:"caller_connections" validate:"min=1,max=100000"`
-	// CallsInFlight is the highest number of callers' calls at once; default 4096.
-	CallsInFlight int `yaml:"calls_in_flight" validate:"min=1,max=100000"`
-	// HeaderBytes bounds the header of a request; default 32768.
-	HeaderBytes int `yaml:"header_bytes" validate:"min=1024,max=1048576"`
 	// IdleTimeoutSeconds bounds the idle time of a read or write of a call; default 10.
 	IdleTimeoutSeconds int `yaml:"idle_timeout_seconds" validate:"min=1,max=600"`
 	// Keys is the number of idempotency keys that the daemon owns at most; default 50000.
 	Keys int `yaml:"keys" validate:"min=1,max=1000000"`
-	// RecordedResponseBytes bounds a response that is kept for a repeated key; default 16384.
-	RecordedResponseBytes int `yaml:"recorded_response_bytes" validate:"min=0,max=1048576"`
 	// AuditEntries is the length of the audit ring; default 1000.
 	AuditEntries int `yaml:"audit_entries" validate:"min=1,max=100000"`
 }
@@ -111,13 +107,13 @@
 // Default returns the settings that apply to absent keys.
 func Default() Settings {
 	return Settings{
-		Upstream:            Upstream{Slots: 9, Connections: 120, QueueLength: 64, HealthPath: "/healthz"},
+		Upstream:            Upstream{Slots: 9, Connections: 120, QueueLength: 6},
 		Platform:            Platform{HoldSeconds: 30},
 		DrainTimeoutSeconds: 50,
 		LogLevel:            "info",
 		Limits: Limits{
-			CallerConnections: 2000, CallsInFlight: 4096, HeaderBytes: 32 << 10, IdleTimeoutSeconds: 10,
-			Keys: 50_000, RecordedResponseBytes: 16 << 10, AuditEntries: 1000,
+			CallerConnections: 2000, IdleTimeoutSeconds: 10,
+			Keys: 50_000, AuditEntries: 1000,
 		},
 	}
 }
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -49,7 +49,7 @@
 		"unknown key of a seed":   {yaml: replace("  - id: shifts-2", "  - id: shifts-2\n    zone: b"), want: []string{"seeds[0].zone: unknown key"}},
 		"duplicate key":           {yaml: replace("  slots: 9", "  slots: 9\n  slots: 8"), want: []string{"line 20: upstream.slots: duplicate key; keep one"}},
 		"not YAML":                {yaml: "a: [", want: []string{"settings.yaml: line 1: not YAML: "}},
-		"text as number":          {yaml: replace("slots: 9", "slots: many"), want: []string{`line 19: upstream.slots: value "many": value cannot be read as a whole number`}},
+		"text as number":          {yaml: replace("slots: 9", "slots: many"), want: []string{`line 20: upstream.slots: value "many": value cannot be read as a whole number`}},
 		"fraction":                {yaml: replace("slots: 9", "slots: 1.5"), want: []string{`upstream.slots: value "1.5"`}},
 		"group as text":           {yaml: replace("limits:", "limits: none\nx:"), want: []string{"limits: value \"none\": a group of keys is expected", "x: unknown key"}},
 		"list as text":            {yaml: replace("signing_keys: []", "signing_keys: abc"), want: []string{"signing_keys: value \"abc\": a list is expected"}},
