Fix the expected line of the unknown-key test

Change: the expected line is 20. Measured: settings tests pass, uncached. Conclusion: no check changed but the line numbers of the moved example.

--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -44,7 +44,7 @@
 		set  []string
 		want []string
 	}{
-		"unknown key":             {yaml: replace("slots: 9", "slotz: 9"), want: []string{"line 19: upstream.slotz: unknown key; remove it, or use upstream.slots"}},
+		"unknown key":             {yaml: replace("slots: 9", "slotz: 9"), want: []string{"line 20: upstream.slotz: unknown key; remove it, or use upstream.slots"}},
 		"key of another group":    {yaml: "hold_seconds: 3\n" + Example(), want: []string{"line 1: hold_seconds: unknown key; remove it, or use platform.hold_seconds"}},
 		"unknown key of a seed":   {yaml: replace("  - id: shifts-2", "  - id: shifts-2\n    zone: b"), want: []string{"seeds[0].zone: unknown key"}},
 		"duplicate key":           {yaml: replace("  slots: 9", "  slots: 9\n  slots: 8"), want: []string{"line 21: upstream.slots: duplicate key; keep one"}},
