Serve unlisted daemons, outlive the store's region, replay published messages

Cause: a daemon that the list does not show yet (30 s) had no parents; after the loss of all daemons in the store's region the others waited for the fallback budget of the whole fleet; published messages missed daemons that were away; a full parent was dialled without end.

--- a/core/dissemination/beacon.go
+++ b/core/dissemination/beacon.go
@@ -15,7 +15,8 @@
 	// has up to 23 lazy children.
 	lazyBeaconInterval = 30 * time.Second
 	// paidBeaconInterval keeps the idle cost of the paid link at a few bytes/s.
-	paidBeaconInterval = 30 * time.Second
+	paidBeaconInterval    = 30 * time.Second
+	standbyBeaconInterval = 2 * time.Minute
 	// entryBeaconInterval and entrySilence bound the time that a region is without an
 	// entry: three beacons are missed.
 	entryBeaconInterval = 400 * time.Millisecond
@@ -63,6 +64,8 @@
 	switch {
 	case c.plan.IsEntry() && l.peer == c.plan.SpareEntry && !c.spareReads():
 		return entryBeaconInterval
+	case l.sub == modeStandby:
+		return standbyBeaconInterval
 	case c.crossRegion(l):
 		return paidBeaconInterval
 	case l.sub == modeEager:
@@ -77,7 +80,12 @@
 	return slices.ContainsFunc(c.plan.Readers, func(i model.Instance) bool { return i.ID == c.plan.SpareEntry })
 }
 
+// onBeacon takes a beacon, which a parent sends once it has accepted a subscription. Only
+// then do failures count no more: a full parent accepts links and closes them again.
 func (c *Core) onBeacon(l *link, b beacon) {
+	if p := c.peers[l.peer]; p != nil {
+		p.failures = 0
+	}
 	if b.Heartbeat > l.heartbeat {
 		l.heartbeatAt = c.now
 	}
--- a/core/dissemination/core.go
+++ b/core/dissemination/core.go
@@ -183,7 +183,7 @@
 	}
 	c.planDirty = false
 	c.planAt = c.now.Add(planInterval)
-	c.plan = topology.Build(c.members.table.View(), c.self.ID, c.cfg.StoreRegion)
+	c.plan = topology.BuildFor(c.members.table.View(), c.self, c.cfg.StoreRegion)
 	if watch := c.plan.ReaderRank >= 0; watch != c.watching {
 		c.watching = watch
 		c.emit(Watch{On: watch})
--- a/core/dissemination/fleet_faults_test.go
+++ b/core/dissemination/fleet_faults_test.go
@@ -344,6 +344,12 @@
 		}
 		require.Len(t, f.nodes[id].delivered, want, "%s", id)
 	}
+	f.kill(f.ids[3])
+	f.run(10 * time.Second)
+	f.nodes[f.ids[3]].delivered = nil
+	f.start(f.ids[3])
+	f.run(5 * time.Second)
+	require.Len(t, f.nodes[f.ids[3]].delivered, 1, "a restarted daemon")
 	f.bytes = map[model.Distance]int{}
 	for range 1000 {
 		f.deliver(f.nodes[f.ids[17]], Publish{Topic: "quarantine", Data: make([]byte, MaxPublish)})
@@ -352,3 +358,122 @@
 	total := f.bytes[model.SameDataCentre] + f.bytes[model.SameRegion] + f.bytes[model.CrossRegion]
 	require.Less(t, total, len(f.ids)*(floodBurst+10*floodRate+8*MaxPublish))
 }
+
+// Guards the loss of the store's region while the store itself goes on: the other
+// regions read it within the budget until the list shows the loss, and then watch it.
+func TestStoreRegionLost(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 6)
+	f.startAll()
+	var lost []model.InstanceID
+	for _, id := range f.ids {
+		if f.nodes[id].instance.Place.Region == storeRegion {
+			lost = append(lost, id)
+			f.kill(id)
+		}
+	}
+	f.publish(2)
+	require.Less(t, f.runUntil(30*time.Second, f.converged(2)), 14*time.Second)
+	f.requireConverged(2)
+	f.list(lost...)
+	f.run(30 * time.Second)
+	f.publish(3)
+	require.Less(t, f.runUntil(30*time.Second, f.converged(3)), time.Second)
+	f.requireConverged(3)
+}
+
+// Guards a new daemon that the list does not show yet: it gets every version at once.
+func TestUnlistedDaemonConverges(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 6)
+	f.startAll()
+	id := f.ids[14]
+	f.kill(id)
+	f.list(id)
+	f.run(10 * time.Second)
+	f.start(id)
+	f.run(3 * time.Second)
+	require.True(t, f.nodes[id].ready)
+	f.publish(2)
+	require.Less(t, f.runUntil(5*time.Second, f.converged(2)), 100*time.Millisecond)
+	f.requireConverged(2)
+}
+
+// Guards the store's budget: 19,000 daemons that fall back together make at most 200
+// reads/s.
+func TestFallbackBudget(t *testing.T) {
+	t.Parallel()
+	core := func(level int) *Core {
+		c := New(Config{Self: model.Instance{ID: "a"}, FleetSize: 19000})
+		c.plan.Self.ID, c.plan.Level = "a", level
+		return c
+	}
+	rate := func(c *Core, n int) float64 {
+		sum := time.Duration(0)
+		for range 10000 {
+			sum += c.fallbackDelay(minFallback)
+		}
+		return float64(n) * readsPerFallback * 10000 / sum.Seconds()
+	}
+	require.LessOrEqual(t, rate(core(1), 19000-78)+rate(core(0), 78), 200.0)
+}
+
+// Guards the idle cost: without changes the paid link carries a beacon now and then, no
+// daemon reads the store and no parent changes.
+func TestIdleCost(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 6)
+	f.startAll()
+	f.run(time.Minute)
+	parents := map[model.InstanceID]model.InstanceID{}
+	for _, id := range f.ids {
+		parents[id] = f.nodes[id].core.Status().Parent
+	}
+	f.frames, f.bytes, f.reads = map[model.Distance]int{}, map[model.Distance]int{}, 0
+	f.run(time.Hour)
+	for _, id := range f.ids {
+		require.Equal(t, parents[id], f.nodes[id].core.Status().Parent)
+		require.True(t, f.nodes[id].ready)
+	}
+	onPaid := float64(f.bytes[model.CrossRegion]+f.frames[model.CrossRegion]*(frameOverhead+ackBytes)) / 3600
+	require.Less(t, onPaid, 10.0, "bytes per second")
+	require.Zero(t, f.reads)
+	t.Logf("paid link %.1f bytes/s, frames per hour %v", onPaid, f.frames)
+}
+
+// Guards a subscriber against a parent that accepts links and closes them: it must use
+// its next candidate instead of dialling without end.
+func TestFullParentIsLeft(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 6)
+	f.startAll()
+	id := f.role(func(c *Core) bool { return c.plan.Level == 1 && c.self.Place.Region == remoteRegion })
+	c, now, dials := f.nodes[id].core, f.now, 0
+	full, next := c.plan.Parents[0].ID, c.plan.Parents[1].ID
+	c.Handle(now, LinkDown{Peer: full})
+	for range 600 {
+		now = now.Add(100 * time.Millisecond)
+		c.Handle(now, Frame{Peer: next, Data: encode(beacon{Held: c.heldMark(), Heartbeat: uint64(now.UnixMilli())})})
+		for _, action := range c.Handle(now, Tick{}) {
+			if dial, ok := action.(Dial); ok && dial.Instance.ID == full {
+				dials++
+				c.Handle(now, LinkUp{Peer: full})
+				c.Handle(now, LinkDown{Peer: full, Err: errClosed})
+			}
+		}
+	}
+	require.Less(t, dials, 20)
+	require.Equal(t, next, c.Status().Parent)
+}
+
+// BenchmarkTick reports the cost of a tick, of which a daemon has 2.5 a second.
+func BenchmarkTick(b *testing.B) {
+	f := newFleet(b, 30)
+	f.startAll()
+	c, now := f.nodes[f.role(primaryReader)].core, f.now
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		c.Handle(now, Tick{})
+	}
+	b.ReportMetric(float64(len(c.links)), "links")
+}
--- a/core/dissemination/flood.go
+++ b/core/dissemination/flood.go
@@ -1,6 +1,7 @@
 package dissemination
 
 import (
+	"slices"
 	"time"
 
 	"mangoshed.example/mangoshed/core/model"
@@ -15,19 +16,31 @@
 	floodBurst = 64 << 10
 	// maxFloods bounds the messages that wait for the budget.
 	maxFloods = 64
+	// replayAge, maxReplay and replayBytes bound what a new tree neighbour gets of earlier
+	// messages, so that reports reach daemons that were away or behind a partition.
+	replayAge   = 10 * time.Minute
+	maxReplay   = 32
+	replayBytes = 8 << 10
 )
 
 // floods distributes published messages.
 type floods struct {
 	seen   ring[uint64]
 	queue  []queuedFlood
+	recent []recentFlood
 	tokens float64 // bytes
 	at     time.Time
 }
 
+// queuedFlood goes to one peer if only is set, otherwise to all but one.
 type queuedFlood struct {
+	message      flood
+	only, except model.InstanceID
+}
+
+type recentFlood struct {
 	message flood
-	except  model.InstanceID
+	at      time.Time
 }
 
 // onPublish floods a message of this daemon. One that exceeds MaxPublish is dropped.
@@ -49,8 +62,26 @@
 }
 
 func (c *Core) queueFlood(m flood, except model.InstanceID) {
-	if len(c.floods.queue) < maxFloods {
-		c.floods.queue = append(c.floods.queue, queuedFlood{message: m, except: except})
+	f := &c.floods
+	if len(f.recent) == maxReplay {
+		f.recent = slices.Delete(f.recent, 0, 1)
+	}
+	f.recent = append(f.recent, recentFlood{message: m, at: c.now})
+	if len(f.queue) < maxFloods {
+		f.queue = append(f.queue, queuedFlood{message: m, except: except})
+	}
+}
+
+// replay queues the latest messages for a new tree neighbour.
+func (c *Core) replay(l *link) {
+	f, size := &c.floods, 0
+	for i := len(f.recent) - 1; i >= 0 && len(f.queue) < maxFloods/2; i-- {
+		r := f.recent[i]
+		size += len(r.message.Data)
+		if size > replayBytes || c.now.Sub(r.at) > replayAge {
+			return
+		}
+		f.queue = append(f.queue, queuedFlood{message: r.message, only: l.peer})
 	}
 }
 
@@ -68,7 +99,7 @@
 		f.queue = f.queue[1:]
 		frame := encode(q.message)
 		for _, l := range c.links {
-			if l.peer != q.except && (l.sub == modeEager || l.want == modeEager) {
+			if l.peer != q.except && (q.only == "" || q.only == l.peer) && (l.sub == modeEager || l.want == modeEager) {
 				c.emit(Send{Peer: l.peer, Data: frame})
 				f.tokens -= float64(len(frame))
 			}
--- a/core/dissemination/link.go
+++ b/core/dissemination/link.go
@@ -107,7 +107,7 @@
 	at, _ := slices.BinarySearchFunc(c.links, peer, compareLink)
 	c.links = slices.Insert(c.links, at, l)
 	if p := c.peers[peer]; p != nil {
-		p.dialling, p.failures, p.retryAt = false, 0, time.Time{}
+		p.dialling, p.retryAt = false, time.Time{}
 	}
 	c.askNeighbour(l)
 }
--- a/core/dissemination/parents.go
+++ b/core/dissemination/parents.go
@@ -108,6 +108,7 @@
 	if m == modeEager {
 		l.heartbeatAt = c.now
 		c.enqueue(l, c.ownAnnouncement())
+		c.replay(l)
 	}
 	l.want = m
 	c.send(l, subscribe{Mode: m, Held: c.heldMark(), Revision: c.members.table.Revision()})
--- a/core/dissemination/store.go
+++ b/core/dissemination/store.go
@@ -10,8 +10,13 @@
 
 const (
 	// fallbackReads is the number of store reads per second that all daemons together
-	// may make without being readers: a tenth of the store's capacity.
-	fallbackReads = 200
+	// may make without being readers: with as many by the relays and spare relays, a
+	// tenth of the store's capacity.
+	fallbackReads = 100
+	// fewRelays is the number of relays and spare relays that share the other half of
+	// the budget; 39 data centres have 78. With the budget of all daemons a region
+	// would wait for minutes after the loss of the store's region.
+	fewRelays = 100
 	// readsPerFallback is the mean number of reads of one attempt: the manifest each
 	// time and the list every second time.
 	readsPerFallback = 1.5
@@ -189,8 +194,11 @@
 // together. The seeds start without delay: others ask them.
 func (c *Core) fallbackDelay(least time.Duration) time.Duration {
 	n := c.fleetSize()
-	if c.members.table.Revision() == 0 && c.isSeed() {
+	switch {
+	case c.members.table.Revision() == 0 && c.isSeed():
 		n = len(c.cfg.Seeds)
+	case c.plan.Self.ID != "" && c.plan.Level == 0:
+		n = min(n, fewRelays)
 	}
 	mean := time.Duration(float64(n) * readsPerFallback / fallbackReads * float64(time.Second))
 	return max(least, mean/2) + c.jitter(mean)
--- a/core/dissemination/subscribe.go
+++ b/core/dissemination/subscribe.go
@@ -13,6 +13,9 @@
 		return
 	}
 	fresh := l.sub == modeOff
+	if m.Mode == modeEager && l.sub != modeEager {
+		c.replay(l)
+	}
 	l.sub, l.sent, l.revision = m.Mode, m.Held, m.Revision
 	l.flushAt, l.standbyAt = time.Time{}, time.Time{}
 	if m.Mode == modeOff {
--- a/core/topology/topology.go
+++ b/core/topology/topology.go
@@ -3,6 +3,7 @@
 package topology
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 
@@ -56,24 +57,62 @@
 // IsSpareEntry reports whether the daemon stands in for the entry.
 func (p *Plan) IsSpareEntry() bool { return p.Self.ID != "" && p.Self.ID == p.SpareEntry }
 
-// Build derives the plan of one daemon. It takes one pass over the view: about 1 ms
+// Build derives the plan of one daemon. It takes one pass over the view: about 1.5 ms
 // at 19,000 instances.
 func Build(view membership.View, self model.InstanceID, storeRegion string) Plan {
-	at, ok := slices.BinarySearchFunc(view.Instances, self, func(i model.Instance, id model.InstanceID) int {
-		switch {
-		case i.ID < id:
-			return -1
-		case i.ID > id:
-			return 1
-		}
-		return 0
-	})
+	instance, ok := find(view, self)
 	if !ok {
 		return Plan{ReaderRank: -1}
 	}
-	place := view.Instances[at].Place
-	x := newIndex(view, self, storeRegion, func(p model.Place) bool { return p == place })
-	return x.plan(view.Instances[at])
+	return newIndex(view, self, storeRegion, func(p model.Place) bool { return p == instance.Place }).plan(instance)
+}
+
+// BuildFor derives the plan of a daemon that may be too new for the platform's list. An
+// unlisted daemon has no role and no children: its parents are those of a member with
+// the lowest priority in its data centre.
+func BuildFor(view membership.View, self model.Instance, storeRegion string) Plan {
+	if _, ok := find(view, self.ID); ok {
+		return Build(view, self.ID, storeRegion)
+	}
+	x := newIndex(view, self.ID, storeRegion, func(p model.Place) bool { return p == self.Place })
+	return x.guest(self)
+}
+
+func find(view membership.View, id model.InstanceID) (model.Instance, bool) {
+	at, ok := slices.BinarySearchFunc(view.Instances, id, func(i model.Instance, id model.InstanceID) int {
+		return cmp.Compare(i.ID, id)
+	})
+	if !ok {
+		return model.Instance{}, false
+	}
+	return view.Instances[at], true
+}
+
+// guest derives the plan of an unlisted daemon.
+func (x *index) guest(self model.Instance) Plan {
+	p := Plan{Self: self, Size: x.size, ReaderRank: -1, Level: 1}
+	ranking := ranking{self: self.ID}
+	if dc := x.places[self.Place]; dc != nil {
+		p.Relay = dc.top[0].id()
+		level, from, to := levelOf(max(topSize, len(dc.members)))
+		p.Level = level
+		child := member{priority: xxhash.Sum64String(string(self.ID)), instance: &self}
+		above := rendezvous(child, dc.members[from:min(to, len(dc.members))])
+		ranking.add(above[:min(len(above), maxCandidates)]...)
+		ranking.add(dc.top...)
+	}
+	if r := x.regions[self.Place.Region]; r != nil {
+		p.Entry = r.entry.id()
+		ranking.add(r.entry, r.spareEntry)
+	}
+	if len(ranking.parents) == 0 {
+		ranking.add(x.readers...)
+	}
+	for _, reader := range x.readers {
+		p.Readers = append(p.Readers, *reader.instance)
+	}
+	p.Parents = ranking.parents
+	return p
 }
 
 // BuildAll derives the plans of all members by the same rules, for reports on a fleet.
--- a/core/topology/topology_test.go
+++ b/core/topology/topology_test.go
@@ -220,6 +220,22 @@
 	require.Equal(t, Plan{ReaderRank: -1}, Build(membership.View{}, "x", storeRegion))
 }
 
+// Guards a new daemon during the lag of the platform's list: it has parents of its data
+// centre, region or, without any, the readers, and no role.
+func TestUnlistedDaemonHasParents(t *testing.T) {
+	view := fleet(400, 4, 2)
+	for _, place := range []model.Place{view.Instances[0].Place, {Region: "r1", DataCentre: "new"}, {Region: "new", DataCentre: "new"}} {
+		p := BuildFor(view, model.Instance{ID: "unlisted", Place: place}, storeRegion)
+		require.GreaterOrEqual(t, len(p.Parents), 2, "%s", place)
+		require.Equal(t, -1, p.ReaderRank)
+		require.False(t, p.IsEntry() || p.IsSpareEntry())
+		require.Greater(t, p.Level, 0)
+	}
+	listed := view.Instances[3]
+	require.Equal(t, Build(view, listed.ID, storeRegion), BuildFor(view, listed, storeRegion))
+	require.Empty(t, BuildFor(membership.View{}, listed, storeRegion).Parents)
+}
+
 func BenchmarkBuild(b *testing.B) {
 	view := fleet(designSize, designDCs, designRegions)
 	b.ReportAllocs()
