--- a/pkg/distribution/runner_test.go
+++ b/pkg/distribution/runner_test.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -206,7 +207,9 @@
 	require.Equal(t, audit.Applied, applied.Kind)
 	require.Contains(t, applied.Rows[0], "shifts")
 	require.Contains(t, []string{"a", "b"}, applied.Source)
-	require.Equal(t, map[string]float64{"mangoshed_applied_version": 2, "mangoshed_ready": 1, "mangoshed_members": 3}, c.gauges(t))
+	require.Equal(t, map[string]float64{
+		"mangoshed_applied_version": 2, "mangoshed_ready": 1, "mangoshed_members": 3, "mangoshed_unknown_messages_total": 0,
+	}, c.values(t))
 	c.Publish("suspects", []byte("x"))
 	await(t, a.delivered, "message", func(m string) bool { return m == "suspects x c" })
 }
@@ -272,8 +275,44 @@
 	}
 }
 
-// gauges returns the gauges without labels that tests look at.
-func (d *daemon) gauges(t testing.TB) map[string]float64 {
+// stranger is a handler of a peer that is no daemon; it reports the ends of its links.
+type stranger struct{ up, down chan struct{} }
+
+func (s stranger) LinkUp(model.InstanceID)          { s.up <- struct{}{} }
+func (s stranger) LinkDown(model.InstanceID, error) { s.down <- struct{}{} }
+func (s stranger) Frame(model.InstanceID, []byte)   {}
+
+// Guards against messages that the core cannot read and that harm more than their link:
+// unknown kinds, cut and oversized ones.
+func TestUnreadableMessagesLoseNothing(t *testing.T) {
+	s := newSite(t)
+	s.publish(1, 1)
+	a, b := s.start("a", "klang"), s.start("b", "penang")
+	s.run(a, b)
+	for _, d := range []*daemon{a, b} {
+		d.awaitVersion(t, 1)
+		d.awaitReady(t)
+	}
+	odd := s.start("odd", "klang") // only its certificate and its socket are used
+	h := stranger{make(chan struct{}, 8), make(chan struct{}, 8)}
+	require.NoError(t, odd.transport.Start(h))
+	odd.stopped = true
+	t.Cleanup(func() { odd.transport.Shutdown(context.Background()) })
+	bad := [][]byte{{99, 1}, {1}, {1, 0xff, 0xff}, {4, 0x84}, bytes.Repeat([]byte{99}, 1<<20)}
+	for n, message := range bad {
+		odd.transport.Dial(a.self)
+		await(t, h.up, "link", func(struct{}) bool { return true })
+		require.NoError(t, odd.transport.Send("a", message))
+		await(t, h.down, fmt.Sprintf("end of link %d", n), func(struct{}) bool { return true })
+	}
+	s.publish(2, 2)
+	b.awaitVersion(t, 2)
+	require.Equal(t, model.Version(2), a.Snapshot().Version())
+	require.NotZero(t, a.values(t)["mangoshed_unknown_messages_total"])
+}
+
+// values returns the metrics without labels that tests look at.
+func (d *daemon) values(t testing.TB) map[string]float64 {
 	families, err := d.registry.Gather()
 	require.NoError(t, err)
 	values := map[string]float64{}
@@ -281,6 +320,8 @@
 		switch name := f.GetName(); name {
 		case "mangoshed_applied_version", "mangoshed_ready", "mangoshed_members":
 			values[name] = f.GetMetric()[0].GetGauge().GetValue()
+		case "mangoshed_unknown_messages_total":
+			values[name] = f.GetMetric()[0].GetCounter().GetValue()
 		}
 	}
 	return values
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -82,7 +82,7 @@
 	}
 	t, err := New(cfg)
 	require.NoError(f.t, err)
-	r := make(recorder, 10000)
+	r := make(recorder, 256)
 	require.NoError(f.t, t.Start(r))
 	f.t.Cleanup(func() { stop(t) })
 	return t, r
