--- a/pkg/demo/deployment.go
+++ b/pkg/demo/deployment.go
@@ -4,7 +4,9 @@
 package demo
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 
@@ -28,6 +30,8 @@
 type Service struct {
 	Name      string
 	Instances int
+	// FirstPlace is the index of the place of the first instance.
+	FirstPlace int
 	// Internal marks a service that only own services may call.
 	Internal bool
 }
@@ -94,9 +98,24 @@
 			all = append(all, model.Instance{
 				ID:      model.InstanceID(fmt.Sprintf("%s-%d", service.Name, i+1)),
 				Service: service.Name,
-				Place:   d.Places[i%len(d.Places)],
+				Place:   d.Places[(service.FirstPlace+i)%len(d.Places)],
 			})
 		}
 	}
 	return all
 }
+
+// regions returns the names of the deployment's regions, sorted.
+func (d Deployment) regions() []string {
+	var names []string
+	for _, place := range d.Places {
+		names = append(names, place.Region)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// sortedServices returns the services sorted by name, as a table has them.
+func (d Deployment) sortedServices() []Service {
+	return slices.SortedFunc(slices.Values(d.Services), func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+}
