Weigh load by recent latency when two instances are compared

Cause: an instance that serves ten times slower than the others kept a tenth of the calls by its load alone, and with few instances the second of two draws was often the first one again. Change: the odds of two instances also follow their latencies, a moving average that counts for 5 s after the last answer, so that a slow instance is tried again. The two draws are always different instances. Explain shows the latency.

--- a/core/routing/choose.go
+++ b/core/routing/choose.go
@@ -99,11 +99,13 @@
 		return target{}, ""
 	}
 	var first target
+	var at int // of the first
 	for draw := range samples {
-		t := z.targets[s.random.intn(n)]
-		if t == first {
-			continue
+		i := s.random.intn(n)
+		if first.node != nil {
+			i = (at + 1 + s.random.intn(n-1)) % n
 		}
+		t := z.targets[i]
 		switch s.fitness(t) {
 		case probing:
 			return t, Probe
@@ -115,7 +117,7 @@
 			if first.node != nil {
 				return s.choose(first, t), ""
 			}
-			if first = t; n == 1 {
+			if first, at = t, i; n == 1 {
 				return t, ""
 			}
 		}
@@ -162,14 +164,19 @@
 	return s.choose(p.kept[0], p.kept[1])
 }
 
-// choose takes each of the two with a probability in proportion to the other's load.
-// Always taking the lighter one is better by 1% of goodput when load reports are fresh,
-// but worse by a third when they are 100 ms old, because all daemons follow the same
-// reports.
+// choose takes each of the two with a probability in proportion to the other's load and,
+// if both are known, latency. Always taking the lighter one is better by 1% of goodput
+// when load reports are fresh, but worse by a third when they are 100 ms old, because all
+// daemons follow the same reports.
 func (s *search) choose(a, b target) target {
-	loadA, _, _ := a.node.load(s.now)
-	loadB, _, _ := b.node.load(s.now)
-	if s.random.float()*(loadA+loadB+2) < loadA+1 {
+	costA, _, _ := a.node.load(s.now)
+	costB, _, _ := b.node.load(s.now)
+	costA, costB = costA+1, costB+1
+	latencyA, latencyB := a.node.recentLatency(s.now), b.node.recentLatency(s.now)
+	if latencyA > 0 && latencyB > 0 {
+		costA, costB = costA*latencyA, costB*latencyB
+	}
+	if s.random.float()*(costA+costB) < costA {
 		return b
 	}
 	return a
--- a/core/routing/explain.go
+++ b/core/routing/explain.go
@@ -30,6 +30,8 @@
 	Slots        int     `json:"slots"` // 0 if unknown
 	Fresh        bool    `json:"fresh"` // the load was reported less than 1 s ago
 	Full         bool    `json:"full"`
+	// LatencySeconds is the moving average of the last 5 s, 0 if unknown.
+	LatencySeconds float64 `json:"latency_seconds"`
 	// SuspectSeconds is the time until the next probe of a suspect.
 	SuspectSeconds float64 `json:"suspect_seconds,omitempty"`
 	Ramp           float64 `json:"ramp"` // part of its share, up to 1
@@ -67,6 +69,7 @@
 	c := Candidate{ID: t.inst.ID, Place: t.inst.Place.String(), State: t.inst.State.String(), Ramp: t.node.ramp(now)}
 	c.Load, c.Slots, c.Fresh = t.node.load(now)
 	c.Full = t.node.full(now)
+	c.LatencySeconds = t.node.recentLatency(now) / float64(time.Second)
 	if t.node.suspect() {
 		c.SuspectSeconds = max(0, time.Duration(t.node.suspectUntil.Load()-now).Seconds())
 	}
--- a/core/routing/node.go
+++ b/core/routing/node.go
@@ -25,6 +25,11 @@
 	// against the instance. It is far above a path's round-trip time of 16 ms, so that
 	// calls with short deadlines do not shut out an instance that is only slow.
 	silence = 250 * time.Millisecond
+	// latencyWeight is the weight of a new latency in the moving average.
+	latencyWeight = 0.1
+	// latencyLife is the time after which a latency counts for nothing, so that an
+	// instance that was slow is tried again.
+	latencyLife = 5 * time.Second
 )
 
 // Load is what an instance reports with each answer.
@@ -68,6 +73,8 @@
 	reported   atomic.Uint64
 	loadAt     atomic.Int64
 	answeredAt atomic.Int64 // any answer, refusals included
+	latency    atomic.Int64 // moving average in nanoseconds, 0 if unknown
+	latencyAt  atomic.Int64
 
 	strikes      atomic.Int32 // failures in a row; 0 means not suspect
 	suspectUntil atomic.Int64
@@ -95,6 +102,24 @@
 	return calls + float64(reported>>32)*share, slots, true
 }
 
+// took adds the latency of an answered call to the moving average.
+func (n *node) took(latency time.Duration, now int64) {
+	average := float64(n.latency.Load())
+	if average == 0 {
+		average = float64(latency)
+	}
+	n.latency.Store(int64(average + latencyWeight*(float64(latency)-average)))
+	n.latencyAt.Store(now)
+}
+
+// recentLatency returns the average, 0 if there is none that still counts.
+func (n *node) recentLatency(now int64) float64 {
+	if now-n.latencyAt.Load() >= int64(latencyLife) {
+		return 0
+	}
+	return float64(n.latency.Load())
+}
+
 func (n *node) full(now int64) bool {
 	calls, slots, _ := n.load(now)
 	return slots > 0 && calls >= float64(slots)
--- a/core/routing/policy_test.go
+++ b/core/routing/policy_test.go
@@ -202,10 +202,10 @@
 	if u.inst.Place != s.routers[ingress].self.Place {
 		wire = 8 * time.Millisecond
 	}
-	open := true
+	open, sent := true, s.now
 	settle := func(ok bool, kind refusal.Kind, load Load) {
 		if s.ours {
-			s.routers[ingress].Report(d, Outcome{Load: load, Failed: kind == refusal.UpstreamFailed, Refused: kind}, s.clock())
+			s.routers[ingress].Report(d, Outcome{Load: load, Latency: s.now - sent, Failed: kind == refusal.UpstreamFailed, Refused: kind}, s.clock())
 		}
 		if !open {
 			return
@@ -342,8 +342,8 @@
 			for _, policy := range []bool{false, true} {
 				s := &sim{scenario: c, ours: policy, random: rand.New(rand.NewPCG(1, 2))}
 				ours = s.run()
-				t.Logf("policy=%t goodput=%.3f p50=%s p99=%s attempts/call=%.2f",
-					policy, ours.goodput, ours.p50.Round(100*time.Microsecond), ours.p99.Round(100*time.Microsecond), ours.extraLoad)
+				t.Logf("%s: policy=%t goodput=%.3f p50=%s p99=%s attempts/call=%.2f",
+					c.name, policy, ours.goodput, ours.p50.Round(100*time.Microsecond), ours.p99.Round(100*time.Microsecond), ours.extraLoad)
 			}
 			c.check(t, ours)
 		})
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -174,6 +174,9 @@
 		n.leaving.Store(true)
 	default:
 		n.strikes.Store(0)
+		if o.Refused == "" && o.Latency > 0 {
+			n.took(o.Latency, at)
+		}
 	}
 	r.Observe(d, o.Load, now)
 	if o.Refused == refusal.Overloaded && o.Load.Slots == 0 {
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -200,6 +200,26 @@
 	require.False(t, n.suspect())
 }
 
+// Guards against an even share for a slow instance, and against one that is never tried
+// again.
+func TestSlowInstanceGetsLess(t *testing.T) {
+	members := sixteen()[:2]
+	r := newRouter(members, row("shifts", 1, 1, 1, 1, 1))
+	r.nodeOf(members[0].ID).took(100*time.Millisecond, 0)
+	r.nodeOf(members[1].ID).took(10*time.Millisecond, 0)
+	for at, want := range map[time.Duration]int{0: 2200 / 11, latencyLife: 1100} {
+		count := 0
+		for range 2200 {
+			d, _ := r.Pick(Query{Service: "shifts"}, start.Add(at))
+			if d.Instance.ID == members[0].ID {
+				count++
+			}
+			r.Report(d, Outcome{}, start.Add(at))
+		}
+		require.InDelta(t, want, count, 120)
+	}
+}
+
 // Guards against calls that keep going to an instance behind a partition, and against
 // shutting out an instance that answers others.
 func TestTimeoutsSpeakAgainstSilentInstances(t *testing.T) {
