Try another instance when one is too loaded for the remaining time

Cause: the guard refuses a request whose remaining time is shorter than its expected wait with the kind deadline, not run; the ingress took every deadline as final, though another instance may have a shorter queue. Change: a deadline that is not run is retried within the budget and the remaining time; one that may have run stays final.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -63,7 +63,7 @@
 // number. A positive verdict takes one retry from the budget.
 func Decide(a Attempt, budget *Budget, random uint64) Verdict {
 	switch {
-	case !transient(a.Kind):
+	case !transient(a.Kind, a.Run):
 		return Verdict{Reason: Final}
 	case a.Number >= MaxAttempts:
 		return Verdict{Reason: Attempts}
@@ -89,11 +89,14 @@
 }
 
 // transient reports whether another instance may answer differently. Limited is final
-// because the limit holds over all instances.
-func transient(kind refusal.Kind) bool {
+// because the limit holds over all instances. A deadline refused as not run says that the
+// instance is too loaded for the remaining time; another one may not be.
+func transient(kind refusal.Kind, run refusal.Run) bool {
 	switch kind {
 	case refusal.Overloaded, refusal.Leaving, refusal.NoVersion, refusal.NotOwner, refusal.UpstreamFailed, refusal.Cut:
 		return true
+	case refusal.Deadline:
+		return run == refusal.NotRun
 	}
 	return false
 }
