--- a/core/once/simulation_test.go
+++ b/core/once/simulation_test.go
@@ -83,7 +83,7 @@
 
 // start runs a new process for the instance. Its first list is an arbitrarily old one.
 func (w *world) start(id model.InstanceID) {
-	w.started++
+	w.started += 1000 // incarnations are milliseconds; a core that was removed from the list adds one
 	skew := time.Duration(w.draw(-1000, 1000)) * time.Millisecond
 	n := &node{id: id, running: map[Digest]bool{}, skew: skew, awake: true}
 	n.core = New(Config{Self: model.Instance{ID: id, Service: "s", Incarnation: w.started}}, n.time(w))
