--- a/core/once/ownership.go
+++ b/core/once/ownership.go
@@ -264,6 +264,7 @@
 	if sent.Message.Incarnation != c.incarnation || r.Incarnation < p.incarnation {
 		return c.advance(now)
 	}
+	p.seen = r.Incarnation
 	switch sent.Message.Kind {
 	case Probe, Ask:
 		if c.confirmed {
@@ -319,7 +320,11 @@
 		}
 	case Release:
 		r.OK = true
-		c.release(p, m)
+		// A late release of an earlier incarnation must not end the interval that a later one holds
+		// and that this core, which has started since, only assumes.
+		if p.openBy == m.Incarnation || p.openBy == 0 && p.seen == m.Incarnation {
+			c.release(p, m)
+		}
 	case HandOver:
 		r.OK = c.takeOver(m.Records)
 	}
--- a/core/once/peers.go
+++ b/core/once/peers.go
@@ -21,6 +21,8 @@
 	open Span
 	// openBy is the incarnation that asked for open, 0 when open is only assumed.
 	openBy uint64
+	// seen is the incarnation that has answered a question of this core.
+	seen uint64
 	// past are intervals of earlier incarnations. The instance answers for them.
 	past []Span
 	// acked and probed are the answers to this core's own questions in the current round.
--- a/core/once/registry.go
+++ b/core/once/registry.go
@@ -54,9 +54,12 @@
 type Registry struct {
 	maxKeys, maxBytes int
 	records           map[Digest]*Record
-	buckets           map[int64][]Digest
-	expired           int64
-	bytes, running    int
+	// buckets list the keys by creation time. A cleared key stays listed until its bucket ends or
+	// the lists are rebuilt.
+	buckets        map[int64][]Digest
+	listed         int
+	expired        int64
+	bytes, running int
 }
 
 // NewRegistry returns an empty registry; 0 takes the default of a bound.
@@ -95,8 +98,21 @@
 
 func (r *Registry) put(rec *Record) {
 	r.records[rec.ID] = rec
+	if r.listed >= 2*r.maxKeys {
+		clear(r.buckets)
+		r.listed = 0
+		for _, other := range r.records {
+			r.list(other)
+		}
+		return
+	}
+	r.list(rec)
+}
+
+func (r *Registry) list(rec *Record) {
 	bucket := rec.Created / bucketMillis
 	r.buckets[bucket] = append(r.buckets[bucket], rec.ID)
+	r.listed++
 }
 
 // finish records the end of a run.
@@ -156,7 +172,7 @@
 		for _, id := range ids {
 			rec, ok := r.records[id]
 			switch {
-			case !ok:
+			case !ok || rec.Created/bucketMillis != bucket: // cleared, perhaps sent again since
 			case rec.State == Running:
 				running = append(running, id)
 			default:
@@ -164,6 +180,7 @@
 				delete(r.records, id)
 			}
 		}
+		r.listed -= len(ids) - len(running)
 		if running == nil {
 			delete(r.buckets, bucket)
 		} else {
--- a/pkg/upstream/guard_test.go
+++ b/pkg/upstream/guard_test.go
@@ -311,3 +311,41 @@
 		require.Equal(t, int64(2), f.seen.Load())
 	})
 }
+
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(req *http.Request) (*http.Response, error) { return f(req) }
+
+// Guards against a keyed request that its owner runs although the table gives its data centre no
+// weight, against a key that a true not-run does not clear, and against one that a may-have-run clears.
+func TestDispatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fake{script: say(fine)}
+		outcome := &refusal.Refusal{Kind: refusal.Overloaded, Run: refusal.NotRun}
+		dispatched := 0
+		g, end := newGuard(t, f, func(c *Config) {
+			c.Dispatch = roundTripper(func(req *http.Request) (*http.Response, error) {
+				dispatched++
+				require.Equal(t, "1", req.Header.Get(refusal.HeaderDispatch))
+				return nil, outcome
+			})
+		})
+		defer end()
+		g.mu.Lock()
+		g.local.Weight = 0
+		g.mu.Unlock()
+		time.Sleep(10 * time.Second) // virtual time: the guard owns keys
+		created := millis()
+		send := func() *refusal.Refusal {
+			_, refused, _ := call(g, request(context.Background(), "POST", "claim", refusal.HeaderKey, "k", refusal.HeaderCreated, created))
+			return refused
+		}
+		require.Equal(t, outcome, send())
+		outcome = &refusal.Refusal{Kind: refusal.Cut}
+		require.Equal(t, refusal.Cut, send().Kind, "cleared by the not-run")
+		require.Equal(t, refusal.Duplicate, send().Kind)
+		require.Equal(t, 2, dispatched)
+		require.Zero(t, f.seen.Load())
+		require.NoError(t, g.Drain(context.Background()))
+	})
+}
--- a/pkg/upstream/local.go
+++ b/pkg/upstream/local.go
@@ -47,11 +47,15 @@
 func (g *Guard) peek(req *http.Request) (quarantine.Fingerprint, error) {
 	var head []byte
 	if req.Body != nil && req.Body != http.NoBody && req.ContentLength != 0 {
-		head = make([]byte, quarantine.MaxBody)
+		size := int64(quarantine.MaxBody)
+		if req.ContentLength > 0 {
+			size = min(size, req.ContentLength)
+		}
+		head = make([]byte, size)
 		var n int
 		var err error
 		if req.ContentLength > 0 {
-			n, err = io.ReadFull(req.Body, head[:min(int64(len(head)), req.ContentLength)])
+			n, err = io.ReadFull(req.Body, head)
 		} else { // a sender of unknown length may wait for an answer before it sends more
 			n, err = req.Body.Read(head)
 			if errors.Is(err, io.EOF) {
