Keep the connection of an upstream that sheds load

Cause: each 503 with Mangoshed-Run: not-run closed its connection, when the upstream is busiest. Change: a short answer is read and the connection goes back to the pool. Measured: a test runs 500 answered and 100 shed calls over one connection; before, each shed call dialled. Conclusion: shedding costs no connection.

--- a/pkg/upstream/guard_test.go
+++ b/pkg/upstream/guard_test.go
@@ -349,3 +349,21 @@
 		require.NoError(t, g.Drain(context.Background()))
 	})
 }
+
+// Guards against a connection per call: the upstream accepts few, and opening one takes 1 ms.
+func TestConnectionsAreReused(t *testing.T) {
+	f := &fake{script: say(fine)}
+	g, end := newGuard(t, f, nil)
+	defer end()
+	for range 500 {
+		_, refused, err := call(g, request(context.Background(), "POST", "b"))
+		require.Nil(t, refused)
+		require.NoError(t, err)
+	}
+	f.set(say("HTTP/1.1 503 Busy\nMangoshed-Run: not-run\nContent-Length: 2\n\nno"))
+	for range 100 {
+		_, refused, _ := call(g, request(context.Background(), "GET", ""))
+		require.Equal(t, refusal.NotRun, refused.Run)
+	}
+	require.Len(t, f.conns, 1)
+}
--- a/pkg/upstream/local.go
+++ b/pkg/upstream/local.go
@@ -19,6 +19,9 @@
 // noDeadline stands in for the deadline of a request without one.
 const noDeadline = 10 * time.Minute
 
+// maxShed is the size in bytes of the longest answer of a shedding upstream that is read.
+const maxShed = 4 << 10
+
 // attempt is one request on its way through the local upstream.
 type attempt struct {
 	guard  *Guard
@@ -207,10 +210,7 @@
 		return nil, refused
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(refusal.HeaderRun) == refusal.NotRun.String() {
-		_ = resp.Body.Close()
-		g.pool.drop(conn)
-		a.conn = nil
-		a.finish(false)
+		a.shed(resp)
 		r := notRun(refusal.Overloaded, "the upstream sheds load; try again")
 		r.RetryAfter = time.Second
 		return nil, r
@@ -225,6 +225,20 @@
 	return resp, nil
 }
 
+// shed ends a call that the upstream did not run. A short answer is read, so that the connection
+// can be used again.
+func (a *attempt) shed(resp *http.Response) {
+	_, err := io.CopyN(io.Discard, resp.Body, maxShed)
+	if errors.Is(err, io.EOF) {
+		a.guard.pool.put(a.conn)
+	} else {
+		a.guard.pool.drop(a.conn)
+	}
+	_ = resp.Body.Close()
+	a.conn = nil
+	a.finish(false)
+}
+
 // outgoing returns the request as the upstream gets it. Headers between daemons are
 // removed, but for the remaining time and the depth, which the upstream passes on.
 func (a *attempt) outgoing(ctx context.Context, req *http.Request) *http.Request {
