--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -23,6 +23,9 @@
 	dialTimeout = time.Second
 	// maxConns bounds the connections to one peer. Each carries up to maxStreams calls.
 	maxConns = 4
+	// busyConn is the number of calls on a connection from which on another one is
+	// opened: encryption and framing of one connection run on one core at a time.
+	busyConn = 3
 	// maxPeers bounds the peers with connections; the least recently used idle one
 	// goes first.
 	maxPeers = 512
@@ -82,6 +85,8 @@
 		req.Body, req.ContentLength = http.NoBody, 0
 	}
 	req.GetBody = nil
+	// A caller that closes its own connection must not end the one that others share.
+	req.Close = false
 	written := link.written()
 	resp, err := link.conn.RoundTrip(req)
 	if err == nil {
