Report the traffic of the median and the busiest daemon

Cause: means over a fleet hide the inner daemons of the tree, whose links carry each event once for every child. Change: the fleet benchmark reports bytes sent and received by the median and by the busiest daemon, idle and for each change and restart.

--- a/pkg/demo/fleet_test.go
+++ b/pkg/demo/fleet_test.go
@@ -85,6 +85,7 @@
 	seconds := m.idle.elapsed.Seconds()
 	_, bytes := m.idle.total()
 	m.ReportMetric(bytes/seconds/m.n, "idle-B/s/daemon")
+	m.reportLoad(m.idle, seconds, "idle-own-B/s")
 	m.ReportMetric(m.idle.bytes(model.SameDataCentre)/seconds/m.n, "idle-same-dc-B/s/daemon")
 	m.ReportMetric(m.idle.bytes(model.SameRegion)/seconds/m.n, "idle-same-region-B/s/daemon")
 	m.ReportMetric(m.idle.bytes(model.CrossRegion)/seconds, "idle-paid-B/s")
@@ -92,15 +93,34 @@
 	m.ReportMetric(m.idle.storeCalls()/seconds, "idle-store-calls/s")
 }
 
-// beyondIdle returns what was spent since a sample beyond the idle cost of the same time.
-func (m *measured) beyondIdle(before sample) (datagrams, bytes, paid, processorSeconds float64) {
+// spending is what was spent beyond the idle cost of the same time.
+type spending struct {
+	datagrams, bytes, paid, processorSeconds float64
+	loads                                    sample
+}
+
+// beyondIdle returns what was spent since a sample.
+func (m *measured) beyondIdle(before sample) spending {
 	spent := m.sample().since(before)
 	share := spent.elapsed.Seconds() / m.idle.elapsed.Seconds()
-	datagrams, bytes = spent.total()
+	datagrams, bytes := spent.total()
 	idleDatagrams, idleBytes := m.idle.total()
-	return datagrams - share*idleDatagrams, bytes - share*idleBytes,
-		spent.bytes(model.CrossRegion) - share*m.idle.bytes(model.CrossRegion),
-		spent.processor.Seconds() - share*m.idle.processor.Seconds()
+	for d := range spent.loads {
+		spent.loads[d] -= share * m.idle.loads[d]
+	}
+	return spending{
+		datagrams: datagrams - share*idleDatagrams, bytes: bytes - share*idleBytes,
+		paid:             spent.bytes(model.CrossRegion) - share*m.idle.bytes(model.CrossRegion),
+		processorSeconds: spent.processor.Seconds() - share*m.idle.processor.Seconds(),
+		loads:            spent,
+	}
+}
+
+// reportLoad reports the bytes of the median and the busiest daemon, both directions.
+func (m *measured) reportLoad(s sample, per float64, unit string) {
+	median, highest := s.load()
+	m.ReportMetric(median/per, unit+"-p50")
+	m.ReportMetric(highest/per, unit+"-max")
 }
 
 // measureChanges publishes edits of one cell each.
@@ -121,17 +141,18 @@
 		convergence = append(convergence, took)
 		pause(m.Context(), time.Until(next))
 	}
-	datagrams, bytes, paid, processor := m.beyondIdle(before)
+	spent := m.beyondIdle(before)
 	delta := float64(deltas) / benchChanges
-	paid /= benchChanges * remoteRegions
+	paid := spent.paid / (benchChanges * remoteRegions)
 	m.ReportMetric(millis(percentile(convergence, 0.5)), "convergence-p50-ms")
 	m.ReportMetric(millis(percentile(convergence, 1)), "convergence-max-ms")
-	m.ReportMetric(datagrams/benchChanges/m.n, "datagrams/change/daemon")
-	m.ReportMetric(bytes/benchChanges/m.n, "B/change/daemon")
+	m.ReportMetric(spent.datagrams/benchChanges/m.n, "datagrams/change/daemon")
+	m.ReportMetric(spent.bytes/benchChanges/m.n, "B/change/daemon")
 	m.ReportMetric(delta, "delta-B")
 	m.ReportMetric(paid, "paid-B/change/region")
 	m.ReportMetric(paid/(1.5*(delta+60)), "paid/bound")
-	m.ReportMetric(1e6*processor/benchChanges/m.n, "cpu-us/change/daemon")
+	m.ReportMetric(1e6*spent.processorSeconds/benchChanges/m.n, "cpu-us/change/daemon")
+	m.reportLoad(spent.loads, benchChanges, "own-B/change")
 }
 
 // measureRestarts replaces daemons one after the other.
@@ -145,12 +166,13 @@
 		ready += time.Since(start)
 		pause(m.Context(), spreadTime)
 	}
-	_, bytes, paid, processor := m.beyondIdle(before)
+	spent := m.beyondIdle(before)
 	m.ReportMetric(millis(ready)/benchRestarts, "restart-ready-ms")
-	m.ReportMetric(bytes/benchRestarts, "B/restart")
-	m.ReportMetric(bytes/benchRestarts/m.n, "B/restart/daemon")
-	m.ReportMetric(paid/benchRestarts, "paid-B/restart")
-	m.ReportMetric(1e6*processor/benchRestarts/m.n, "cpu-us/restart/daemon")
+	m.ReportMetric(spent.bytes/benchRestarts, "B/restart")
+	m.ReportMetric(spent.bytes/benchRestarts/m.n, "B/restart/daemon")
+	m.ReportMetric(spent.paid/benchRestarts, "paid-B/restart")
+	m.ReportMetric(1e6*spent.processorSeconds/benchRestarts/m.n, "cpu-us/restart/daemon")
+	m.reportLoad(spent.loads, benchRestarts, "own-B/restart")
 }
 
 // measureReturn kills half of the daemons, which come back at once.
@@ -159,8 +181,8 @@
 	require.NoError(m, m.restartHalf())
 	require.NoError(m, m.awaitReady(m.Context(), time.Minute))
 	m.ReportMetric(millis(time.Since(start)), "return-ready-ms")
-	_, bytes, paid, _ := m.beyondIdle(before)
-	m.ReportMetric(bytes/m.n, "B/return/daemon")
-	m.ReportMetric(paid, "paid-B/return")
+	spent := m.beyondIdle(before)
+	m.ReportMetric(spent.bytes/m.n, "B/return/daemon")
+	m.ReportMetric(spent.paid, "paid-B/return")
 	m.ReportMetric(m.sample().since(before).storeCalls(), "store-calls/return")
 }
--- a/pkg/demo/sample.go
+++ b/pkg/demo/sample.go
@@ -1,11 +1,14 @@
 package demo
 
 import (
+	"maps"
 	"runtime"
+	"slices"
 	"syscall"
 	"time"
 
 	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/pkg/daemon"
 	"mangoshed.example/mangoshed/pkg/peer"
 	"mangoshed.example/mangoshed/pkg/platform/standin"
 )
@@ -16,6 +19,9 @@
 	processor time.Duration // user and system time of the process
 	traffic   peer.Traffic
 	store     standin.Counts
+	// loads holds the bytes sent and received by each daemon that runs; a difference
+	// has the daemons that ran all the time.
+	loads map[*daemon.Daemon]float64
 }
 
 // firstSample is the start of sample.elapsed.
@@ -23,20 +29,29 @@
 
 // sample reads the counters.
 func (f *fleet) sample() sample {
-	s := sample{elapsed: time.Since(firstSample), traffic: f.gone, store: f.platform.Counts()}
+	s := sample{elapsed: time.Since(firstSample), traffic: f.gone, store: f.platform.Counts(), loads: map[*daemon.Daemon]float64{}}
 	var usage syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err == nil {
 		s.processor = time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 	}
 	for _, d := range f.daemons {
-		s.traffic = addTraffic(s.traffic, d.Traffic())
+		own := d.Traffic()
+		s.traffic = addTraffic(s.traffic, own)
+		for distance := range own {
+			s.loads[d] += float64(own[distance][peer.Sent].Bytes + own[distance][peer.Received].Bytes)
+		}
 	}
 	return s
 }
 
 // since returns the difference to an earlier sample.
 func (s sample) since(earlier sample) sample {
-	d := sample{elapsed: s.elapsed - earlier.elapsed, processor: s.processor - earlier.processor}
+	d := sample{elapsed: s.elapsed - earlier.elapsed, processor: s.processor - earlier.processor, loads: map[*daemon.Daemon]float64{}}
+	for running, load := range s.loads {
+		if before, ok := earlier.loads[running]; ok {
+			d.loads[running] = load - before
+		}
+	}
 	for distance := range s.traffic {
 		for direction := range s.traffic[distance] {
 			now, then := s.traffic[distance][direction], earlier.traffic[distance][direction]
@@ -59,6 +74,15 @@
 	return float64(s.traffic[distance][peer.Sent].Bytes)
 }
 
+// load returns the bytes of the median and of the busiest daemon, both directions.
+func (s sample) load() (median, highest float64) {
+	sorted := slices.Sorted(maps.Values(s.loads))
+	if len(sorted) == 0 {
+		return 0, 0
+	}
+	return sorted[len(sorted)/2], sorted[len(sorted)-1]
+}
+
 // total returns the datagrams and bytes sent over all distances.
 func (s sample) total() (datagrams, bytes float64) {
 	for distance := range s.traffic {
