--- a/pkg/demo/call_test.go
+++ b/pkg/demo/call_test.go
@@ -18,7 +18,7 @@
 	f, err := startFleet(shape{Daemons: 2, Regions: 1, CentresPerRegion: 1, Services: 2})
 	require.NoError(b, err)
 	defer f.kill()
-	require.NoError(b, f.awaitReady(b.Context(), time.Minute))
+	require.NoError(b, f.awaitReady(b.Context()))
 	for _, path := range []struct{ name, address string }{
 		{"direct", f.applications[1].address()},
 		{"two_daemons", f.daemons[0].CallerAddr()},
--- a/pkg/demo/design_test.go
+++ b/pkg/demo/design_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"runtime"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -38,7 +37,7 @@
 		f.platform.SetInstances(list)
 		before, goroutines := memoryInUse(), runtime.NumGoroutine()
 		require.NoError(b, f.startInstance(self))
-		require.NoError(b, f.awaitReady(b.Context(), time.Minute))
+		require.NoError(b, f.awaitReady(b.Context()))
 		for n := range historyChanges {
 			f.table = editTable(f.table, n)
 			version, _, err := f.publish()
--- a/pkg/demo/fleet.go
+++ b/pkg/demo/fleet.go
@@ -15,6 +15,10 @@
 	"mangoshed.example/mangoshed/pkg/settings"
 )
 
+// fleetReadyTimeout bounds the time until all daemons are ready; the dials of a large
+// fleet are jittered over up to 10 s.
+const fleetReadyTimeout = time.Minute
+
 // seedsPerDistance is the number of neighbours that a new daemon asks at each distance.
 const seedsPerDistance = 2
 
@@ -126,10 +130,9 @@
 	return nil
 }
 
-// awaitReady waits until every daemon is ready with the current version, at most for
-// the timeout.
-func (f *fleet) awaitReady(ctx context.Context, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// awaitReady waits until every daemon is ready with the current version.
+func (f *fleet) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, fleetReadyTimeout)
 	defer cancel()
 	r := &run{site: f.site}
 	if err := r.awaitReady(ctx); err != nil {
--- a/pkg/demo/fleet_test.go
+++ b/pkg/demo/fleet_test.go
@@ -62,7 +62,7 @@
 	f, err := startFleet(s)
 	require.NoError(b, err)
 	defer f.kill()
-	require.NoError(b, f.awaitReady(b.Context(), time.Minute))
+	require.NoError(b, f.awaitReady(b.Context()))
 	m := &measured{B: b, fleet: f, n: float64(s.Daemons)}
 	b.ReportMetric(millis(time.Since(started)), "start-ms")
 	pause(b.Context(), linkSettleTime)
@@ -162,7 +162,7 @@
 	for n := range benchRestarts {
 		start := time.Now()
 		require.NoError(m, m.replace(m.Context(), (n+1)*len(m.daemons)/(benchRestarts+1)))
-		require.NoError(m, m.awaitReady(m.Context(), time.Minute))
+		require.NoError(m, m.awaitReady(m.Context()))
 		ready += time.Since(start)
 		pause(m.Context(), spreadTime)
 	}
@@ -179,7 +179,7 @@
 func (m *measured) measureReturn() {
 	before, start := m.sample(), time.Now()
 	require.NoError(m, m.restartHalf())
-	require.NoError(m, m.awaitReady(m.Context(), time.Minute))
+	require.NoError(m, m.awaitReady(m.Context()))
 	m.ReportMetric(millis(time.Since(start)), "return-ready-ms")
 	spent := m.beyondIdle(before)
 	m.ReportMetric(spent.bytes/m.n, "B/return/daemon")
