--- a/core/topology/capacity_test.go
+++ b/core/topology/capacity_test.go
@@ -1,6 +1,7 @@
 package topology
 
 import (
+	"fmt"
 	"testing"
 
 	"mangoshed.example/mangoshed/core/membership"
@@ -19,7 +20,7 @@
 	b.ReportMetric(0, "ns/op")
 }
 
-// reportShape reports children by role and depths.
+// reportShape reports the most children of each role, and depths.
 func reportShape(b *testing.B, all map[model.InstanceID]Plan) {
 	eager, lazy, paid := map[model.InstanceID]int{}, map[model.InstanceID]int{}, 0
 	deepest, total := 0, 0
@@ -34,22 +35,41 @@
 			}
 		}
 	}
-	most, mostEager, inner := 0, 0, 0
-	for id := range all {
+	most, inner := 0, 0
+	mostEager, mostLazy := map[string]int{}, map[string]int{}
+	for id, p := range all {
 		children := eager[id] + lazy[id]
-		most, mostEager = max(most, children), max(mostEager, eager[id])
+		most = max(most, children)
 		if children > 0 {
 			inner++
 		}
+		role := roleOf(p)
+		mostEager[role], mostLazy[role] = max(mostEager[role], eager[id]), max(mostLazy[role], lazy[id])
+	}
+	for role := range mostEager {
+		b.ReportMetric(float64(mostEager[role]), "eager-children/"+role)
+		b.ReportMetric(float64(mostLazy[role]), "lazy-children/"+role)
 	}
 	b.ReportMetric(float64(deepest), "hops-max")
 	b.ReportMetric(float64(total)/float64(len(all)), "hops-mean")
 	b.ReportMetric(float64(most), "children-max")
-	b.ReportMetric(float64(mostEager), "eager-children-max")
 	b.ReportMetric(float64(inner)/float64(len(all)), "share-with-children")
 	b.ReportMetric(float64(paid), "paid-links")
 }
 
+// roleOf names the highest role of a member.
+func roleOf(p Plan) string {
+	switch {
+	case p.ReaderRank >= 0:
+		return fmt.Sprintf("reader-%d", p.ReaderRank)
+	case p.IsEntry():
+		return "entry"
+	case p.IsSpareEntry():
+		return "spare-entry"
+	}
+	return fmt.Sprintf("level-%d", p.Level)
+}
+
 // reportMoves reports the members whose eager or lazy parent differs after a failure.
 func reportMoves(b *testing.B, view membership.View, before map[model.InstanceID]Plan) {
 	var leaf, inner, relay, entry, primary model.Instance
