--- /dev/null
+++ b/core/dissemination/fault_pairs_test.go
@@ -0,0 +1,288 @@
+package dissemination
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"mangoshed.example/mangoshed/core/model"
+)
+
+// Bounds of convergence, from the design's targets.
+const (
+	boundOneDeath  = 2 * time.Second
+	boundPartition = 5 * time.Second
+	boundAny       = 14 * time.Second // several faults at once
+)
+
+func secondReader(c *Core) bool { return c.plan.ReaderRank == 1 }
+
+// remoteRelay is the relay of the remote region that is not its entry.
+func remoteRelay(c *Core) bool {
+	return c.plan.Relay == c.self.ID && !c.plan.IsEntry() && c.self.Place.Region == remoteRegion
+}
+
+// putOld puts the manifest of version 3 into the store, as a restored backup does.
+func (f *fleet) putOld() {
+	_, m, segments := build(f.t, 3, 0, f.signer)
+	f.put(m, segments)
+}
+
+// putBad puts version 9 with a wrong digest into the store.
+func (f *fleet) putBad() {
+	_, m, segments := build(f.t, 9, 0, f.signer)
+	m.TableDigest[0]++
+	f.put(m, segments)
+}
+
+// leave performs a planned stop: the daemon announces it, drains and ends.
+func (f *fleet) leave(id model.InstanceID, drain time.Duration) {
+	f.deliver(f.nodes[id], Leave{})
+	f.at(f.now.Add(drain), func() { f.kill(id) })
+}
+
+// cutLink breaks one link; both sides notice at once.
+func (f *fleet) cutLink(a, b model.InstanceID) {
+	for _, pair := range [][2]model.InstanceID{{a, b}, {b, a}} {
+		if n := f.nodes[pair[0]]; n.alive && n.links[pair[1]] != 0 {
+			delete(n.links, pair[1])
+			f.deliver(n, LinkDown{Peer: pair[1], Err: errClosed})
+		}
+	}
+}
+
+// Guards I1, I3 and I9 when two faults strike together during the change to version 6:
+// the newest version that can be read takes effect everywhere within the bound after
+// the faults that end have ended, and so does the change after it.
+func TestFaultPairs(t *testing.T) {
+	t.Parallel()
+	const beforeFetch, fetched = 3 * time.Millisecond, 5 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		want   model.Version
+		bound  time.Duration
+		strike func(f *fleet)
+		end    func(f *fleet) // 5 s later; nil when nothing has to end
+	}{
+		{"entry dies and the store is rolled back", 6, boundOneDeath, func(f *fleet) {
+			f.publish(6)
+			f.run(fetched)
+			f.kill(f.role(remoteEntry))
+			f.putOld()
+		}, nil},
+		{"data centre dies and the store is rolled back", 6, boundAny, func(f *fleet) {
+			f.publish(6)
+			f.run(fetched)
+			place := f.nodes[f.role(primaryReader)].instance.Place
+			for _, id := range f.ids {
+				if f.nodes[id].instance.Place == place {
+					f.kill(id)
+				}
+			}
+			f.putOld()
+		}, nil},
+		{"primary reader paused and second reader dies", 6, boundAny, func(f *fleet) {
+			f.nodes[f.role(primaryReader)].pausedUntil = f.now.Add(4 * time.Second)
+			second := f.role(secondReader)
+			f.publish(6)
+			f.run(beforeFetch)
+			f.kill(second)
+		}, nil},
+		{"partition and a bad version in the store", 6, boundPartition, func(f *fleet) {
+			f.partition(true)
+			f.run(10 * time.Second)
+			f.putBad()
+			f.run(time.Second)
+			f.publish(6)
+		}, func(f *fleet) { f.partition(false) }},
+		{"bad version and primary reader dies", 6, boundOneDeath, func(f *fleet) {
+			f.putBad()
+			f.run(beforeFetch)
+			f.kill(f.role(primaryReader))
+			f.publish(6)
+		}, nil},
+		{"store down and primary reader dies", 6, boundAny, func(f *fleet) {
+			f.publish(6)
+			f.run(beforeFetch) // the manifest is read, the segments are not
+			f.storeDown = true
+			f.kill(f.role(primaryReader))
+		}, func(f *fleet) { f.storeDown = false; f.notify() }},
+		{"segments of another version and entry dies", 6, boundAny, func(f *fleet) {
+			f.publish(6)
+			good := f.segments[6]
+			f.segments[6] = f.segments[5]
+			f.kill(f.role(remoteEntry))
+			f.at(f.now.Add(4*time.Second), func() { f.segments[6] = good })
+		}, func(*fleet) {}},
+		{"relay is stopped during a change", 6, boundOneDeath, func(f *fleet) {
+			f.publish(6)
+			f.run(fetched)
+			f.leave(f.role(remoteRelay), time.Second)
+		}, nil},
+		{"versions cross and the entry is stopped", 7, boundOneDeath, func(f *fleet) {
+			f.publish(6)
+			f.run(time.Millisecond)
+			newer := f.manifest
+			f.publish(7)
+			f.run(beforeFetch)
+			f.leave(f.role(remoteEntry), time.Second)
+			f.manifest, newer = newer, f.manifest
+			f.notify() // the older manifest arrives last
+			f.run(beforeFetch)
+			f.manifest = newer
+		}, nil},
+		{"primary reader is stopped and second reader dies", 6, boundAny, func(f *fleet) {
+			second := f.role(secondReader)
+			f.leave(f.role(primaryReader), time.Second)
+			f.publish(6)
+			f.run(beforeFetch)
+			f.kill(second)
+		}, nil},
+		{"link of the entry cut and primary reader paused", 6, boundAny, func(f *fleet) {
+			entry, reader := f.role(remoteEntry), f.role(primaryReader)
+			f.publish(6)
+			f.run(fetched)
+			f.cutLink(entry, reader)
+			f.nodes[reader].pausedUntil = f.now.Add(4 * time.Second)
+		}, nil},
+		{"slow link and entry dies", 6, boundAny, func(f *fleet) {
+			f.slow = 400 * time.Millisecond
+			f.run(10 * time.Second)
+			f.publish(6)
+			f.run(fetched)
+			f.kill(f.role(remoteEntry))
+		}, nil},
+		{"store's region dies and comes back", 6, boundAny, func(f *fleet) {
+			for _, id := range f.ids {
+				if f.nodes[id].instance.Place.Region == storeRegion {
+					f.kill(id)
+				}
+			}
+			f.publish(6)
+		}, func(f *fleet) {
+			for _, id := range f.ids {
+				if !f.nodes[id].alive {
+					f.start(id)
+				}
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 6)
+			f.startAll()
+			f.publish(5)
+			f.run(time.Second)
+			f.requireConverged(5)
+			c.strike(f)
+			if c.end != nil {
+				f.run(5 * time.Second)
+				c.end(f)
+			}
+			took := f.runUntil(30*time.Second, f.converged(c.want))
+			f.requireConverged(c.want)
+			require.Less(t, took, c.bound)
+			f.publish(20)
+			next := f.runUntil(30*time.Second, f.converged(20))
+			f.requireConverged(20)
+			require.Less(t, next, c.bound, "the change after the faults")
+			f.run(30 * time.Second)
+			for _, id := range f.ids {
+				require.True(t, !f.nodes[id].alive || f.nodes[id].ready, "%s", id)
+			}
+			t.Logf("converged in %v, the next change in %v", took, next)
+		})
+	}
+}
+
+// Guards a mass restart during a store outage: daemons that find a neighbour with the
+// version take work without the store, a fleet without any version does not, and
+// neither loads the store beyond the fallback budget when it is back.
+func TestMassRestartDuringStoreOutage(t *testing.T) {
+	t.Parallel()
+	for name, survivors := range map[string]int{"half survives": 2, "nobody survives": 0} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 6)
+			f.startAll()
+			f.storeDown = true
+			restarted := func(i int) bool { return survivors == 0 || i%survivors == 0 }
+			for i, id := range f.ids {
+				if restarted(i) {
+					f.kill(id)
+				}
+			}
+			f.run(time.Second)
+			for i, id := range f.ids {
+				if restarted(i) {
+					f.start(id)
+				}
+			}
+			f.run(boundAny)
+			for _, id := range f.ids {
+				require.Equal(t, survivors > 0, f.nodes[id].ready, "%s", id)
+			}
+			f.publish(2)
+			f.run(10 * time.Minute)
+			f.storeDown = false
+			f.reads = 0
+			f.notify()
+			f.run(time.Second)
+			require.Less(t, f.reads, fallbackReads)
+			took := f.runUntil(30*time.Second, f.converged(2))
+			f.requireConverged(2)
+			require.Less(t, took+time.Second, boundAny)
+			t.Logf("%d reads in the first second; converged %v later", f.reads, took)
+		})
+	}
+}
+
+// announced reports whether every running daemon but the leaving one knows that it leaves.
+func (f *fleet) announced(leaving model.InstanceID) func() bool {
+	return func() bool {
+		for _, id := range f.ids {
+			if n := f.nodes[id]; n.alive && id != leaving {
+				for _, i := range n.view.Instances {
+					if i.ID == leaving && i.State != model.Leaving {
+						return false
+					}
+				}
+			}
+		}
+		return true
+	}
+}
+
+func (f *fleet) requireAnnounced(leaving model.InstanceID, bound time.Duration) {
+	f.t.Helper()
+	took := f.runUntil(bound, f.announced(leaving))
+	require.True(f.t, f.announced(leaving)(), "I7: not every daemon knows that %s leaves", leaving)
+	f.t.Logf("announced in %v", took)
+}
+
+// Guards I7 while the platform's list lags: every daemon learns of a leaving instance
+// within 2 s. When the parent that carries the announcement dies at the same moment, it
+// arrives after the dead links are noticed; until then the leaving daemon itself refuses
+// new work.
+func TestLeavingReachesEveryDaemon(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name   string
+		bound  time.Duration
+		strike func(f *fleet, leaving model.InstanceID)
+	}{
+		{"list lags", 2 * time.Second, func(*fleet, model.InstanceID) {}},
+		{"store down", 2 * time.Second, func(f *fleet, _ model.InstanceID) { f.storeDown = true }},
+		{"primary reader dies", boundAny, func(f *fleet, _ model.InstanceID) { f.kill(f.role(primaryReader)) }},
+		{"entry dies", boundAny, func(f *fleet, _ model.InstanceID) { f.kill(f.role(remoteEntry)) }},
+		{"eager parent dies", boundAny, func(f *fleet, leaving model.InstanceID) { f.kill(f.nodes[leaving].core.eager.peer) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, 6)
+			f.startAll()
+			leaving := f.role(func(c *Core) bool { return c.plan.Level == 1 && c.self.Place.Region == remoteRegion })
+			c.strike(f, leaving)
+			f.leave(leaving, boundAny)
+			f.requireAnnounced(leaving, c.bound)
+		})
+	}
+}
--- a/core/dissemination/fleet_test.go
+++ b/core/dissemination/fleet_test.go
@@ -71,7 +71,9 @@
 	ids       []model.InstanceID
 	verifier  *snapshot.Verifier
 	signer    *snapshot.Signer
-	cut       bool // the regions are partitioned
+	cut       bool                             // the regions are partitioned
+	slow      time.Duration                    // added to the delay between regions
+	defect    func(n *node, a Action) []Action // of a daemon's double; nil for none
 	storeDown bool
 	manifest  []byte
 	segments  map[model.Version][][]byte
@@ -190,7 +192,7 @@
 }
 
 func (f *fleet) delay(a, b *node) time.Duration {
-	return [...]time.Duration{nearDelay, regionDelay, crossDelay}[a.instance.Place.DistanceTo(b.instance.Place)]
+	return [...]time.Duration{nearDelay, regionDelay, crossDelay + f.slow}[a.instance.Place.DistanceTo(b.instance.Place)]
 }
 
 func (f *fleet) at(at time.Time, run func()) {
@@ -231,7 +233,13 @@
 		return
 	}
 	for _, action := range n.core.Handle(f.now, ev) {
-		f.perform(n, action)
+		performed := []Action{action}
+		if f.defect != nil {
+			performed = f.defect(n, action)
+		}
+		for _, a := range performed {
+			f.perform(n, a)
+		}
 	}
 	f.arm(n)
 }
