Put the guard in front of the local upstream

Cause: calls went to the upstream without admission, limits, quarantine and at-most-once. Change: the daemon wires the guard: ownership messages over the forward server, dispatch through the ingress, quarantine reports through the flood, the list read after the start from the platform.

--- a/pkg/daemon/calls.go
+++ b/pkg/daemon/calls.go
@@ -7,17 +7,22 @@
 	"net/http"
 	"time"
 
+	"mangoshed.example/mangoshed/core/admission"
 	"mangoshed.example/mangoshed/core/membership"
-	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/routing"
 	"mangoshed.example/mangoshed/core/snapshot"
 	"mangoshed.example/mangoshed/pkg/caller"
 	"mangoshed.example/mangoshed/pkg/forward"
+	"mangoshed.example/mangoshed/pkg/upstream"
 )
 
+// topicQuarantine is the topic of quarantine reports between daemons.
+const topicQuarantine = "quarantine"
+
 // calls holds the parts that carry calls.
 type calls struct {
 	router        *routing.Router
+	guard         *upstream.Guard
 	callers       *caller.Server
 	forwardServer *forward.Server
 	forwardClient *forward.Client
@@ -30,49 +35,73 @@
 		forwardClient: forward.NewClient(forward.ClientConfig{Identity: d.cfg.Identity}),
 	}
 	idle := time.Duration(s.Limits.IdleTimeoutSeconds) * time.Second
-	local := &localTransport{address: s.Upstream.Address, transport: &http.Transport{MaxConnsPerHost: s.Upstream.Connections}}
+	dispatch := &lateTripper{}
 	var err error
+	c.guard, err = upstream.New(upstream.Config{
+		Self: d.self, Address: s.Upstream.Address, Connections: s.Upstream.Connections,
+		Admission: admission.Config{Slots: s.Upstream.Slots, QueuePerClass: (s.Upstream.QueueLength + 1) / 2},
+		Idle:      idle, MaxKeys: s.Limits.Keys, Dispatch: dispatch, Peers: c.forwardClient,
+		Fresh:    d.freshView,
+		Publish:  func(data []byte) { d.runner.Publish(topicQuarantine, data) },
+		Registry: d.registry, Log: d.log,
+	})
+	if err != nil {
+		return nil, err
+	}
 	c.callers, err = caller.New(caller.Config{
-		Self: d.self, Router: c.router, Local: local, Remote: c.forwardClient, Owners: c,
+		Self: d.self, Router: c.router, Local: c.guard, Remote: c.forwardClient, Owners: c.guard,
 		Identity: d.cfg.Identity, Registry: d.registry, Idle: idle, ErrorLog: d.errorLog("callers"),
 	})
 	if err != nil {
+		c.guard.Close()
 		return nil, err
 	}
+	dispatch.next = c.callers
 	c.forwardServer = forward.NewServer(forward.ServerConfig{
-		Identity: d.cfg.Identity, Calls: local, Idle: idle, ErrorLog: d.errorLog("forward"),
+		Identity: d.cfg.Identity, Calls: c.guard, Peers: c.guard, Load: c.guard.Load, Idle: idle, ErrorLog: d.errorLog("forward"),
 	})
 	return c, nil
 }
 
-// localTransport sends calls to the local upstream.
-type localTransport struct {
-	address   string
-	transport *http.Transport
-}
+// lateTripper passes requests to a RoundTripper that is created after it: the guard
+// dispatches through the ingress, which in turn calls the guard.
+type lateTripper struct{ next http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
-func (l *localTransport) RoundTrip(req *http.Request) (*http.Response, error) {
-	out := req.Clone(req.Context())
-	out.URL.Scheme, out.URL.Host = "http", l.address
-	return l.transport.RoundTrip(out)
+func (l *lateTripper) RoundTrip(req *http.Request) (*http.Response, error) {
+	return l.next.RoundTrip(req)
 }
 
-// Owner implements caller.Owners.
-func (c *calls) Owner(string, string) (model.Instance, bool) { return model.Instance{}, false }
+// freshView reads the instance list from the platform.
+func (d *Daemon) freshView(ctx context.Context) (membership.View, error) {
+	list, err := d.cfg.Platform.List(ctx, 0, false)
+	if err != nil {
+		return membership.View{}, err
+	}
+	return membership.View{Revision: list.Revision, Instances: list.Instances}, nil
+}
 
-// update derives the routes from a version and a view.
+// update derives the routes, limits and owners of keys from a version and a view.
 func (c *calls) update(s *snapshot.Snapshot, view membership.View) {
+	c.guard.Update(s, view)
 	if s != nil {
 		c.router.Update(s, view.Instances, time.Now())
 	}
 }
 
-func (c *calls) setStale(bool) {}
+// setStale refuses what must not be repeated while the daemon checks its view.
+func (c *calls) setStale(stale bool) {
+	c.guard.SetStale(stale)
+	c.callers.SetStale(stale)
+}
 
-func (c *calls) deliver(string, []byte) {}
+func (c *calls) deliver(topic string, data []byte) {
+	if topic == topicQuarantine {
+		c.guard.Deliver(data)
+	}
+}
 
-func (c *calls) load() routing.Load { return routing.Load{} }
+func (c *calls) load() admission.Load { return c.guard.LoadNow() }
 
 func (c *calls) explain(service string) routing.Explanation {
 	return c.router.Explain(service, time.Now())
@@ -85,9 +114,14 @@
 	return nil
 }
 
-// drain refuses new work and waits for what runs.
+// drain refuses new work and waits for what runs. The ingress and the guard drain side by
+// side, because each may wait for calls of the other one; the forward server stops last,
+// so that refusals and key records still reach the peers.
 func (c *calls) drain(ctx context.Context) error {
-	return errors.Join(c.callers.Drain(ctx), c.forwardServer.Shutdown(ctx))
+	guard := make(chan error, 1)
+	go func() { guard <- c.guard.Drain(ctx) }()
+	err := c.callers.Drain(ctx)
+	return errors.Join(err, <-guard, c.forwardServer.Shutdown(ctx))
 }
 
 // close cuts what is left.
@@ -95,4 +129,5 @@
 	_ = c.callers.Close()
 	_ = c.forwardServer.Close()
 	c.forwardClient.Close()
+	c.guard.Close()
 }
