Ask the ranked owners of a key in turn, and open the TLS address for callers

Cause: while an instance starts it answers not_owner for the keys of which it is first, and the ingress asked nobody else, so a share of the claims was refused for seconds after each restart. Own services had no TLS address, and limits.caller_connections had no effect. Change: the ingress passes a keyed call on to the next of at most three ranked instances after not_owner or leaving (both not run); unknown_outcome is passed to the caller. The daemon serves listen.caller_tls_address and bounds callers' connections. Conclusion: the predecessor decides about keys that a starting instance does not own yet.

--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -43,9 +43,9 @@
 	return f(i, r)
 }
 
-type ownerFunc func(service, key string) (model.Instance, bool)
+type ownerFunc func(service, key string) []model.Instance
 
-func (f ownerFunc) Owner(service, key string) (model.Instance, bool) { return f(service, key) }
+func (f ownerFunc) Owners(service, key string) []model.Instance { return f(service, key) }
 
 var home = model.Place{Region: "north", DataCentre: "n1"}
 
@@ -462,17 +462,21 @@
 // Guards against keyed requests that miss the owner of the key.
 func TestKeyedRequestGoesToOwner(t *testing.T) {
 	ran := make(chan model.InstanceID, 1)
-	known := true
+	owners := []model.Instance{instance("c"), instance("b")}
+	var starting *refusal.Refusal // answer of b while it does not decide
 	_, addr := start(t, Config{
 		Router: newRouter(t, instance("a"), instance("b"), instance("c")),
 		Remote: remoteFunc(func(inst *model.Instance, r *http.Request) (*http.Response, error) {
 			require.Empty(t, r.Header.Get(refusal.HeaderDispatch))
+			if inst.ID == "b" && starting != nil {
+				return nil, starting
+			}
 			ran <- inst.ID
 			return answer(200, r.Header.Get(refusal.HeaderKey)), nil
 		}),
-		Owners: ownerFunc(func(service, key string) (model.Instance, bool) {
+		Owners: ownerFunc(func(service, key string) []model.Instance {
 			require.Equal(t, "shifts k1", service+" "+key)
-			return instance("c"), known
+			return owners
 		}),
 	})
 	raw := "POST / HTTP/1.1\r\nHost: shifts\r\nIdempotency-Key: k1\r\nContent-Length: 0\r\n\r\n"
@@ -480,7 +484,17 @@
 	require.NoError(t, err)
 	require.Equal(t, "k1", resp.body)
 	require.Equal(t, model.InstanceID("c"), <-ran)
-	known = false
+	owners = []model.Instance{instance("b"), instance("c")}
+	starting = &refusal.Refusal{Kind: refusal.NotOwner, Run: refusal.NotRun}
+	resp, err = ask(t, addr, raw)
+	require.NoError(t, err)
+	require.Equal(t, "k1", resp.body)
+	require.Equal(t, model.InstanceID("c"), <-ran) // the next one decides about a key that a starting instance leaves to it
+	starting = &refusal.Refusal{Kind: refusal.UnknownOutcome, Run: refusal.MayHaveRun}
+	resp, err = ask(t, addr, raw)
+	require.NoError(t, err)
+	require.Equal(t, string(refusal.UnknownOutcome), resp.Header.Get(refusal.HeaderKind)) // and nobody else is asked
+	owners = nil
 	resp, err = ask(t, addr, raw)
 	require.NoError(t, err)
 	require.Equal(t, string(refusal.NotOwner), resp.Header.Get(refusal.HeaderKind))
--- a/pkg/caller/dispatch.go
+++ b/pkg/caller/dispatch.go
@@ -16,12 +16,17 @@
 	"mangoshed.example/mangoshed/pkg/forward"
 )
 
-// Owners tells which instance owns an idempotency key. It returns false when the owner
-// is not known.
+// Owners ranks the instances that may own an idempotency key. The first is the owner unless
+// it answers not_owner: an instance that has just started leaves older keys to the next one.
+// It returns nothing when the owner is not known.
 type Owners interface {
-	Owner(service, key string) (model.Instance, bool)
+	Owners(service, key string) []model.Instance
 }
 
+// maxOwners bounds the ranked owners that one attempt asks. Three cover two starting
+// instances at the head of a key's order.
+const maxOwners = 3
+
 // Remote sends a request to the daemon beside an instance; *forward.Client implements it.
 type Remote interface {
 	RoundTrip(inst *model.Instance, req *http.Request) (*http.Response, error)
@@ -50,6 +55,7 @@
 	body       *body // nil without one
 	request    *http.Request
 	exclude    [retry.MaxAttempts]model.InstanceID
+	passes     int // times that the request was handed on
 }
 
 // RoundTrip sends a keyed request that the local daemon owns to a routed instance, with
@@ -168,14 +174,7 @@
 // attempt sends the call once.
 func (d *Dispatcher) attempt(ctx context.Context, c *call, number int) (*http.Response, error) {
 	if c.key != "" {
-		owner, ok := d.owners.Owner(c.service, c.key)
-		if !ok {
-			return nil, &refusal.Refusal{
-				Kind: refusal.NotOwner, Run: refusal.NotRun, RetryAfter: time.Second, Remedy: "the owner of the key is not known yet; try again",
-			}
-		}
-		d.owner.Inc()
-		return d.pass(ctx, c, number, &owner)
+		return d.askOwners(ctx, c, number)
 	}
 	decision, refused := d.router.Pick(routing.Query{Service: c.service, Exclude: c.exclude[:number-1]}, time.Now())
 	if refused != nil {
@@ -209,6 +208,34 @@
 	return resp, nil
 }
 
+// askOwners sends a keyed call to the owner of its key: to the ranked instances in turn
+// until one decides. An instance that is not the owner has not run the call.
+func (d *Dispatcher) askOwners(ctx context.Context, c *call, number int) (*http.Response, error) {
+	owners := d.owners.Owners(c.service, c.key)
+	if len(owners) == 0 {
+		return nil, &refusal.Refusal{
+			Kind: refusal.NotOwner, Run: refusal.NotRun, RetryAfter: time.Second, Remedy: "the owner of the key is not known yet; try again",
+		}
+	}
+	d.owner.Inc()
+	owners = owners[:min(len(owners), maxOwners)]
+	resp, err := d.pass(ctx, c, number, &owners[0])
+	for i := 1; i < len(owners); i++ {
+		failed := failureOf(resp, err)
+		if failed == nil || !passesOn(failed) || !c.body.replayable() || ctx.Err() != nil {
+			break
+		}
+		discard(resp)
+		resp, err = d.pass(ctx, c, number, &owners[i])
+	}
+	return resp, err
+}
+
+// passesOn reports whether the next instance in the order of a key may decide about it.
+func passesOn(failed *refusal.Refusal) bool {
+	return failed.Run == refusal.NotRun && (failed.Kind == refusal.NotOwner || failed.Kind == refusal.Leaving)
+}
+
 // tooLate is checked by the clock, because the context's timer can lag after a pause.
 var tooLate = &refusal.Refusal{Kind: refusal.Deadline, Run: refusal.NotRun, Remedy: "allow more time"}
 
@@ -218,7 +245,8 @@
 		return nil, tooLate
 	}
 	out := c.request.WithContext(ctx)
-	if number > 1 {
+	c.passes++
+	if c.passes > 1 {
 		// A transport of an earlier attempt may still read the header.
 		out.Header = out.Header.Clone()
 	}
--- a/pkg/daemon/calls.go
+++ b/pkg/daemon/calls.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
@@ -107,13 +106,6 @@
 	return c.router.Explain(service, time.Now())
 }
 
-func (c *calls) serveCallers(listener net.Listener) error {
-	if err := c.callers.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
 // drain refuses new work and waits for what runs. The ingress and the guard drain side by
 // side, because each may wait for calls of the other one; the forward server stops last,
 // so that refusals and key records still reach the peers.
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
 
 	"mangoshed.example/mangoshed/core/dissemination"
 	"mangoshed.example/mangoshed/core/membership"
@@ -69,6 +70,7 @@
 	admin     *operator.Server
 
 	callerListener  net.Listener
+	tlsListener     net.Listener // nil without listen.caller_tls_address
 	forwardListener net.Listener
 
 	applied atomic.Pointer[appliedVersion]
@@ -119,6 +121,9 @@
 	if d.callerListener, err = listen("caller_address", s.Listen.CallerAddress); err != nil {
 		return err
 	}
+	if d.tlsListener, err = listenOptional("caller_tls_address", s.Listen.CallerTLSAddress); err != nil {
+		return err
+	}
 	if d.forwardListener, err = listen("forward_address", s.Listen.ForwardAddress); err != nil {
 		return err
 	}
@@ -139,8 +144,16 @@
 	return listener, nil
 }
 
+// listenOptional returns nil for an empty address.
+func listenOptional(key, address string) (net.Listener, error) {
+	if address == "" {
+		return nil, nil
+	}
+	return listen(key, address)
+}
+
 func (d *Daemon) closeSockets() {
-	for _, listener := range []net.Listener{d.callerListener, d.forwardListener} {
+	for _, listener := range []net.Listener{d.callerListener, d.tlsListener, d.forwardListener} {
 		if listener != nil {
 			_ = listener.Close()
 		}
@@ -198,7 +211,11 @@
 		stop()
 		return err
 	}
-	d.serve("callers", func() error { return d.calls.serveCallers(d.callerListener) })
+	limit := d.cfg.Settings.Limits.CallerConnections
+	d.serve("callers", func() error { return d.calls.callers.Serve(netutil.LimitListener(d.callerListener, limit)) })
+	if d.tlsListener != nil {
+		d.serve("callers_tls", func() error { return d.calls.callers.ServeTLS(netutil.LimitListener(d.tlsListener, limit)) })
+	}
 	d.serve("forward", func() error { return d.calls.forwardServer.Serve(d.forwardListener) })
 	d.serve("admin", d.admin.Serve)
 	d.tasks.Go(func() { d.reloadCertificates(ctx) })
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -94,7 +94,7 @@
 
 // Limits bound the memory and the connections of the daemon.
 type Limits struct {
-	// CallerConnections is the highest number of callers' connections; default 2000.
+	// CallerConnections is the highest number of callers' connections to each address; default 2000.
 	CallerConnections int `yaml:"caller_connections" validate:"min=1,max=100000"`
 	// IdleTimeoutSeconds bounds the idle time of a read or write of a call; default 10.
 	IdleTimeoutSeconds int `yaml:"idle_timeout_seconds" validate:"min=1,max=600"`
