Derive the role at most once a second; first versions do not count as convergence

Cause: every change of the view built the topology a second time (1 ms at the design size); a restarted daemon put the age of an old version into the histogram; a shutdown waited up to 5 s for the hello of a silent peer. Change: the role is derived on demand and at most once a second on changes; the age is observed from the second version on; a shutdown ends waiting for hellos.

--- a/pkg/distribution/metrics.go
+++ b/pkg/distribution/metrics.go
@@ -7,8 +7,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"mangoshed.example/mangoshed/core/dissemination"
 	"mangoshed.example/mangoshed/core/model"
-	"mangoshed.example/mangoshed/core/snapshot"
 	"mangoshed.example/mangoshed/pkg/peer"
 	"mangoshed.example/mangoshed/pkg/platform"
 	"mangoshed.example/mangoshed/pkg/telemetry"
@@ -136,10 +136,13 @@
 	return 0
 }
 
-// applied counts a version that came into force.
-func (m *metrics) applied(s *snapshot.Snapshot, now time.Time) {
-	m.version.Set(float64(s.Version()))
-	m.age.Observe(age(s, now).Seconds())
+// applied counts a version that came into force. The first one of a daemon may have been
+// published long before the daemon started, so that its age says nothing.
+func (m *metrics) applied(a dissemination.Apply, now time.Time) {
+	m.version.Set(float64(a.Snapshot.Version()))
+	if a.Previous != nil {
+		m.age.Observe(age(a.Snapshot, now).Seconds())
+	}
 }
 
 // counted counts the calls to the platform.
--- a/pkg/distribution/runner.go
+++ b/pkg/distribution/runner.go
@@ -17,7 +17,6 @@
 	"mangoshed.example/mangoshed/core/membership"
 	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/snapshot"
-	"mangoshed.example/mangoshed/core/topology"
 	"mangoshed.example/mangoshed/pkg/audit"
 	"mangoshed.example/mangoshed/pkg/peer"
 	"mangoshed.example/mangoshed/pkg/platform"
@@ -56,25 +55,6 @@
 	OnDeliver func(topic string, data []byte, from model.InstanceID)
 }
 
-// Role describes the daemon's place in the distribution tree.
-type Role string
-
-// Roles, from the store outwards. A daemon with several roles shows the first.
-const (
-	RoleReader     Role = "reader"
-	RoleEntry      Role = "entry"
-	RoleSpareEntry Role = "spare_entry"
-	RoleRelay      Role = "relay"
-	RoleSpareRelay Role = "spare_relay"
-	RoleMember     Role = "member"
-	RoleNone       Role = "none" // not in the instance list yet
-)
-
-// Roles returns all roles.
-func Roles() []Role {
-	return []Role{RoleReader, RoleEntry, RoleSpareEntry, RoleRelay, RoleSpareRelay, RoleMember, RoleNone}
-}
-
 // Runner owns a dissemination core. Its methods are safe for concurrent use.
 type Runner struct {
 	cfg     Config
@@ -85,7 +65,7 @@
 
 	snapshot  atomic.Pointer[snapshot.Snapshot]
 	view      atomic.Pointer[membership.View]
-	role      atomic.Pointer[Role]
+	roles     roles
 	ready     atomic.Bool
 	stale     atomic.Bool
 	lastHeard atomic.Int64 // Unix nanoseconds of the last message of a peer or the store
@@ -109,8 +89,7 @@
 	cfg.Backoff.setDefaults()
 	r := &Runner{cfg: cfg, core: dissemination.New(cfg.Core), queue: newQueue(), done: make(chan struct{})}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
-	none := RoleNone
-	r.role.Store(&none)
+	r.roles.role = RoleNone
 	r.view.Store(&membership.View{})
 	r.heard()
 	r.metrics = newMetrics(r)
@@ -138,9 +117,6 @@
 // Members returns the current view of the instances.
 func (r *Runner) Members() membership.View { return *r.view.Load() }
 
-// Role returns the daemon's role.
-func (r *Runner) Role() Role { return *r.role.Load() }
-
 // Ready says whether the daemon may take new work.
 func (r *Runner) Ready() bool { return r.ready.Load() }
 
@@ -265,41 +241,19 @@
 // apply puts a snapshot into force.
 func (r *Runner) apply(a dissemination.Apply) {
 	r.snapshot.Store(a.Snapshot)
-	r.metrics.applied(a.Snapshot, time.Now())
+	r.metrics.applied(a, time.Now())
 	if r.cfg.OnApply != nil {
 		r.cfg.OnApply(a.Snapshot, a.Previous)
 	}
 }
 
-// members publishes a view and the role that follows from it.
+// members publishes a view.
 func (r *Runner) members(view membership.View) {
 	r.view.Store(&view)
-	plan := topology.Build(view, r.cfg.Core.Self.ID, r.cfg.Core.StoreRegion)
-	if role := roleOf(&plan); role != r.Role() {
-		r.role.Store(&role)
-		r.cfg.Log.Info("role_changed", zap.String("role", string(role)), zap.Int("level", plan.Level))
-	}
+	r.roleDue()
 	call(r.cfg.OnMembers, view)
 }
 
-func roleOf(p *topology.Plan) Role {
-	switch {
-	case p.Self.ID == "":
-		return RoleNone
-	case p.ReaderRank >= 0:
-		return RoleReader
-	case p.IsEntry():
-		return RoleEntry
-	case p.IsSpareEntry():
-		return RoleSpareEntry
-	case p.Self.ID == p.Relay:
-		return RoleRelay
-	case p.Self.ID == p.SpareRelay:
-		return RoleSpareRelay
-	}
-	return RoleMember
-}
-
 // handler passes events of links to the queue.
 type handler struct{ r *Runner }
 
--- a/pkg/peer/accept.go
+++ b/pkg/peer/accept.go
@@ -152,6 +152,8 @@
 		return
 	}
 	_ = stream.SetReadDeadline(time.Now().Add(handshakeTimeout))
+	stop := context.AfterFunc(t.ctx, func() { stream.CancelRead(0) })
+	defer stop()
 	reader := bufio.NewReaderSize(stream, readBufferBytes)
 	greeting, err := readHello(reader)
 	if err != nil {
@@ -160,6 +162,10 @@
 		return
 	}
 	_ = stream.SetReadDeadline(time.Time{})
+	if !stop() { // the daemon shuts down
+		_ = conn.CloseWithError(codeClosed, "shutdown")
+		return
+	}
 	t.socket.attribute(addrPort(conn.RemoteAddr()), t.cfg.Self.Place.DistanceTo(greeting.place()))
 	l := newLink(t, peer, conn, stream, reader, greeting)
 	cancel()
