--- a/pkg/demo/design_test.go
+++ b/pkg/demo/design_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -38,6 +39,7 @@
 		before, goroutines := memoryInUse(), runtime.NumGoroutine()
 		require.NoError(b, f.startInstance(self))
 		require.NoError(b, f.awaitReady(b.Context()))
+		answered := f.platform.Counts().AnswerBytes
 		for n := range historyChanges {
 			f.table = editTable(f.table, n)
 			version, _, err := f.publish()
@@ -46,9 +48,13 @@
 			require.True(b, ok)
 		}
 		b.ReportMetric((memoryInUse()-before)/(1<<20), "heap-MB")
+		b.ReportMetric(float64(f.platform.Counts().AnswerBytes-answered)/historyChanges, "store-B/change")
 		b.ReportMetric(float64(runtime.NumGoroutine()-goroutines), "goroutines")
 		b.ReportMetric(float64(len(list)), "instances")
 		f.kill()
+		var usage syscall.Rusage
+		require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+		b.ReportMetric(float64(usage.Maxrss)/1024, "process-peak-MB") // of all iterations, the stand-in included
 	}
 	b.ReportMetric(0, "ns/op")
 }
