Test faults around a call, and that the checks of calls can fail

Cause: no test restarted or paused the owner of a key between two sends of it outside the random simulation, or let a target leave between choice and answer.

Change: six faults of the owner between two sends of one key; routes are compared with the view after a removal and an announcement, with calls in flight.

Conclusion: no fault breaks an invariant, and the checks can fail.

--- /dev/null
+++ b/core/once/faults_test.go
@@ -0,0 +1,81 @@
+package once
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoshed.example/mangoshed/core/model"
+)
+
+// Guards I6 and the promise to the caller when something happens to the owner between
+// two sends of one key: the second send runs nowhere, and the answer says so truly.
+func TestOwnerFaultsBetweenTwoSends(t *testing.T) {
+	type site struct {
+		cores  map[model.InstanceID]*Core
+		settle func(now time.Time, fresh ...model.InstanceID)
+		owner  model.InstanceID
+		now    time.Time
+	}
+	restart := func(s *site) {
+		self := s.cores[s.owner].cfg.Self
+		self.Incarnation++
+		s.cores[s.owner] = New(Config{Self: self}, s.now)
+	}
+	for _, c := range []struct {
+		name   string
+		strike func(s *site)
+		want   Decision // of the owner
+		later  Decision // of the owner for a new key, 10 s later
+	}{
+		{"nothing", func(*site) {}, Duplicate, Run},
+		{"restart", func(s *site) { restart(s); s.settle(s.now, s.owner) }, Unknown, Run},
+		{"restart without a list", restart, NotOwner, NotOwner},
+		{"restart twice", func(s *site) { restart(s); restart(s); s.settle(s.now, s.owner) }, Unknown, Run},
+		{"pause", func(s *site) { s.now = s.now.Add(PauseGap + time.Millisecond) }, Duplicate, Run},
+		{"planned stop", func(s *site) { s.cores[s.owner].Leave(s.now) }, Duplicate, LeavingOwner},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &site{now: begin.Add(10 * time.Second)}
+			s.cores, s.settle, _ = fleet(3)
+			ids := []model.InstanceID{"i00", "i01", "i02"}
+			s.settle(begin, ids...)
+			tick := func() {
+				for _, id := range ids {
+					s.cores[id].Tick(s.now)
+					s.cores[id].Checked(s.now)
+				}
+			}
+			tick()
+			decide := func(id model.InstanceID, key Key) Decision {
+				decision, _ := s.cores[id].Begin(s.now, key)
+				return decision
+			}
+			first := func(id model.InstanceID, created time.Time) Key {
+				for n := 'a'; ; n++ {
+					key := NewKey("s", string(n)+created.String(), created.UnixMilli())
+					if owner, _ := First(key, []model.Instance{{ID: ids[0]}, {ID: ids[1]}, {ID: ids[2]}}); owner.ID == id {
+						return key
+					}
+				}
+			}
+			s.owner = ids[1]
+			key := first(s.owner, s.now)
+			require.Equal(t, Run, decide(s.owner, key))
+			c.strike(s)
+			for _, id := range ids {
+				decision := decide(id, key)
+				require.NotEqual(t, Run, decision, "I6: %s", id)
+				if id == s.owner {
+					require.Equal(t, c.want, decision)
+				}
+			}
+			s.now = s.now.Add(10 * time.Second)
+			require.NotEqual(t, Run, decide(s.owner, first(s.owner, s.now)), "I6: a paused owner runs a new key")
+			tick()
+			require.Equal(t, c.later, decide(s.owner, first(s.owner, s.now)))
+			require.NotEqual(t, Run, decide(s.owner, key), "I6")
+		})
+	}
+}
--- /dev/null
+++ b/core/routing/defects_test.go
@@ -0,0 +1,86 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/core/refusal"
+)
+
+// wrongRoutes sends calls through a router and returns the choices that break I2 (an
+// instance that the daemon does not have) or I7 (one that has said it leaves).
+func wrongRoutes(r *Router, members []model.Instance, at time.Time) (wrong []string) {
+	states := map[model.InstanceID]model.State{}
+	for _, m := range members {
+		states[m.ID] = m.State
+	}
+	judge := func(id model.InstanceID, taken bool) {
+		switch state, ok := states[id]; {
+		case !ok:
+			wrong = append(wrong, fmt.Sprintf("I2: route to %s", id))
+		case state == model.Leaving && taken:
+			wrong = append(wrong, fmt.Sprintf("I7: new call to %s", id))
+		}
+	}
+	for _, c := range r.Explain("shifts", at).Instances {
+		judge(c.ID, c.Step != "")
+	}
+	for range 200 {
+		if d, why := r.Pick(Query{Service: "shifts"}, at); why == nil {
+			judge(d.Instance.ID, true)
+			r.Report(d, Outcome{}, at)
+		}
+	}
+	return wrong
+}
+
+// Guards I2 and I7 while instances are removed, leave and restart between the choice
+// and the answer of calls; and against a check that finds nothing, by routers that do
+// not learn of a removal or of an announcement.
+func TestRoutesFollowTheView(t *testing.T) {
+	without := func(list []model.Instance) []model.Instance { return list[1:] }
+	leaving := func(list []model.Instance) []model.Instance {
+		list[0].State = model.Leaving
+		return list
+	}
+	same := func(list []model.Instance) []model.Instance { return list }
+	for _, c := range []struct {
+		name       string
+		view, seen func([]model.Instance) []model.Instance
+		invariant  string // that a defect breaks; empty without a defect
+	}{
+		{"instance removed", without, without, ""},
+		{"instance leaves", leaving, leaving, ""},
+		{"defect: keeps a removed instance", without, same, "I2"},
+		{"defect: picks a leaving instance", leaving, same, "I7"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRouter(sixteen(), row("shifts", 1, 1, 1, 1, 1))
+			var open []Decision
+			for range 50 {
+				d, why := r.Pick(Query{Service: "shifts"}, start)
+				require.Nil(t, why)
+				open = append(open, d)
+			}
+			r.swap(2, tableOf(row("shifts", 2, 1, 1, 1, 1)), c.seen(sixteen()), start)
+			for _, d := range open { // the target drained between pick and send
+				o := Outcome{}
+				if c.invariant == "" && d.Instance.ID == sixteen()[0].ID {
+					o.Refused = refusal.Leaving
+				}
+				r.Report(d, o, start)
+			}
+			wrong := wrongRoutes(r, c.view(sixteen()), start)
+			if c.invariant == "" {
+				require.Empty(t, wrong)
+				return
+			}
+			require.NotEmpty(t, wrong)
+			require.Contains(t, wrong[0], c.invariant)
+		})
+	}
+}
