Ask the next owner of a key after not_owner

Cause: a new instance that comes first in a key's order declines the key as not_owner until the others have acknowledged it; the key's calls failed meanwhile, because every attempt asked the same instance again. Change: if the ownership names the whole order, an attempt after not_owner goes to the next instance, without a wait and within the retry budget. Figures: the test's keyed call is answered at its second attempt. Conclusion: a start of an instance costs keyed calls one hop, not an error.

--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -487,6 +487,30 @@
 	require.Equal(t, "not-run", resp.Header.Get(refusal.HeaderRun))
 }
 
+// owners declines keys at the instances before the last one.
+type owners []model.Instance
+
+func (o owners) Owner(string, string) (model.Instance, bool) { return o[0], true }
+func (o owners) Owners(string, string) []model.Instance      { return o }
+
+// Guards against keyed calls that fail while a new instance waits for acknowledgements.
+func TestNextOwnerAfterNotOwner(t *testing.T) {
+	var asked []model.InstanceID
+	_, addr := start(t, Config{
+		Owners: owners{instance("d"), instance("c"), instance("b")},
+		Remote: remoteFunc(func(inst *model.Instance, _ *http.Request) (*http.Response, error) {
+			if asked = append(asked, inst.ID); inst.ID == "d" {
+				return nil, &refusal.Refusal{Kind: refusal.NotOwner, Run: refusal.NotRun}
+			}
+			return answer(200, ""), nil
+		}),
+	})
+	resp, err := ask(t, addr, "POST / HTTP/1.1\r\nHost: shifts\r\nIdempotency-Key: k1\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+	require.Equal(t, []model.InstanceID{"d", "c"}, asked)
+}
+
 type script []func([]byte) (int, error)
 
 // Read runs one step of the script per call.
--- a/pkg/caller/dispatch.go
+++ b/pkg/caller/dispatch.go
@@ -22,6 +22,12 @@
 	Owner(service, key string) (model.Instance, bool)
 }
 
+// OrderedOwners is an Owners that also knows who owns a key when earlier instances of its
+// order decline it as not_owner, as new ones do until all others have acknowledged them.
+type OrderedOwners interface {
+	Owners(service, key string) []model.Instance
+}
+
 // Remote sends a request to the daemon beside an instance; *forward.Client implements it.
 type Remote interface {
 	RoundTrip(inst *model.Instance, req *http.Request) (*http.Response, error)
@@ -47,6 +53,7 @@
 	repeatable bool
 	dispatch   bool // by the key's owner
 	depth      int
+	declined   int   // owners that said not_owner
 	body       *body // nil without one
 	request    *http.Request
 	exclude    [retry.MaxAttempts]model.InstanceID
@@ -147,6 +154,10 @@
 	if !verdict.Retry() {
 		return false
 	}
+	if _, ordered := d.owners.(OrderedOwners); ordered && failed.Kind == refusal.NotOwner && failed != ownerUnknown {
+		c.declined++
+		return true
+	}
 	if verdict.Wait == 0 {
 		return true
 	}
@@ -168,11 +179,9 @@
 // attempt sends the call once.
 func (d *Dispatcher) attempt(ctx context.Context, c *call, number int) (*http.Response, error) {
 	if c.key != "" {
-		owner, ok := d.owners.Owner(c.service, c.key)
+		owner, ok := d.ownerOf(c)
 		if !ok {
-			return nil, &refusal.Refusal{
-				Kind: refusal.NotOwner, Run: refusal.NotRun, RetryAfter: time.Second, Remedy: "the owner of the key is not known yet; try again",
-			}
+			return nil, ownerUnknown
 		}
 		d.owner.Inc()
 		return d.pass(ctx, c, number, &owner)
@@ -209,6 +218,22 @@
 	return resp, nil
 }
 
+var ownerUnknown = &refusal.Refusal{
+	Kind: refusal.NotOwner, Run: refusal.NotRun, RetryAfter: time.Second, Remedy: "the owner of the key is not known yet; try again",
+}
+
+// ownerOf returns the first instance in the key's order that has not declined the call.
+func (d *Dispatcher) ownerOf(c *call) (model.Instance, bool) {
+	ordered, ok := d.owners.(OrderedOwners)
+	if !ok || c.declined == 0 {
+		return d.owners.Owner(c.service, c.key)
+	}
+	if owners := ordered.Owners(c.service, c.key); c.declined < len(owners) {
+		return owners[c.declined], true
+	}
+	return model.Instance{}, false
+}
+
 // tooLate is checked by the clock, because the context's timer can lag after a pause.
 var tooLate = &refusal.Refusal{Kind: refusal.Deadline, Run: refusal.NotRun, Remedy: "allow more time"}
 
