--- /dev/null
+++ b/pkg/caller/dispatch_test.go
@@ -0,0 +1,235 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/core/refusal"
+	"mangoshed.example/mangoshed/core/retry"
+)
+
+// Guards against a request that runs twice, a retry with a part of the body, and a
+// not-run after an attempt that may have run.
+func TestRetries(t *testing.T) {
+	refused := func(run refusal.Run) error {
+		return &refusal.Refusal{Kind: refusal.UpstreamFailed, Run: run, Remedy: "test"}
+	}
+	notRun, mayHaveRun := refused(refusal.NotRun), refused(refusal.MayHaveRun)
+	large := strings.Repeat("x", replayBytes+1)
+	for name, c := range map[string]struct {
+		method, body string
+		chunked      bool
+		outcomes     []error // of the attempts; nil is an answer
+		attempts     int
+		status       int
+		run          string
+	}{
+		"not run":                   {"POST", "body", false, []error{notRun, nil}, 2, 200, ""},
+		"not run, chunked":          {"POST", "body", true, []error{notRun, notRun, nil}, 3, 200, ""},
+		"not run thrice":            {"POST", "body", false, []error{notRun, notRun, notRun, nil}, 3, 502, "not-run"},
+		"may have run":              {"POST", "body", false, []error{mayHaveRun, nil}, 1, 502, "may-have-run"},
+		"repeatable":                {"GET", "", false, []error{mayHaveRun, nil}, 2, 200, ""},
+		"not run after maybe":       {"GET", "", false, []error{mayHaveRun, notRun, notRun}, 3, 502, "may-have-run"},
+		"large body consumed":       {"POST", large, false, []error{notRun, nil}, 1, 502, "not-run"},
+		"large chunked body":        {"POST", large, true, []error{notRun, nil}, 1, 502, "not-run"},
+		"unknown error":             {"POST", "", false, []error{errors.New("broken"), nil}, 1, 502, "may-have-run"},
+		"final refusal":             {"GET", "", false, []error{&refusal.Refusal{Kind: refusal.Duplicate, Run: refusal.NotRun}, nil}, 1, 409, "not-run"},
+		"instance that just leaves": {"POST", "body", false, []error{&refusal.Refusal{Kind: refusal.Leaving, Run: refusal.NotRun}, nil}, 2, 200, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			attempts := 0
+			seen := map[model.InstanceID]bool{}
+			_, addr := start(t, Config{
+				Router: newRouter(t, instance("b"), instance("c"), instance("d")),
+				Remote: remoteFunc(func(inst *model.Instance, r *http.Request) (*http.Response, error) {
+					require.False(t, seen[inst.ID], "an instance is tried once per call")
+					seen[inst.ID] = true
+					body, err := io.ReadAll(r.Body)
+					require.NoError(t, err)
+					require.Equal(t, c.body, string(body))
+					attempts++
+					require.Equal(t, fmt.Sprint(attempts), r.Header.Get(refusal.HeaderAttempt))
+					if err := c.outcomes[attempts-1]; err != nil {
+						return nil, err
+					}
+					return answer(200, "ok"), nil
+				}),
+			})
+			length := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(c.body), c.body)
+			if c.chunked {
+				length = fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(c.body), c.body)
+			}
+			resp, err := ask(t, addr, c.method+" / HTTP/1.1\r\nHost: shifts\r\n"+length)
+			require.NoError(t, err)
+			require.Equal(t, c.attempts, attempts)
+			require.Equal(t, c.status, resp.StatusCode)
+			require.Equal(t, c.run, resp.Header.Get(refusal.HeaderRun))
+		})
+	}
+}
+
+// Guards against kept bodies that change, or that take memory without bound.
+func TestBodyReplaysWhatItKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		content := rapid.SliceOfN(rapid.Byte(), 0, 300).Draw(t, "content")
+		memory := &replayMemory{}
+		b := newBody(iotest.HalfReader(bytes.NewReader(content)), -1, memory)
+		for range rapid.IntRange(0, 3).Draw(t, "attempts") {
+			part := make([]byte, rapid.IntRange(0, len(content)).Draw(t, "read"))
+			attempt := b.attempt()
+			_, err := io.ReadFull(attempt, part)
+			require.NoError(t, err)
+			require.NoError(t, attempt.Close())
+			require.True(t, b.replayable())
+		}
+		got, err := io.ReadAll(b.attempt())
+		require.NoError(t, err)
+		require.Equal(t, string(content), string(got))
+		b.free()
+		require.Zero(t, memory.used.Load())
+	})
+	memory := &replayMemory{}
+	memory.used.Store(replayTotal)
+	b := newBody(strings.NewReader("abc"), 3, memory)
+	got, err := io.ReadAll(b.attempt())
+	require.NoError(t, err)
+	require.Equal(t, "abc", string(got))
+	require.False(t, b.replayable())
+}
+
+// Guards against an owner's dispatch that runs twice or that the target takes for a
+// caller's.
+func TestOwnerDispatchesOnce(t *testing.T) {
+	for run, want := range map[refusal.Run]int{refusal.NotRun: 3, refusal.MayHaveRun: 1} {
+		attempts := 0
+		server, _ := start(t, Config{
+			Router: newRouter(t, instance("b"), instance("c"), instance("d")),
+			Remote: remoteFunc(func(_ *model.Instance, r *http.Request) (*http.Response, error) {
+				attempts++
+				require.Equal(t, "1", r.Header.Get(refusal.HeaderDispatch))
+				return nil, &refusal.Refusal{Kind: refusal.Cut, Run: run}
+			}),
+		})
+		req, err := http.NewRequestWithContext(t.Context(), "GET", "/", nil)
+		require.NoError(t, err)
+		req.Header.Set(refusal.HeaderService, "shifts")
+		resp, err := server.RoundTrip(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		require.Error(t, err)
+		require.Equal(t, want, attempts)
+		late, cancel := context.WithDeadline(t.Context(), time.Now().Add(-time.Second))
+		resp, err = server.RoundTrip(req.WithContext(late))
+		cancel()
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		require.ErrorIs(t, err, tooLate)
+		require.Equal(t, want, attempts)
+	}
+}
+
+// Guards against retries beyond the budget while everything fails, and against decisions
+// that are not counted.
+func TestRetryBudgetBoundsLoad(t *testing.T) {
+	var attempts atomic.Int32
+	registry := prometheus.NewRegistry()
+	server, addr := start(t, Config{
+		Registry: registry,
+		Router:   newRouter(t, instance("b"), instance("c"), instance("d")),
+		Remote: remoteFunc(func(*model.Instance, *http.Request) (*http.Response, error) {
+			attempts.Add(1)
+			return nil, &refusal.Refusal{Kind: refusal.Overloaded, Run: refusal.NotRun}
+		}),
+	})
+	for range 200 {
+		_, err := ask(t, addr, get("shifts", "/"))
+		require.NoError(t, err)
+	}
+	require.LessOrEqual(t, attempts.Load(), int32(200+200/retry.CallsPerRetry+2))
+	require.Zero(t, server.budget.Retries())
+	families, err := registry.Gather()
+	require.NoError(t, err)
+	counts := map[string]float64{}
+	for _, family := range families {
+		for _, m := range family.GetMetric() {
+			name := family.GetName()
+			for _, label := range m.GetLabel() {
+				name += " " + label.GetValue()
+			}
+			counts[name] = m.GetCounter().GetValue() + float64(m.GetHistogram().GetSampleCount())
+		}
+	}
+	require.EqualValues(t, 200, counts["mangoshed_calls_refused_total overloaded not-run"])
+	require.EqualValues(t, 200, counts["mangoshed_call_duration_seconds refused"])
+	require.EqualValues(t, attempts.Load(), counts["mangoshed_chosen_total local"])
+	require.EqualValues(t, attempts.Load()-200, counts["mangoshed_retry_decisions_total again"])
+	require.Positive(t, counts["mangoshed_retry_decisions_total budget"])
+}
+
+// Guards against keyed requests that miss the owner of the key.
+func TestKeyedRequestGoesToOwner(t *testing.T) {
+	ran := make(chan model.InstanceID, 1)
+	known := true
+	_, addr := start(t, Config{
+		Router: newRouter(t, instance("a"), instance("b"), instance("c")),
+		Remote: remoteFunc(func(inst *model.Instance, r *http.Request) (*http.Response, error) {
+			require.Empty(t, r.Header.Get(refusal.HeaderDispatch))
+			ran <- inst.ID
+			return answer(200, r.Header.Get(refusal.HeaderKey)), nil
+		}),
+		Owners: ownerFunc(func(service, key string) (model.Instance, bool) {
+			require.Equal(t, "shifts k1", service+" "+key)
+			return instance("c"), known
+		}),
+	})
+	raw := "POST / HTTP/1.1\r\nHost: shifts\r\nIdempotency-Key: k1\r\nContent-Length: 0\r\n\r\n"
+	resp, err := ask(t, addr, raw)
+	require.NoError(t, err)
+	require.Equal(t, "k1", resp.body)
+	require.Equal(t, model.InstanceID("c"), <-ran)
+	known = false
+	resp, err = ask(t, addr, raw)
+	require.NoError(t, err)
+	require.Equal(t, string(refusal.NotOwner), resp.Header.Get(refusal.HeaderKind))
+	require.Equal(t, "not-run", resp.Header.Get(refusal.HeaderRun))
+}
+
+// owners declines keys at the instances before the last one.
+type owners []model.Instance
+
+func (o owners) Owner(string, string) (model.Instance, bool) { return o[0], true }
+func (o owners) Owners(string, string) []model.Instance      { return o }
+
+// Guards against keyed calls that fail while a new instance waits for acknowledgements.
+func TestNextOwnerAfterNotOwner(t *testing.T) {
+	var asked []model.InstanceID
+	_, addr := start(t, Config{
+		Owners: owners{instance("d"), instance("c"), instance("b")},
+		Remote: remoteFunc(func(inst *model.Instance, _ *http.Request) (*http.Response, error) {
+			if asked = append(asked, inst.ID); inst.ID == "d" {
+				return nil, &refusal.Refusal{Kind: refusal.NotOwner, Run: refusal.NotRun}
+			}
+			return answer(200, ""), nil
+		}),
+	})
+	resp, err := ask(t, addr, "POST / HTTP/1.1\r\nHost: shifts\r\nIdempotency-Key: k1\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+	require.Equal(t, []model.InstanceID{"d", "c"}, asked)
+}
