Keep connections to the upstream over a caller's Connection: close

Cause: the caller's wish to close its connection was passed on as Request.Close to the local guard, which then would close its connection to the upstream. Conclusion: a caller's connection handling stays its own.

--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -193,6 +193,7 @@
 	for _, name := range []string{"Connection", "X-Secret", "Keep-Alive", "Upgrade", "Forwarded", "Trailer"} {
 		require.NotContains(t, r.Header, name)
 	}
+	require.False(t, r.Close)
 	require.Equal(t, "127.0.0.1", r.Header.Get("X-Forwarded-For"))
 	require.Equal(t, "shifts", r.Host)
 	require.Equal(t, "shifts", r.Header.Get(refusal.HeaderService))
--- a/pkg/caller/dispatch.go
+++ b/pkg/caller/dispatch.go
@@ -247,6 +247,8 @@
 		// A transport of an earlier attempt may still read the header.
 		out.Header = out.Header.Clone()
 	}
+	// A caller that closes its connection does not close those behind the daemon.
+	out.Close = false
 	out.Body = http.NoBody
 	if c.body != nil {
 		out.Body = c.body.attempt()
