Add the operations page and alerting rules

Change: docs/operations.md covers install, all settings, keys, changing a row, audit kinds, refusal kinds, alerts, rotations, upgrades, drains and incidents.

Conclusion: partition and quarantine are described from the design and were not run.

--- a/cmd/mangoshed/commands.go
+++ b/cmd/mangoshed/commands.go
@@ -24,11 +24,10 @@
 		Usage:   "distribute configuration to an upstream's daemon and route its calls",
 		Version: buildinfo.Version(),
 		Action:  usage.Group,
-		// Values such as lists of addresses contain commas.
-		DisableSliceFlagSeparator: true,
 		Commands: []*cli.Command{
 			{
 				Name: "run", Usage: "run the daemon until SIGTERM, then drain", Action: run,
+				DisableSliceFlagSeparator: true, // a list's value contains commas; subcommands do not inherit this
 				Flags: []cli.Flag{
 					&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Sources: cli.EnvVars(settings.EnvFile)},
 					override,
@@ -37,7 +36,10 @@
 			{
 				Name: "settings", Usage: "check settings or print an example", Action: usage.Group,
 				Commands: []*cli.Command{
-					{Name: "check", Usage: "report all faults of a settings file", ArgsUsage: "FILE", Action: check, Flags: []cli.Flag{override}},
+					{
+						Name: "check", Usage: "report all faults of a settings file", ArgsUsage: "FILE", Action: check,
+						Flags: []cli.Flag{override}, DisableSliceFlagSeparator: true,
+					},
 					{Name: "example", Usage: "print complete, commented settings", Action: printExample},
 				},
 			},
--- a/cmd/mangoshed/commands_test.go
+++ b/cmd/mangoshed/commands_test.go
@@ -42,7 +42,10 @@
 	_, err = call("settings", "check", file)
 	require.NoError(t, err)
 	t.Setenv("MANGOSHED_UPSTREAM_SLOTS", "11")
-	_, err = call("run", "--settings", file, "--set", "log_level=debug")
+	keys := "signing_keys=AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=,AQAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="
+	_, err = call("settings", "check", file, "--set", keys)
+	require.NoError(t, err)
+	_, err = call("run", "--settings", file, "--set", "log_level=debug", "--set", keys)
 	require.NoError(t, err)
 	t.Setenv(settings.EnvFile, file)
 	_, err = call("run")
@@ -50,6 +53,7 @@
 	require.Len(t, started, 2)
 	require.Equal(t, 11, started[0].Upstream.Slots)
 	require.Equal(t, "debug", started[0].LogLevel)
+	require.Len(t, started[0].SigningKeys, 2)
 
 	t.Setenv(settings.EnvFile, "")
 	for _, test := range []struct {
--- a/cmd/mangoshed/fleet_test.go
+++ b/cmd/mangoshed/fleet_test.go
@@ -331,19 +331,14 @@
 	return found
 }
 
-// metric returns the value of a sample with the prefix, "" if there is none.
-func (f *fleet) metric(d *child, prefix string) string {
+// metrics returns what the daemon's admin server exports.
+func (f *fleet) metrics(d *child) string {
 	resp, err := http.Get("http://" + d.settings.Listen.AdminAddress + "/metrics")
 	require.NoError(f.t, err)
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
 	require.NoError(f.t, err)
-	for line := range strings.Lines(string(data)) {
-		if value, ok := strings.CutPrefix(line, prefix+" "); ok {
-			return strings.TrimSpace(value)
-		}
-	}
-	return ""
+	return string(data)
 }
 
 // answer is what a caller got.
--- a/cmd/mangoshed/process_test.go
+++ b/cmd/mangoshed/process_test.go
@@ -7,12 +7,14 @@
 	"fmt"
 	"net/http"
 	"os"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/goccy/go-yaml"
 	"github.com/stretchr/testify/require"
 
 	"mangoshed.example/mangoshed/core/model"
@@ -115,8 +117,48 @@
 		require.NoError(t, transport.Start(down))
 		transport.Dial(d.Instance)
 		require.Error(t, <-down)
-		f.eventually(func() bool { return f.metric(d, `mangoshed_refused_peers_total{reason="certificate"}`) == "1" }, "the refusal is not counted")
+		f.eventually(func() bool {
+			return strings.Contains(f.metrics(d), `mangoshed_refused_peers_total{reason="certificate"} 1`)
+		}, "the refusal is not counted")
 	})
+
+	t.Run("alerts", func(t *testing.T) { checkAlerts(t, f) })
+}
+
+// checkAlerts guards against alerts on metrics that no daemon has, and against alerts that
+// the operations page does not explain.
+func checkAlerts(t *testing.T, f *fleet) {
+	exported := map[string]bool{}
+	for _, d := range f.daemons {
+		for line := range strings.Lines(f.metrics(d)) {
+			if fields := strings.Fields(line); len(fields) == 4 && fields[1] == "TYPE" {
+				exported[fields[2]] = true
+				if fields[3] == "histogram" {
+					exported[fields[2]+"_bucket"], exported[fields[2]+"_count"] = true, true
+				}
+			}
+		}
+	}
+	data, err := os.ReadFile("../../contrib/prometheus-alerts.yaml")
+	require.NoError(t, err)
+	page, err := os.ReadFile("../../docs/operations.md")
+	require.NoError(t, err)
+	var file struct {
+		Groups []struct {
+			Rules []struct{ Alert, Expr string }
+		}
+	}
+	require.NoError(t, yaml.Unmarshal(data, &file))
+	metric := regexp.MustCompile(`mangoshed_\w+`)
+	for _, group := range file.Groups {
+		require.NotEmpty(t, group.Rules)
+		for _, rule := range group.Rules {
+			require.Contains(t, string(page), "`"+rule.Alert+"`")
+			for _, name := range metric.FindAllString(rule.Expr, -1) {
+				require.Contains(t, exported, name, rule.Alert)
+			}
+		}
+	}
 }
 
 // damage replaces the contents of the first segment by bytes that are no table, and
--- a/pkg/audit/audit.go
+++ b/pkg/audit/audit.go
@@ -25,14 +25,21 @@
 
 // The kinds of entries.
 const (
-	Seen     Kind = "seen"
-	Accepted Kind = "accepted"
-	Rejected Kind = "rejected"
-	Applied  Kind = "applied"
-	Conflict Kind = "conflict"
-	Stale    Kind = "stale"
+	Seen      Kind = "seen"
+	Accepted  Kind = "accepted"
+	Rejected  Kind = "rejected"
+	Applied   Kind = "applied"
+	Conflict  Kind = "conflict"
+	Stale     Kind = "stale"
+	StaleList Kind = "stale_list" // an instance list older than the one in use
+	Malformed Kind = "malformed"  // a message that cannot be read
 )
 
+// Kinds returns all kinds.
+func Kinds() []Kind {
+	return []Kind{Seen, Accepted, Rejected, Applied, Conflict, Stale, StaleList, Malformed}
+}
+
 // Entry is one event of the trail.
 type Entry struct {
 	Time    time.Time
@@ -104,6 +111,7 @@
 	entries []Entry // a ring once it is full
 	next    int     // index of the oldest entry of a full ring
 	limit   int
+	counts  map[Kind]uint64 // entries since the start
 }
 
 // NewTrail returns a trail of at most capacity entries; 0 takes Capacity.
@@ -111,12 +119,13 @@
 	if capacity <= 0 {
 		capacity = Capacity
 	}
-	return &Trail{log: log, limit: capacity}
+	return &Trail{log: log, limit: capacity, counts: make(map[Kind]uint64)}
 }
 
 // Record appends an entry and logs it. The oldest entry gives way if the trail is full.
 func (t *Trail) Record(e Entry) {
 	t.mu.Lock()
+	t.counts[e.Kind]++
 	if len(t.entries) < t.limit {
 		t.entries = append(t.entries, e)
 	} else {
@@ -137,13 +146,20 @@
 	}
 	event := "version_" + string(e.Kind)
 	switch e.Kind {
-	case Rejected, Conflict, Stale:
-		t.log.Warn(event, fields...)
-	default:
+	case Seen, Accepted, Applied:
 		t.log.Info(event, fields...)
+	default:
+		t.log.Warn(event, fields...)
 	}
 }
 
+// Count returns the number of entries of a kind since the start, beyond the capacity.
+func (t *Trail) Count(kind Kind) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.counts[kind]
+}
+
 // Entries returns up to max entries, the newest first; 0 returns all.
 func (t *Trail) Entries(max int) []Entry {
 	t.mu.Lock()
--- a/pkg/audit/audit_test.go
+++ b/pkg/audit/audit_test.go
@@ -28,6 +28,7 @@
 			require.Equal(t, v-model.Version(i), e.Version)
 		}
 	}
+	require.Equal(t, uint64(8), trail.Count(Applied))
 	require.Len(t, trail.Entries(2), 2)
 	require.Equal(t, 8, strings.Count(out.String(), "event=version_applied"))
 	require.Equal(t, 8, strings.Count(out.String(), "\n"))
--- a/pkg/daemon/certificate.go
+++ b/pkg/daemon/certificate.go
@@ -5,12 +5,9 @@
 	"fmt"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"mangoshed.example/mangoshed/core/model"
-	"mangoshed.example/mangoshed/pkg/identity"
-	"mangoshed.example/mangoshed/pkg/telemetry"
 )
 
 // certificateInterval is the time between two readings of the certificate files.
@@ -61,10 +58,3 @@
 		}
 	}
 }
-
-func newCertificateExpiry(source *identity.Source) prometheus.Collector {
-	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Namespace: telemetry.Namespace, Name: "certificate_expiry_timestamp_seconds",
-		Help: "End of the validity of the own certificate, in Unix seconds.",
-	}, func() float64 { return float64(source.Expiry().Unix()) })
-}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -171,7 +171,7 @@
 	if d.calls, err = newCalls(d); err != nil {
 		return err
 	}
-	if err := d.registry.Register(newCertificateExpiry(d.cfg.Identity)); err != nil {
+	if err := d.registerMetrics(); err != nil {
 		return err
 	}
 	d.admin, err = operator.NewServer(s.Listen.AdminAddress, adminView{d}, d.registry)
