--- a/core/dissemination/fleet_faults_test.go
+++ b/core/dissemination/fleet_faults_test.go
@@ -13,6 +13,7 @@
 // Guards the convergence time with all daemons alive, and that one frame per remote
 // region crosses the paid link for a change.
 func TestConvergesWithAllAlive(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 6)
 	f.startAll()
 	for v := model.Version(2); v < 12; v++ {
@@ -32,6 +33,7 @@
 
 // Guards convergence within 2 s when a daemon dies in the middle of a change.
 func TestConvergesWhenOneDies(t *testing.T) {
+	t.Parallel()
 	inStore := func(c *Core) bool { return c.self.Place.Region == storeRegion }
 	cases := map[string]func(c *Core) bool{
 		"primary reader": func(c *Core) bool { return c.plan.ReaderRank == 0 },
@@ -70,6 +72,7 @@
 // other contents of the version in effect, or a version that breaks a rule. The next
 // good version takes effect everywhere.
 func TestStoreServesWhatMustNotBeApplied(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name string
 		put  func(t *testing.T) (snapshot.Manifest, [][]byte)
@@ -113,6 +116,7 @@
 // Guards the signed mode: nothing unsigned is applied, and a huge unsigned version
 // number in the store, in adverts and in beacons does not keep real versions waiting.
 func TestUnsignedVersionsBlockNothing(t *testing.T) {
+	t.Parallel()
 	key := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
 	signer, err := snapshot.NewSigner(key)
 	require.NoError(t, err)
@@ -150,6 +154,7 @@
 // Guards the end of a partition of an hour: convergence within 5 s without a burst of
 // messages, and almost no traffic on the paid link during the partition.
 func TestPartitionHeals(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 6)
 	f.startAll()
 	f.partition(true)
@@ -170,6 +175,7 @@
 // Guards a paused reader: it wakes with an old view, changes nothing elsewhere, refuses
 // work until it has checked, and catches up.
 func TestPausedReaderWakes(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 3)
 	f.startAll()
 	reader := f.nodes[f.role(primaryReader)]
@@ -192,6 +198,7 @@
 
 // Guards a reconnect storm: half of the daemons die together and come back.
 func TestHalfRestarts(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 6)
 	f.startAll()
 	for i, id := range f.ids {
@@ -220,6 +227,7 @@
 // Guards a store outage of hours: the version stays in effect, its end causes no
 // burst of reads, and the change published meanwhile converges in seconds.
 func TestStoreOutage(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 6)
 	f.startAll()
 	f.storeDown = true
@@ -237,6 +245,7 @@
 // Guards a newcomer whose store is stale: it must not take work with the old version
 // that the store serves.
 func TestNewcomerWithStaleStore(t *testing.T) {
+	t.Parallel()
 	for name, predicate := range map[string]func(*Core) bool{"reader": primaryReader, "remote entry": remoteEntry} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 3)
@@ -261,6 +270,7 @@
 // Guards updates that cross, repeat and arrive late at one daemon: whatever the order,
 // versions rise and the highest one stays.
 func TestFramesInAnyOrder(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 3)
 	f.startAll()
 	var snapshots []*snapshot.Snapshot
@@ -287,6 +297,7 @@
 // Guards the membership: list changes and announcements reach every daemon, a view is
 // complete for its revision, and an older list changes nothing.
 func TestMembershipReachesEveryDaemon(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 6)
 	f.startAll()
 	gone, leaving := f.ids[5], f.ids[15]
@@ -321,6 +332,7 @@
 
 // Guards published messages: each other daemon gets them once, within the byte budget.
 func TestPublishReachesEveryDaemonOnce(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 6)
 	f.startAll()
 	f.deliver(f.nodes[f.ids[17]], Publish{Topic: "quarantine", Data: []byte("report")})
@@ -332,6 +344,12 @@
 		}
 		require.Len(t, f.nodes[id].delivered, want, "%s", id)
 	}
+	f.kill(f.ids[3])
+	f.run(10 * time.Second)
+	f.nodes[f.ids[3]].delivered = nil
+	f.start(f.ids[3])
+	f.run(5 * time.Second)
+	require.Len(t, f.nodes[f.ids[3]].delivered, 1, "a restarted daemon")
 	f.bytes = map[model.Distance]int{}
 	for range 1000 {
 		f.deliver(f.nodes[f.ids[17]], Publish{Topic: "quarantine", Data: make([]byte, MaxPublish)})
@@ -340,3 +358,122 @@
 	total := f.bytes[model.SameDataCentre] + f.bytes[model.SameRegion] + f.bytes[model.CrossRegion]
 	require.Less(t, total, len(f.ids)*(floodBurst+10*floodRate+8*MaxPublish))
 }
+
+// Guards the loss of the store's region while the store itself goes on: the other
+// regions read it within the budget until the list shows the loss, and then watch it.
+func TestStoreRegionLost(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 6)
+	f.startAll()
+	var lost []model.InstanceID
+	for _, id := range f.ids {
+		if f.nodes[id].instance.Place.Region == storeRegion {
+			lost = append(lost, id)
+			f.kill(id)
+		}
+	}
+	f.publish(2)
+	require.Less(t, f.runUntil(30*time.Second, f.converged(2)), 14*time.Second)
+	f.requireConverged(2)
+	f.list(lost...)
+	f.run(30 * time.Second)
+	f.publish(3)
+	require.Less(t, f.runUntil(30*time.Second, f.converged(3)), time.Second)
+	f.requireConverged(3)
+}
+
+// Guards a new daemon that the list does not show yet: it gets every version at once.
+func TestUnlistedDaemonConverges(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 6)
+	f.startAll()
+	id := f.ids[14]
+	f.kill(id)
+	f.list(id)
+	f.run(10 * time.Second)
+	f.start(id)
+	f.run(3 * time.Second)
+	require.True(t, f.nodes[id].ready)
+	f.publish(2)
+	require.Less(t, f.runUntil(5*time.Second, f.converged(2)), 100*time.Millisecond)
+	f.requireConverged(2)
+}
+
+// Guards the store's budget: 19,000 daemons that fall back together make at most 200
+// reads/s.
+func TestFallbackBudget(t *testing.T) {
+	t.Parallel()
+	core := func(level int) *Core {
+		c := New(Config{Self: model.Instance{ID: "a"}, FleetSize: 19000})
+		c.plan.Self.ID, c.plan.Level = "a", level
+		return c
+	}
+	rate := func(c *Core, n int) float64 {
+		sum := time.Duration(0)
+		for range 10000 {
+			sum += c.fallbackDelay(minFallback)
+		}
+		return float64(n) * readsPerFallback * 10000 / sum.Seconds()
+	}
+	require.LessOrEqual(t, rate(core(1), 19000-78)+rate(core(0), 78), 200.0)
+}
+
+// Guards the idle cost: without changes the paid link carries a beacon now and then, no
+// daemon reads the store and no parent changes.
+func TestIdleCost(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 6)
+	f.startAll()
+	f.run(time.Minute)
+	parents := map[model.InstanceID]model.InstanceID{}
+	for _, id := range f.ids {
+		parents[id] = f.nodes[id].core.Status().Parent
+	}
+	f.frames, f.bytes, f.reads = map[model.Distance]int{}, map[model.Distance]int{}, 0
+	f.run(time.Hour)
+	for _, id := range f.ids {
+		require.Equal(t, parents[id], f.nodes[id].core.Status().Parent)
+		require.True(t, f.nodes[id].ready)
+	}
+	onPaid := float64(f.bytes[model.CrossRegion]+f.frames[model.CrossRegion]*(frameOverhead+ackBytes)) / 3600
+	require.Less(t, onPaid, 10.0, "bytes per second")
+	require.Zero(t, f.reads)
+	t.Logf("paid link %.1f bytes/s, frames per hour %v", onPaid, f.frames)
+}
+
+// Guards a subscriber against a parent that accepts links and closes them: it must use
+// its next candidate instead of dialling without end.
+func TestFullParentIsLeft(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 6)
+	f.startAll()
+	id := f.role(func(c *Core) bool { return c.plan.Level == 1 && c.self.Place.Region == remoteRegion })
+	c, now, dials := f.nodes[id].core, f.now, 0
+	full, next := c.plan.Parents[0].ID, c.plan.Parents[1].ID
+	c.Handle(now, LinkDown{Peer: full})
+	for range 600 {
+		now = now.Add(100 * time.Millisecond)
+		c.Handle(now, Frame{Peer: next, Data: encode(beacon{Held: c.heldMark(), Heartbeat: uint64(now.UnixMilli())})})
+		for _, action := range c.Handle(now, Tick{}) {
+			if dial, ok := action.(Dial); ok && dial.Instance.ID == full {
+				dials++
+				c.Handle(now, LinkUp{Peer: full})
+				c.Handle(now, LinkDown{Peer: full, Err: errClosed})
+			}
+		}
+	}
+	require.Less(t, dials, 20)
+	require.Equal(t, next, c.Status().Parent)
+}
+
+// BenchmarkTick reports the cost of a tick, of which a daemon has 2.5 a second.
+func BenchmarkTick(b *testing.B) {
+	f := newFleet(b, 30)
+	f.startAll()
+	c, now := f.nodes[f.role(primaryReader)].core, f.now
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		c.Handle(now, Tick{})
+	}
+	b.ReportMetric(float64(len(c.links)), "links")
+}
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -53,7 +53,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP2(true)
 	s.http = &http.Server{
-		Handler: s, Protocols: protocols, HTTP2: http2Config(), MaxHeaderBytes: maxHeaderBytes,
+		Handler: s, Protocols: protocols, HTTP2: http2Config(0), MaxHeaderBytes: maxHeaderBytes,
 		TLSConfig: config.Identity.ServerTLS(protocol), ReadHeaderTimeout: config.Idle,
 		// The client closes idle connections first, so that no request meets a
 		// connection that is just closing.
@@ -129,6 +129,8 @@
 	defer cancel()
 	out := r.WithContext(ctx)
 	out.Host, out.RequestURI = service, ""
+	// A transport would probe a body of unknown kind for its first byte.
+	out.Body = http.NoBody
 	if r.ContentLength != 0 {
 		body := stream.NewUpload(w, r, s.config.Idle, cancel)
 		defer body.End()
