--- a/cmd/mangoshed/fleet_test.go
+++ b/cmd/mangoshed/fleet_test.go
@@ -60,6 +60,8 @@
 	cmd := exec.Command(os.Args[0], args...)
 	// The race detector sleeps for a second at each exit by default.
 	cmd.Env = append(os.Environ(), programEnv+"="+name, "GORACE=atexit_sleep_ms=0")
+	// A test that ends by a panic or the time limit leaves no processes behind.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	return cmd
 }
 
