Notice silent parents by a missed beacon; let readers dial missing entries

Cause: the fault tests assumed that a link notices a dead peer after 5 s; a link takes 40 to 100 s, and a lost frame stalls it. With real times, daemons kept dead parents, entries kept links to restarted readers, and a mass restart left two trees without a link between them. Change: a parent whose beacon is missing is asked once and then given up (8 s within a region, 33 s across regions); every subscription is answered with a beacon; readers dial entries that are not subscribed; relays ask listed daemons that never announced themselves. Conclusion: convergence no longer depends on idle timeouts; the report of unacknowledged links is needed from the transport.

--- a/core/dissemination/beacon.go
+++ b/core/dissemination/beacon.go
@@ -21,8 +21,10 @@
 	// entry: three beacons are missed.
 	entryBeaconInterval = 400 * time.Millisecond
 	entrySilence        = 3 * entryBeaconInterval
-	// probeInterval is the period of queries to a silent parent whose link is up.
-	probeInterval = 2 * time.Second
+	// beaconSlack is the delay of a beacon after which a parent is asked for one, and
+	// probeTimeout the time that it has to answer.
+	beaconSlack  = time.Second
+	probeTimeout = 2 * time.Second
 	// detachedPeriods is the number of periods without an advance of the heartbeat
 	// after which a parent counts as detached from the readers.
 	detachedPeriods = 3
@@ -60,15 +62,22 @@
 	l.beaconAt = c.now.Add(interval - interval/8 + c.jitter(interval/8))
 }
 
+// beaconInterval returns the period of beacons to a subscriber.
 func (c *Core) beaconInterval(l *link) time.Duration {
-	switch {
-	case c.plan.IsEntry() && l.peer == c.plan.SpareEntry && !c.spareReads():
+	if c.plan.IsEntry() && l.peer == c.plan.SpareEntry && !c.spareReads() {
 		return entryBeaconInterval
-	case l.sub == modeStandby:
+	}
+	return c.intervalOf(l.sub, c.crossRegion(l))
+}
+
+// intervalOf returns the period of beacons for a subscription.
+func (c *Core) intervalOf(m mode, crossRegion bool) time.Duration {
+	switch {
+	case m == modeStandby:
 		return standbyBeaconInterval
-	case c.crossRegion(l):
+	case crossRegion:
 		return paidBeaconInterval
-	case l.sub == modeEager:
+	case m == modeEager:
 		return beaconInterval
 	}
 	return lazyBeaconInterval
@@ -117,10 +126,13 @@
 	l.behind = behind
 }
 
-// watchParents blocks parents that are silent or detached.
+// watchParents gives up parents that are silent and blocks one that is detached.
 func (c *Core) watchParents() {
-	c.watchEntry()
-	c.probeSilent()
+	for _, l := range c.links {
+		if l.want != modeOff {
+			c.watchSilence(l)
+		}
+	}
 	if c.eager == nil || c.plan.ReaderRank >= 0 {
 		return
 	}
@@ -131,48 +143,48 @@
 	if c.due(later(c.eager.heartbeatAt, c.eager.wantAt).Add(detachedPeriods * period)) {
 		c.detachments++
 		c.peer(c.instanceOf(c.eager.peer), 0).blockedUntil = c.now.Add(detachedPeriods * period)
-		return
-	}
-	if !c.crossRegion(c.eager) && c.due(later(c.eager.heardAt, c.eager.wantAt).Add(detachedPeriods*beaconInterval)) {
-		c.silence(c.eager)
 	}
 }
 
-// watchEntry lets the spare entry notice the entry's silence.
-func (c *Core) watchEntry() {
-	l := c.link(c.plan.Entry)
-	if !c.plan.IsSpareEntry() || c.spareReads() || l == nil || l.want == modeOff {
+// watchSilence closes the link to a parent that is not heard: the spare entry gives up
+// the entry after three missed beacons; any other daemon asks once after a missed beacon.
+// A link can look alive for 40 s and more after its peer has died.
+func (c *Core) watchSilence(l *link) {
+	heard := later(l.heardAt, l.wantAt)
+	if c.guardsEntry(l) {
+		if c.due(heard.Add(entrySilence)) {
+			c.giveUp(l)
+		}
+		return
+	}
+	if !l.probeAt.IsZero() {
+		if c.due(l.probeAt.Add(probeTimeout)) {
+			c.giveUp(l)
+		}
 		return
 	}
-	if c.due(later(l.heardAt, l.wantAt).Add(entrySilence)) {
-		c.silence(l)
+	if c.due(heard.Add(c.intervalOf(l.want, c.crossRegion(l)) + beaconSlack)) {
+		l.probeAt = c.now
+		c.due(l.probeAt.Add(probeTimeout))
+		c.send(l, query{})
 	}
 }
 
-// silence keeps a linked parent from being chosen until it is heard again.
-func (c *Core) silence(l *link) {
-	c.peer(c.instanceOf(l.peer), 0).silent = true
-	l.probeAt = c.now
+// guardsEntry reports whether the link leads from the spare entry to the entry.
+func (c *Core) guardsEntry(l *link) bool {
+	return c.plan.IsSpareEntry() && l.peer == c.plan.Entry && !c.spareReads()
 }
 
-// probeSilent asks silent parents for a sign of life.
-func (c *Core) probeSilent() {
-	for _, l := range c.links {
-		if p := c.peers[l.peer]; p != nil && p.silent && c.due(l.probeAt) {
-			l.probeAt = c.now.Add(probeInterval)
-			c.send(l, query{})
-		}
-	}
+// giveUp closes the link to a silent parent; it is dialled again with backoff.
+func (c *Core) giveUp(l *link) {
+	p := c.peer(c.instanceOf(l.peer), 0)
+	c.closeLink(l, "silent")
+	c.dialFailed(p)
 }
 
-// actsAsEntry reports whether the spare entry stands in for an entry that is silent or
-// unreachable.
+// actsAsEntry reports whether the spare entry stands in for an entry that it cannot reach.
 func (c *Core) actsAsEntry() bool {
-	if !c.plan.IsSpareEntry() {
-		return false
-	}
-	entry := model.Instance{ID: c.plan.Entry}
-	return c.link(c.plan.Entry) == nil || !c.usable(entry)
+	return c.plan.IsSpareEntry() && c.link(c.plan.Entry) == nil
 }
 
 func later(a, b time.Time) time.Time {
--- a/core/dissemination/bootstrap.go
+++ b/core/dissemination/bootstrap.go
@@ -75,7 +75,7 @@
 	}
 	c.recheck = recheck{active: true, since: c.now}
 	for _, l := range c.links {
-		l.heardAt, l.heartbeatAt = c.now, c.now
+		l.heardAt, l.heartbeatAt, l.probeAt = c.now, c.now, time.Time{}
 	}
 	if c.watching {
 		c.emit(ReadManifest{})
@@ -199,9 +199,9 @@
 	return true
 }
 
-// askNeighbour asks a new link during the bootstrap and the recheck.
+// askNeighbour asks a new link to a neighbour or to a daemon with another view.
 func (c *Core) askNeighbour(l *link) {
-	if _, asked := c.boot.asked[l.peer]; asked && c.boot.active {
+	if _, asked := c.boot.asked[l.peer]; asked && c.boot.active || l.peer == c.contact.peer {
 		c.send(l, query{})
 	}
 }
--- a/core/dissemination/core.go
+++ b/core/dissemination/core.go
@@ -61,6 +61,8 @@
 	links []*link // sorted by peer, so that runs with equal seeds are equal
 	peers map[model.InstanceID]*peerState
 	eager *link // the parent that sends every version
+	// missing holds the entries of other regions that a reader expects as subscribers.
+	missing map[model.InstanceID]time.Time
 
 	history  history
 	rejected ring[mark]
@@ -71,6 +73,7 @@
 	store   storeState
 	boot    bootstrap
 	recheck recheck
+	contact contact
 	floods  floods
 
 	heartbeat   uint64
@@ -142,6 +145,7 @@
 		c.advanceMembers(l)
 	}
 	c.confirm()
+	c.advanceContact()
 	c.advanceStore()
 	c.advanceFloods()
 	c.advanceView()
--- a/core/dissemination/link.go
+++ b/core/dissemination/link.go
@@ -7,6 +7,7 @@
 
 	"mangoshed.example/mangoshed/core/membership"
 	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/core/topology"
 )
 
 const (
@@ -24,6 +25,10 @@
 	maxBackoff     = 10 * time.Second
 	maxDialJitter  = 10 * time.Second
 	nearDialJitter = 200 * time.Millisecond
+	// entryGrace is the time that an entry of another region has to subscribe by itself,
+	// and entryDialling the time after which it has noticed a loss itself.
+	entryGrace    = time.Second
+	entryDialling = 45 * time.Second
 	// paidDialTimeout and maxPaidBackoff let a region's entry find a reader again
 	// within 5 s after a partition heals.
 	paidDialTimeout = 1500 * time.Millisecond
@@ -48,7 +53,7 @@
 	behind      bool      // the peer's last beacon had an older version
 	heartbeat   uint64
 	heartbeatAt time.Time // last advance of heartbeat
-	probeAt     time.Time // time of the next query while the peer is silent
+	probeAt     time.Time // query for a missing beacon
 	full        *assembly
 	manifest    []byte // of full
 
@@ -81,8 +86,6 @@
 	retryAt   time.Time
 	// blockedUntil keeps a reachable peer from being chosen as a parent.
 	blockedUntil time.Time
-	// silent keeps a linked peer from being chosen until it is heard again.
-	silent bool
 }
 
 func (c *Core) link(peer model.InstanceID) *link {
@@ -143,7 +146,7 @@
 		limit = maxPaidBackoff
 	}
 	backoff := min(minBackoff<<min(p.failures, 10), limit)
-	p.dialling, p.silent = false, false
+	p.dialling = false
 	p.failures++
 	p.retryAt = c.now.Add(backoff/2 + c.jitter(backoff/2))
 }
@@ -176,8 +179,9 @@
 	}
 }
 
-// peer returns the state of a peer; a first dial is jittered. The candidates that many
-// daemons share after a large failure get the full jitter of min(10 s, n/100 x 100 ms).
+// peer returns the state of a peer; a first dial is jittered. The relays and entries, which
+// many daemons share after a large failure, get the full jitter of
+// min(10 s, n/100 x 100 ms); the candidates of the level above are spread by rendezvous.
 func (c *Core) peer(instance model.Instance, rank int) *peerState {
 	p := c.peers[instance.ID]
 	if p == nil {
@@ -185,7 +189,7 @@
 		switch {
 		case c.plan.Level == 0:
 			window = 0 // relays, entries and readers are few
-		case rank < 2:
+		case rank < topology.SharedRank:
 			window = min(window, nearDialJitter)
 		}
 		p = &peerState{instance: instance, retryAt: c.now.Add(c.jitter(window))}
@@ -248,10 +252,7 @@
 		c.closeLink(l, "malformed frame")
 		return
 	}
-	l.heardAt = c.now
-	if p := c.peers[peer]; p != nil && p.silent {
-		p.silent = false
-	}
+	l.heardAt, l.probeAt = c.now, time.Time{}
 	c.dispatch(l, message)
 }
 
--- a/core/dissemination/members.go
+++ b/core/dissemination/members.go
@@ -196,10 +196,20 @@
 			c.refute(a)
 		case c.members.table.Announce(a.membership(), c.now):
 			c.spread(a, l)
+			c.probeRestarted(a)
 		}
 	}
 }
 
+// probeRestarted asks a parent that announced itself: the link may belong to an earlier
+// process.
+func (c *Core) probeRestarted(a announcement) {
+	if l := c.link(a.ID); l != nil && l.want != modeOff && l.probeAt.IsZero() {
+		l.probeAt = c.now
+		c.send(l, query{})
+	}
+}
+
 func (c *Core) applyList(l *link, m members) {
 	l.revision = max(l.revision, m.To)
 	d := membership.ListDelta{From: m.From, To: m.To, Upserts: toInstances(m.Upserts), Removed: m.Removed}
--- a/core/dissemination/parents.go
+++ b/core/dissemination/parents.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"mangoshed.example/mangoshed/core/model"
 )
@@ -11,6 +12,7 @@
 // the paid link. A new parent is subscribed before the old one is left.
 func (c *Core) reconcile() {
 	c.watchParents()
+	c.dialEntries()
 	c.dialParents()
 	first, second := c.assign()
 	c.eager = first
@@ -48,6 +50,32 @@
 	}
 }
 
+// dialEntries lets the first two readers dial the entries of other regions that have not
+// subscribed. After a short partition or a restart of the readers an entry believes its
+// links to be alive until it misses a beacon.
+func (c *Core) dialEntries() {
+	if c.plan.ReaderRank > 1 || len(c.plan.Entries) == 0 {
+		c.missing = nil
+		return
+	}
+	missing := map[model.InstanceID]time.Time{}
+	for _, entry := range c.plan.Entries {
+		l := c.link(entry.ID)
+		if l != nil && l.sub != modeOff {
+			continue
+		}
+		since, ok := c.missing[entry.ID]
+		if !ok {
+			since = c.now
+		}
+		missing[entry.ID] = since
+		if l == nil && c.due(since.Add(entryGrace)) && c.now.Before(since.Add(entryDialling)) {
+			c.dial(entry, 0)
+		}
+	}
+	c.missing = missing
+}
+
 // assign returns the two best parents among the links.
 func (c *Core) assign() (first, second *link) {
 	for _, parent := range c.plan.Parents {
@@ -80,7 +108,7 @@
 	if p == nil {
 		return true
 	}
-	if p.silent || !p.blockedUntil.IsZero() && !c.due(p.blockedUntil) {
+	if !p.blockedUntil.IsZero() && !c.due(p.blockedUntil) {
 		return false
 	}
 	if c.link(parent.ID) != nil || p.failures == 0 || p.dialling {
@@ -110,7 +138,10 @@
 		c.enqueue(l, c.ownAnnouncement())
 		c.replay(l)
 	}
-	l.want = m
+	l.want, l.probeAt = m, time.Time{}
+	if m != modeOff {
+		l.probeAt = c.now // the parent answers with a beacon
+	}
 	c.send(l, subscribe{Mode: m, Held: c.heldMark(), Revision: c.members.table.Revision()})
 }
 
--- a/core/dissemination/subscribe.go
+++ b/core/dissemination/subscribe.go
@@ -12,7 +12,6 @@
 		c.closeLink(l, "too many subscribers")
 		return
 	}
-	fresh := l.sub == modeOff
 	if m.Mode == modeEager && l.sub != modeEager {
 		c.replay(l)
 	}
@@ -23,9 +22,7 @@
 	}
 	c.note(l, m.Held)
 	c.offer(l)
-	if fresh {
-		c.sendBeacon(l)
-	}
+	c.sendBeacon(l) // shows that the link is alive
 }
 
 func (c *Core) subscribers() int {
--- a/core/topology/topology.go
+++ b/core/topology/topology.go
@@ -22,11 +22,12 @@
 	maxEager = fanOut + 4
 	// maxReaders bounds the standing watches of the store at any fleet size.
 	maxReaders = 3
-	// maxCandidates bounds the ranked parents of the level above, so that a daemon
-	// tries the relays and entries after eight dead parents.
-	maxCandidates = 8
 )
 
+// SharedRank bounds the ranked parents of the level above: a daemon tries the relays and
+// entries, which it shares with many others, after eight dead parents.
+const SharedRank = 8
+
 // Plan is the place of one daemon in the distribution tree.
 type Plan struct {
 	// Self is the daemon's own instance; empty when the view lacks it.
@@ -43,6 +44,8 @@
 	Parents []model.Instance
 	// Readers holds the daemons that watch the store, the primary reader first.
 	Readers []model.Instance
+	// Entries holds, on a reader, the entries of other regions that are no readers.
+	Entries []model.Instance
 	// ReaderRank is the daemon's index in Readers, or -1.
 	ReaderRank int
 	// Relay and SpareRelay are level 0 of the daemon's data centre.
@@ -98,7 +101,7 @@
 		p.Level = level
 		child := member{priority: xxhash.Sum64String(string(self.ID)), instance: &self}
 		above := rendezvous(child, dc.members[from:min(to, len(dc.members))])
-		ranking.add(above[:min(len(above), maxCandidates)]...)
+		ranking.add(above[:min(len(above), SharedRank)]...)
 		ranking.add(dc.top...)
 	}
 	if r := x.regions[self.Place.Region]; r != nil {
@@ -143,6 +146,9 @@
 			p.ReaderRank = i
 		}
 	}
+	if p.ReaderRank >= 0 {
+		p.Entries = x.entries(self.Place.Region)
+	}
 	position := slices.IndexFunc(dc.members, func(m member) bool { return m.id() == self.ID })
 	level, from, to := levelOf(position)
 	p.Level = level
@@ -158,6 +164,23 @@
 	return p
 }
 
+// entries returns the entries of all regions but one that are no readers, by priority.
+func (x *index) entries(except string) []model.Instance {
+	var entries []member
+	for name, r := range x.regions {
+		isReader := slices.ContainsFunc(x.readers, func(m member) bool { return m.id() == r.entry.id() })
+		if name != except && !isReader {
+			entries = append(entries, r.entry)
+		}
+	}
+	slices.SortFunc(entries, member.before)
+	instances := make([]model.Instance, len(entries))
+	for i, m := range entries {
+		instances[i] = *m.instance
+	}
+	return instances
+}
+
 // levelAbove ranks the candidates of the level above for the member at a position: its
 // eager parent, then the others in rendezvous order.
 func (d *dataCentre) levelAbove(position, from, to int) []member {
@@ -169,7 +192,7 @@
 	}
 	first := ranked[eager]
 	ranked = slices.Delete(ranked, eager, eager+1)
-	return slices.Insert(ranked[:min(len(ranked), maxCandidates-1)], 0, first)
+	return slices.Insert(ranked[:min(len(ranked), SharedRank-1)], 0, first)
 }
 
 // eagerParents assigns the members of the level below [from, to) in order of priority
