Let tests end a daemon as the death of its process would

Cause: a shutdown tells the peers, so that tests of a dead reader saw a faster switch than a crash gives. Change: Kill on the transport and the runner releases the sockets without a word; the restart test covers both ends; benchmark of a change after each daemon's death.

--- a/pkg/distribution/bench_test.go
+++ b/pkg/distribution/bench_test.go
@@ -8,6 +8,7 @@
 
 	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/snapshot"
+	"mangoshed.example/mangoshed/pkg/peer"
 )
 
 // BenchmarkChange reports the time from the publication of a change until it is in force
@@ -16,28 +17,8 @@
 func BenchmarkChange(b *testing.B) {
 	s := newSite(b)
 	s.publish(1, 1)
-	regions := map[model.InstanceID]string{"a": "klang", "b": "klang", "c": "klang", "d": "penang", "e": "penang", "f": "penang"}
-	for id, region := range regions {
-		s.start(id, region)
-	}
-	s.run()
-	for _, d := range s.daemons {
-		require.NoError(b, d.Start())
-	}
-	for _, d := range s.daemons {
-		d.awaitVersion(b, 1)
-		d.awaitReady(b)
-	}
-	paid := func() (bytes, datagrams uint64) {
-		for id, d := range s.daemons {
-			if regions[id] == "klang" {
-				for _, c := range d.transport.Traffic()[model.CrossRegion] {
-					bytes, datagrams = bytes+c.Bytes, datagrams+c.Datagrams
-				}
-			}
-		}
-		return bytes, datagrams
-	}
+	s.startSix()
+	paid := func() (uint64, uint64) { return s.paid("klang") }
 	quiet(paid)
 	var worst time.Duration
 	var deltas, wire, packets uint64
@@ -71,6 +52,65 @@
 	b.ReportMetric(1.5*(float64(deltas)/n+60), "target-B")
 }
 
+// startSix starts three daemons in each of two regions and waits until they are ready.
+func (s *site) startSix() {
+	for id, region := range map[model.InstanceID]string{"a": "klang", "b": "klang", "c": "klang", "d": "penang", "e": "penang", "f": "penang"} {
+		s.start(id, region)
+	}
+	s.run()
+	for _, d := range s.daemons {
+		require.NoError(s.t, d.Start())
+	}
+	for _, d := range s.daemons {
+		d.awaitVersion(s.t, 1)
+		d.awaitReady(s.t)
+	}
+}
+
+// paid returns what crossed the borders of a region so far.
+func (s *site) paid(region string) (bytes, datagrams uint64) {
+	for _, d := range s.daemons {
+		if d.self.Place.Region == region {
+			for _, c := range d.transport.Traffic()[model.CrossRegion] {
+				bytes, datagrams = bytes+c.Bytes, datagrams+c.Datagrams
+			}
+		}
+	}
+	return bytes, datagrams
+}
+
+// BenchmarkDeath reports the longest time until a change is in force on all remaining
+// daemons, when one of the daemons dies without a word just before its publication.
+func BenchmarkDeath(b *testing.B) {
+	for _, dying := range []model.InstanceID{"a", "b", "c", "d", "e", "f"} {
+		b.Run(string(dying), func(b *testing.B) {
+			var worst time.Duration
+			var role Role
+			for b.Loop() {
+				s := newSite(b)
+				s.publish(1, 1)
+				s.startSix()
+				quiet(func() (uint64, uint64) { return s.paid("klang") })
+				role = s.daemons[dying].Role()
+				s.daemons[dying].kill()
+				start := time.Now()
+				s.publish(2, 2)
+				for id, d := range s.daemons {
+					if id != dying {
+						d.awaitVersion(b, 2)
+					}
+				}
+				worst = max(worst, time.Since(start))
+				for _, d := range s.daemons {
+					s.stop(d)
+				}
+			}
+			b.Logf("%s is %s", dying, role)
+			b.ReportMetric(float64(worst.Microseconds())/1000, "worst-ms")
+		})
+	}
+}
+
 // quiet waits until the paid link carried nothing for 150 ms, which is longer than the
 // delay of acknowledgements and of coalescing.
 func quiet(paid func() (uint64, uint64)) {
@@ -80,3 +120,26 @@
 		now, _ = paid()
 	}
 }
+
+// BenchmarkIdleMinute reports the bytes on the wire of an idle minute of six daemons in
+// two regions, by distance, both directions.
+func BenchmarkIdleMinute(b *testing.B) {
+	const minutes = 2
+	s := newSite(b)
+	s.publish(1, 1)
+	s.startSix()
+	<-time.After(40 * time.Second) // the links of the bootstrap linger for 30 s
+	sent := func() (bytes [3]uint64) {
+		for _, d := range s.daemons {
+			for distance := range bytes {
+				bytes[distance] += d.transport.Traffic()[distance][peer.Sent].Bytes
+			}
+		}
+		return bytes
+	}
+	before := sent()
+	<-time.After(minutes * time.Minute)
+	for distance, after := range sent() {
+		b.ReportMetric(float64(after-before[distance])/minutes, model.Distance(distance).String()+"-B/min")
+	}
+}
--- a/pkg/distribution/runner.go
+++ b/pkg/distribution/runner.go
@@ -148,6 +148,15 @@
 	r.tasks.Wait()
 }
 
+// Kill ends the runner without a word to the peers, as the death of the process would. It
+// is for tests and the demo.
+func (r *Runner) Kill() {
+	r.cfg.Transport.Kill()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	r.Shutdown(ctx)
+}
+
 // run feeds the core until Shutdown.
 func (r *Runner) run() {
 	defer close(r.done)
--- a/pkg/distribution/runner_test.go
+++ b/pkg/distribution/runner_test.go
@@ -120,6 +120,13 @@
 	d.client.Close()
 }
 
+// kill ends a daemon as the death of its process would.
+func (d *daemon) kill() {
+	d.stopped = true
+	d.Kill()
+	d.client.Close()
+}
+
 // run lists and starts daemons.
 func (s *site) run(daemons ...*daemon) {
 	s.listed = nil
@@ -214,11 +221,15 @@
 	await(t, a.delivered, "message", func(m string) bool { return m == "suspects x c" })
 }
 
-// Guards against versions that stop when a reader dies, and against a restarted reader
+// Guards against versions that stop when a reader leaves or dies, and against a restarted reader
 // that misses versions or stays without links.
 func TestReaderRestart(t *testing.T) {
-	for _, reader := range []model.InstanceID{"a", "b"} {
-		t.Run(string(reader), func(t *testing.T) {
+	for _, c := range []struct {
+		reader model.InstanceID
+		killed bool
+	}{{"a", false}, {"b", false}, {"a", true}, {"b", true}} {
+		t.Run(fmt.Sprintf("%s killed %v", c.reader, c.killed), func(t *testing.T) {
+			reader := c.reader
 			s := newSite(t)
 			s.publish(1, 1)
 			for id, region := range map[model.InstanceID]string{"a": "klang", "b": "klang", "c": "penang"} {
@@ -229,13 +240,19 @@
 				d.awaitVersion(t, 1)
 				d.awaitReady(t)
 			}
-			s.stop(s.daemons[reader])
+			if c.killed {
+				s.daemons[reader].kill()
+			} else {
+				s.stop(s.daemons[reader])
+			}
+			start := time.Now()
 			s.publish(2, 2)
 			for id, d := range s.daemons {
 				if id != reader {
 					d.awaitVersion(t, 2)
 				}
 			}
+			t.Logf("version 2 in force %s after the reader ended", time.Since(start))
 			d := s.start(reader, "klang")
 			s.run(d)
 			d.awaitVersion(t, 2)
--- a/pkg/peer/dial.go
+++ b/pkg/peer/dial.go
@@ -121,7 +121,7 @@
 	transport := &quic.Transport{Conn: socket, ConnectionIDGenerator: noConnectionID{}}
 	release := func() {
 		_ = transport.Close()
-		_ = socket.Close()
+		t.closeSocket(socket)
 	}
 	conn, err := transport.Dial(ctx, socket.remote, t.cfg.Identity.ClientTLS(d.instance.ID, Protocol), clientConfig(distance))
 	if err != nil {
@@ -159,7 +159,22 @@
 	if err != nil {
 		return nil, err
 	}
-	return &ownSocket{udpSocket: &udpSocket{conn.(*net.UDPConn)}, remote: conn.RemoteAddr(), class: &t.meter[distance]}, nil
+	s := &ownSocket{udpSocket: &udpSocket{conn.(*net.UDPConn)}, remote: conn.RemoteAddr(), class: &t.meter[distance]}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stop {
+		_ = s.Close()
+		return nil, net.ErrClosed
+	}
+	t.sockets[s] = struct{}{}
+	return s, nil
+}
+
+func (t *Transport) closeSocket(s *ownSocket) {
+	t.mu.Lock()
+	delete(t.sockets, s)
+	t.mu.Unlock()
+	_ = s.Close()
 }
 
 // greet opens the stream, sends the hello and waits for the peer's. Only that answer
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -100,7 +100,9 @@
 	dials map[model.InstanceID]*dialling
 	// latest holds the last hello of each peer, beyond the life of its link.
 	latest map[model.InstanceID]hello
-	stop   bool
+	// sockets are the own sockets of dialled links and dials.
+	sockets map[*ownSocket]struct{}
+	stop    bool
 }
 
 // New binds the socket. It serves nothing until Start.
@@ -120,7 +122,7 @@
 		// Ten lines a second name the peers during an incident without flooding the log.
 		refusals: rate.NewLimiter(10, 10),
 		links:    make(map[model.InstanceID]*link), dials: make(map[model.InstanceID]*dialling),
-		latest: make(map[model.InstanceID]hello),
+		latest: make(map[model.InstanceID]hello), sockets: make(map[*ownSocket]struct{}),
 	}
 	var seed [8]byte
 	if _, err := rand.Read(seed[:]); err != nil {
@@ -267,3 +269,18 @@
 	}
 	_ = t.socket.Close()
 }
+
+// Kill releases all sockets without a word to the peers, as the death of the process
+// would. It is for tests and the demo.
+func (t *Transport) Kill() {
+	t.mu.Lock()
+	t.stop = true
+	for s := range t.sockets {
+		_ = s.Close()
+	}
+	t.mu.Unlock()
+	_ = t.socket.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	t.Shutdown(ctx)
+}
