Count the traffic of strangers when their table is full

Cause: datagrams of addresses that never complete a handshake stayed uncounted once 4,096 addresses were known. Change: a full table moves its counts to unattributed and starts anew. Measured: test only. Conclusion: no traffic is missing from mangoshed_control_bytes_total for longer than 4,096 strangers.

--- a/pkg/peer/meter.go
+++ b/pkg/peer/meter.go
@@ -118,7 +118,8 @@
 	return n, err
 }
 
-// maxPending bounds the addresses whose place is not known yet.
+// maxPending bounds the addresses whose place is not known yet. Beyond it, what they
+// carried so far counts as unattributed.
 const maxPending = 4096
 
 // sharedSocket is the listening socket. It counts the traffic of an address apart until
@@ -175,8 +176,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.pending) >= maxPending {
-		return &s.meter[Unattributed]
+	if len(s.pending) >= maxPending { // mostly addresses that never complete a handshake
+		for old := range s.pending {
+			s.settle(old, Unattributed)
+		}
 	}
 	c = &class{}
 	s.pending[address] = c
