--- a/pkg/distribution/runner_test.go
+++ b/pkg/distribution/runner_test.go
@@ -210,8 +210,11 @@
 	require.Equal(t, RoleReader, a.Role())
 	require.Equal(t, RoleReader, b.Role())
 	require.Equal(t, RoleEntry, c.Role())
-	applied := c.trail.Entries(1)[0]
-	require.Equal(t, audit.Applied, applied.Kind)
+	var applied audit.Entry // is recorded after the callback
+	await(t, c.events, "audit entry", func(string) bool {
+		applied = c.trail.Entries(1)[0]
+		return applied.Kind == audit.Applied && applied.Version == 2
+	})
 	require.Contains(t, applied.Rows[0], "shifts")
 	require.Contains(t, []string{"a", "b"}, applied.Source)
 	require.Equal(t, map[string]float64{
