End the guard's messages at Close; simulate restarts of a whole service

Cause: a message that started after Close would have run on without an owner; no simulated fleet restarted a whole service at one moment. Change: the guard's context bounds messages and readings; the request's body is closed after its upload.

--- a/core/once/simulation_test.go
+++ b/core/once/simulation_test.go
@@ -200,6 +200,11 @@
 			w.generations[slot]++
 		}
 	case n == nil:
+	case op < 2 && w.draw(0, 9) == 0: // the whole service restarts
+		for _, other := range w.sorted() {
+			w.kill(other)
+			w.start(other.id)
+		}
 	case op < 2:
 		w.kill(n)
 	case op == 2 || op < 12 && !n.awake:
--- a/pkg/upstream/body.go
+++ b/pkg/upstream/body.go
@@ -39,6 +39,7 @@
 		watch.Stop()
 		stop()
 		_ = writer.CloseWithError(err)
+		_ = body.Close()
 	}()
 	return reader
 }
--- a/pkg/upstream/guard.go
+++ b/pkg/upstream/guard.go
@@ -83,6 +83,8 @@
 	active     int
 	idle       chan struct{}
 
+	// ctx ends at Close.
+	ctx   context.Context
 	stop  context.CancelFunc
 	tasks sync.WaitGroup
 }
@@ -104,7 +106,7 @@
 	g := &Guard{
 		cfg: cfg, log: cfg.Log, metrics: newMetrics(), queue: admission.NewQueue(cfg.Admission, now),
 		pool:       &pool{address: cfg.Address, limit: cfg.Connections, dial: cfg.Dial},
-		quarantine: quarantine.NewTable(), stop: stop, idle: make(chan struct{}, 1),
+		quarantine: quarantine.NewTable(), ctx: ctx, stop: stop, idle: make(chan struct{}, 1),
 	}
 	g.keys = newKeys(g, now)
 	if cfg.Registry != nil {
@@ -113,7 +115,7 @@
 			return nil, err
 		}
 	}
-	g.tasks.Go(func() { g.run(ctx) })
+	g.tasks.Go(g.run)
 	return g, nil
 }
 
@@ -264,7 +266,9 @@
 
 // Close ends the timers and the idle connections.
 func (g *Guard) Close() {
-	g.stop()
+	g.keys.mu.Lock()
+	g.stop() // under the lock, so that no message starts afterwards
+	g.keys.mu.Unlock()
 	g.tasks.Wait()
 	g.pool.close()
 }
--- a/pkg/upstream/health.go
+++ b/pkg/upstream/health.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"context"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -17,23 +16,23 @@
 // maxReport bounds a quarantine report in bytes.
 const maxReport = 256 << 10
 
-// run advances the state machines until the context ends.
-func (g *Guard) run(ctx context.Context) {
+// run advances the state machines until Close.
+func (g *Guard) run() {
 	ticker := time.NewTicker(min(probePeriod, once.TickPeriod))
 	defer ticker.Stop()
 	for {
 		select {
-		case <-ctx.Done():
+		case <-g.ctx.Done():
 			return
 		case now := <-ticker.C:
 			g.mu.Lock()
 			g.queue.Advance(now)
 			down := g.down
 			g.mu.Unlock()
-			if down && !g.pool.refused(ctx) {
+			if down && !g.pool.refused(g.ctx) {
 				g.recovered(now)
 			}
-			g.keys.tick(ctx, now)
+			g.keys.tick(now)
 		}
 	}
 }
@@ -41,7 +40,7 @@
 // suspectCrash checks whether the upstream still listens after a connection broke. A crash makes
 // everything that it had begun suspect.
 func (g *Guard) suspectCrash() {
-	if !g.pool.refused(context.Background()) {
+	if !g.pool.refused(g.ctx) {
 		return
 	}
 	g.mu.Lock()
--- a/pkg/upstream/ownership.go
+++ b/pkg/upstream/ownership.go
@@ -99,7 +99,7 @@
 }
 
 // tick advances the core and reads the platform's list when the core needs it.
-func (k *keys) tick(ctx context.Context, now time.Time) {
+func (k *keys) tick(now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.send(k.core.Tick(now))
@@ -110,16 +110,16 @@
 	} else {
 		k.ticked = 0
 	}
-	if k.core.NeedsFreshList() && !k.reading && now.Sub(k.readAt) >= readRetry {
+	if k.core.NeedsFreshList() && !k.reading && now.Sub(k.readAt) >= readRetry && k.guard.ctx.Err() == nil {
 		k.reading, k.readAt = true, now
-		k.guard.tasks.Go(func() { k.readList(ctx) })
+		k.guard.tasks.Go(k.readList)
 	}
 }
 
-func (k *keys) readList(ctx context.Context) {
+func (k *keys) readList() {
 	view, err := membership.View{}, errNoReader
 	if k.guard.cfg.Fresh != nil {
-		limited, cancel := context.WithTimeout(ctx, sendTimeout)
+		limited, cancel := context.WithTimeout(k.guard.ctx, sendTimeout)
 		view, err = k.guard.cfg.Fresh(limited)
 		cancel()
 	}
@@ -148,7 +148,7 @@
 // dropped; the core sends it again.
 func (k *keys) send(sends []once.Send) {
 	for _, s := range sends {
-		if k.guard.cfg.Peers == nil {
+		if k.guard.cfg.Peers == nil || k.guard.ctx.Err() != nil {
 			return
 		}
 		select {
@@ -184,7 +184,7 @@
 	if err != nil {
 		return reply, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	ctx, cancel := context.WithTimeout(k.guard.ctx, sendTimeout)
 	defer cancel()
 	resp, err := k.guard.cfg.Peers.PostPeer(ctx, &s.To, ownershipPath, nil, data)
 	if err != nil {
