Pass the caller's User-Agent as it is; measure the bytes of ownership messages

Cause: net/http adds its own User-Agent to requests without one. Change: the guard suppresses it; tests of the headers and the cancellation that reach the upstream.

--- a/core/once/registry_test.go
+++ b/core/once/registry_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"mangoshed.example/mangoshed/core/model"
@@ -66,9 +67,9 @@
 	require.Equal(t, Duplicate, decide("three", later), "the bucket of the cleared use does not end the key")
 }
 
-// fleet runs n cores that deliver messages at once and counts the messages.
-func fleet(n int) (cores map[model.InstanceID]*Core, settle func(now time.Time, fresh ...model.InstanceID), messages *int) {
-	cores, messages = map[model.InstanceID]*Core{}, new(int)
+// fleet runs n cores that deliver messages at once and counts the messages and their bytes.
+func fleet(n int) (cores map[model.InstanceID]*Core, settle func(now time.Time, fresh ...model.InstanceID), messages, size *int) {
+	cores, messages, size = map[model.InstanceID]*Core{}, new(int), new(int)
 	list := List{Revision: 1}
 	for i := range n {
 		list.Instances = append(list.Instances, model.Instance{ID: model.InstanceID(fmt.Sprintf("i%02d", i)), Service: "s", ForwardAddr: "10.0.0.1:8443"})
@@ -88,16 +89,20 @@
 			reply, more := cores[s.To.ID].Handle(now, s.Message)
 			queue = append(append(queue[1:], more...), cores[s.Message.From.ID].Reply(now, s, reply)...)
 			*messages += 2
+			for _, part := range []any{s.Message, reply} {
+				data, _ := cbor.Marshal(part)
+				*size += len(data)
+			}
 		}
 	}
-	return cores, settle, messages
+	return cores, settle, messages, size
 }
 
 // Guards against a start of a whole service that never settles and reports the messages that the
 // restart of one of 36 instances costs.
 func TestMessagesPerRestart(t *testing.T) {
 	const n = 36
-	cores, settle, messages := fleet(n)
+	cores, settle, messages, size := fleet(n)
 	var ids []model.InstanceID
 	for id := range cores {
 		ids = append(ids, id)
@@ -107,13 +112,14 @@
 		require.True(t, c.Confirmed(), id)
 	}
 	t.Logf("whole service of %d: %d messages", n, *messages)
-	*messages = 0
+	*messages, *size = 0, 0
 	self := cores["i07"].cfg.Self
 	self.Incarnation = 2
 	cores["i07"] = New(Config{Self: self}, begin)
 	settle(begin, "i07")
 	require.True(t, cores["i07"].Confirmed())
-	t.Logf("restart of one of %d: %d messages; 7400 restarts a day: %.1f messages/s in the fleet", n, *messages, 7400*float64(*messages)/86400)
+	t.Logf("restart of one of %d: %d messages, %d bytes; 7400 restarts a day: %.1f messages/s and %.0f B/s in the fleet",
+		n, *messages, *size, 7400*float64(*messages)/86400, 7400*float64(*size)/86400)
 	require.LessOrEqual(t, *messages, 2*2*(n-1))
 }
 
@@ -139,7 +145,7 @@
 		}
 	})
 	b.Run("decision", func(b *testing.B) {
-		cores, settle, _ := fleet(36)
+		cores, settle, _, _ := fleet(36)
 		for id := range cores {
 			settle(begin, id)
 		}
--- a/pkg/upstream/guard_test.go
+++ b/pkg/upstream/guard_test.go
@@ -367,3 +367,35 @@
 	}
 	require.Len(t, f.conns, 1)
 }
+
+// Guards against internal headers that reach the upstream, a lost remaining time or depth, and
+// against a cancelled call that the upstream does not notice.
+func TestOutgoing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var got http.Header
+		var host string
+		gone := false
+		f := &fake{script: func(conn net.Conn, req *http.Request) {
+			got, host = req.Header, req.Host
+			hang(conn, req)
+			gone = true
+		}}
+		g, end := newGuard(t, f, nil)
+		defer end()
+		ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
+		go func() {
+			synctest.Wait()
+			cancel()
+		}()
+		_, refused, _ := call(g, request(ctx, "POST", "b", refusal.HeaderDepth, "3", refusal.HeaderAttempt, "1", refusal.HeaderDispatch, "1", refusal.HeaderKey, "k"))
+		require.Equal(t, refusal.Cut, refused.Kind)
+		require.Equal(t, refusal.MayHaveRun, refused.Run)
+		synctest.Wait()
+		require.True(t, gone)
+		require.Equal(t, "shifts", host)
+		require.Equal(t, "700", got.Get(refusal.HeaderRemaining))
+		require.Equal(t, "3", got.Get(refusal.HeaderDepth))
+		require.Equal(t, "k", got.Get(refusal.HeaderKey))
+		require.Len(t, got, 4, "besides these only Content-Length: %v", got)
+	})
+}
--- a/pkg/upstream/local.go
+++ b/pkg/upstream/local.go
@@ -249,6 +249,9 @@
 			out.Header[name] = values
 		}
 	}
+	if _, ok := out.Header["User-Agent"]; !ok {
+		out.Header["User-Agent"] = nil // keeps net/http from adding its own
+	}
 	forward.SetRemaining(ctx, out.Header, time.Now())
 	target := *req.URL
 	target.Scheme, target.Host = "http", a.guard.cfg.Address
