Send new keys to live instances while one leaves

Cause: the first instance in a key's order, when it leaves, refuses new keys until the list drops it: up to 30 s in which one key in n is refused. Change: Guard.Owner prefers live instances; Owners lists live ones first, then leaving ones. Measured: a test drains an owner, resends to its heir and asks for the next owner. Conclusion: a planned stop refuses new keys only until the successor has the release.

--- a/pkg/upstream/guard_test.go
+++ b/pkg/upstream/guard_test.go
@@ -308,6 +308,15 @@
 		body, refused = resend(other)
 		require.Nil(t, refused)
 		require.Equal(t, "done", body, "the heir answers for the key")
+		for i := range view.Instances {
+			if view.Instances[i].ID == owner.ID {
+				view.Instances[i].State = model.Leaving
+			}
+		}
+		other.Update(versions[""], view)
+		next, _ := other.Owner("shifts", "k1")
+		require.Equal(t, other.cfg.Self.ID, next.ID, "a leaving instance owns no new keys")
+		require.Equal(t, owner.ID, other.Owners("shifts", "k1")[1].ID)
 		require.Equal(t, int64(2), f.seen.Load())
 	})
 }
--- a/pkg/upstream/ownership.go
+++ b/pkg/upstream/ownership.go
@@ -50,15 +50,29 @@
 	return &keys{guard: g, core: core, moved: make(chan struct{}, 1), sending: make(chan struct{}, maxSending)}
 }
 
-// Owner returns the first instance in the order of the key, by the present view.
+// Owner returns the instance that owns a new key, by the present view: the first live one in
+// the order of the key, or the first leaving one when none is live.
 func (g *Guard) Owner(service, key string) (model.Instance, bool) {
-	return once.First(once.NewKey(service, key, 0), g.keys.view.of(service))
+	all := g.keys.view.of(service)
+	live := make([]model.Instance, 0, len(all))
+	for i := range all {
+		if all[i].State == model.Live {
+			live = append(live, all[i])
+		}
+	}
+	if len(live) == 0 {
+		live = all
+	}
+	return once.First(once.NewKey(service, key, 0), live)
 }
 
-// Owners returns the instances of the service in the order of the key. The next one owns the
-// key when an earlier one answers not_owner.
+// Owners returns the instances of the service in the order in which they can own the key: live
+// ones first, because a leaving one owns no new keys and hands the others over. The next one can
+// own the key when an earlier one answers not_owner or leaving.
 func (g *Guard) Owners(service, key string) []model.Instance {
-	return once.Order(once.NewKey(service, key, 0), g.keys.view.of(service))
+	ordered := once.Order(once.NewKey(service, key, 0), g.keys.view.of(service))
+	slices.SortStableFunc(ordered, func(a, b model.Instance) int { return int(a.State) - int(b.State) })
+	return ordered
 }
 
 func (v *viewCache) of(service string) []model.Instance {
