Find owners without allocating a list per call

Cause: Owner copied all live instances of the service for each keyed call. Change: the view keeps the live instances of a service first. Conclusion: none beyond the change.

--- a/pkg/upstream/ownership.go
+++ b/pkg/upstream/ownership.go
@@ -40,7 +40,7 @@
 	PostPeer(ctx context.Context, inst *model.Instance, path string, header http.Header, body []byte) (*http.Response, error)
 }
 
-// viewCache holds the instances of a view by service.
+// viewCache holds the instances of a view by service, live ones first.
 type viewCache struct {
 	current atomic.Pointer[map[string][]model.Instance]
 }
@@ -53,33 +53,34 @@
 // Owner returns the instance that owns a new key, by the present view: the first live one in
 // the order of the key, or the first leaving one when none is live.
 func (g *Guard) Owner(service, key string) (model.Instance, bool) {
-	all := g.keys.view.of(service)
-	live := make([]model.Instance, 0, len(all))
-	for i := range all {
-		if all[i].State == model.Live {
-			live = append(live, all[i])
-		}
-	}
-	if len(live) == 0 {
-		live = all
+	all, live := g.keys.view.of(service)
+	if live > 0 {
+		all = all[:live]
 	}
-	return once.First(once.NewKey(service, key, 0), live)
+	return once.First(once.NewKey(service, key, 0), all)
 }
 
 // Owners returns the instances of the service in the order in which they can own the key: live
 // ones first, because a leaving one owns no new keys and hands the others over. The next one can
 // own the key when an earlier one answers not_owner or leaving.
 func (g *Guard) Owners(service, key string) []model.Instance {
-	ordered := once.Order(once.NewKey(service, key, 0), g.keys.view.of(service))
+	all, _ := g.keys.view.of(service)
+	ordered := once.Order(once.NewKey(service, key, 0), all)
 	slices.SortStableFunc(ordered, func(a, b model.Instance) int { return int(a.State) - int(b.State) })
 	return ordered
 }
 
-func (v *viewCache) of(service string) []model.Instance {
-	if m := v.current.Load(); m != nil {
-		return (*m)[service]
+// of returns the instances of a service, the live ones first, and their number.
+func (v *viewCache) of(service string) (all []model.Instance, live int) {
+	m := v.current.Load()
+	if m == nil {
+		return nil, 0
 	}
-	return nil
+	all = (*m)[service]
+	for live < len(all) && all[live].State == model.Live {
+		live++
+	}
+	return all, live
 }
 
 // SetStale tells the guard whether the daemon's version and view are being checked after a
@@ -101,7 +102,10 @@
 		instance := view.Instances[i]
 		services[instance.Service] = append(services[instance.Service], instance)
 	}
-	own := slices.Clone(services[k.guard.cfg.Self.Service])
+	for _, instances := range services {
+		slices.SortStableFunc(instances, func(a, b model.Instance) int { return int(a.State) - int(b.State) })
+	}
+	own := services[k.guard.cfg.Self.Service]
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !fresh { // a list that was read for ownership lacks the announced states
