--- a/core/once/faults_test.go
+++ b/core/once/faults_test.go
@@ -38,7 +38,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := &site{now: begin.Add(10 * time.Second)}
-			s.cores, s.settle, _ = fleet(3)
+			s.cores, s.settle, _, _ = fleet(3)
 			ids := []model.InstanceID{"i00", "i01", "i02"}
 			s.settle(begin, ids...)
 			tick := func() {
