Spread repaired announcements; wait for an answer of the region under way

Cause: a returning daemon asked other regions after one second although a neighbour of its region was linked and about to answer. Keeping it from that showed a second fault: what a daemon learned by a repair of hashes was not spread, so that each level of the tree found the difference by its own beacon.

--- a/core/dissemination/bootstrap.go
+++ b/core/dissemination/bootstrap.go
@@ -113,20 +113,36 @@
 }
 
 // enterStage asks neighbours at the stage's distance; a stage without any is skipped. A
-// daemon that has an answer of its region does not cross the paid link for another one:
-// the return of half of a fleet would otherwise load it with handshakes.
+// daemon that has an answer of its region, or waits for one under way, does not cross the
+// paid link: the return of half of a fleet would otherwise load it with handshakes.
 func (c *Core) enterStage(stage int) {
-	for ; stage < stageStore && (stage < stageFar || !c.has()); stage++ {
+	local := c.has() || c.answerUnderWay()
+	for ; stage < stageStore && (stage < stageFar || !local); stage++ {
 		if c.askStage(stage) {
 			break
 		}
 	}
-	if stage >= stageFar && c.has() {
+	if stage >= stageFar && local {
 		stage = stageRegion
 	}
 	c.boot.stage, c.boot.stageAt = stage, c.now
 }
 
+// answerUnderWay reports whether a neighbour of the region is linked and has not answered
+// yet, or something is being pulled, within the bounded wait.
+func (c *Core) answerUnderWay() bool {
+	if !c.now.Before(c.boot.startedAt.Add(bootWait)) {
+		return false
+	}
+	for _, seed := range c.cfg.Seeds {
+		answered, asked := c.boot.asked[seed.ID]
+		if asked && !answered && seed.Place.Region == c.self.Place.Region && c.link(seed.ID) != nil {
+			return true
+		}
+	}
+	return c.informed()
+}
+
 // askStage picks neighbours at random and reports whether there are any.
 func (c *Core) askStage(stage int) bool {
 	distance := []model.Distance{model.SameDataCentre, model.SameRegion, model.CrossRegion}[stage]
--- a/core/dissemination/bootstrap_test.go
+++ b/core/dissemination/bootstrap_test.go
@@ -29,3 +29,35 @@
 	require.True(t, f.nodes[member].ready)
 	require.Equal(t, reads, f.reads)
 }
+
+// Guards the paid link when a mass return keeps all processors busy: a daemon waits for
+// an answer of its region that is under way before it asks other regions, and not for
+// longer than the bounded wait.
+func TestSlowRegionCostsNoPaidLink(t *testing.T) {
+	for _, slow := range []struct {
+		pause   time.Duration
+		crosses bool
+	}{{900 * time.Millisecond, false}, {5 * time.Second, true}} {
+		f := newFleet(t, 6)
+		f.startAll()
+		member := f.role(func(c *Core) bool { return c.plan.Level > 0 && c.self.ID > "penang-0-1" && c.self.ID < "penang-1" })
+		for _, dead := range []model.InstanceID{"penang-0-0", "penang-0-1", member} {
+			f.kill(dead)
+		}
+		f.run(10 * time.Second)
+		f.start(member)
+		n := f.nodes[member]
+		f.runUntil(time.Second, func() bool { return len(n.links) == 2 })
+		for peer := range n.links {
+			f.nodes[peer].pausedUntil = f.now.Add(slow.pause)
+		}
+		crossed := false
+		f.runUntil(4*time.Second, func() bool {
+			for peer := range n.links {
+				crossed = crossed || n.instance.Place.DistanceTo(f.nodes[peer].instance.Place) == model.CrossRegion
+			}
+			return crossed
+		})
+		require.Equal(t, slow.crosses, crossed, "pause of %v", slow.pause)
+	}
+}
--- a/core/dissemination/link.go
+++ b/core/dissemination/link.go
@@ -62,6 +62,7 @@
 
 	// Membership.
 	revision     uint64 // list revision that the peer is known to hold
+	hash         uint64 // of the peer's membership in its last beacon
 	queue        map[model.InstanceID]membership.Announcement
 	batchAt      time.Time // earliest next batch
 	repairAt     time.Time // time to compare revisions
--- a/core/dissemination/members.go
+++ b/core/dissemination/members.go
@@ -153,7 +153,8 @@
 	switch {
 	case c.members.table.Revision() < l.revision:
 		c.pullMembers(l)
-	case l.mismatches > 0:
+	case l.mismatches > 0 || l.hash != c.members.table.Hash():
+		// The announcements can still differ after the list has caught up.
 		c.send(l, query{})
 	}
 }
@@ -246,7 +247,7 @@
 // while nothing is known or the daemon checks what it holds, otherwise after time for
 // changes in transit.
 func (c *Core) compareMembers(l *link, b beacon) {
-	l.revision = b.Revision
+	l.revision, l.hash = b.Revision, b.Members
 	revision := c.members.table.Revision()
 	switch {
 	case b.Revision < revision, b.Revision == 0:
@@ -331,7 +332,11 @@
 	if held != l.repairFrom || held == revision && !follows {
 		revision = 0
 	}
+	news := c.newsIn(buckets)
 	d, missing, changed := c.members.table.Repair(revision, buckets, c.now)
+	for _, a := range news {
+		c.spread(a, l)
+	}
 	if changed {
 		c.viewChanged()
 		c.listChanged(d)
@@ -341,3 +346,19 @@
 		c.enqueue(l, toAnnouncement(a))
 	}
 }
+
+// newsIn returns the announcements in buckets that are newer than those held of listed
+// instances. Without spreading them, each level of the tree would find the difference
+// only by a beacon of its own parent.
+func (c *Core) newsIn(buckets []membership.Bucket) []announcement {
+	var news []announcement
+	for _, bucket := range buckets {
+		for _, i := range bucket.Instances {
+			held, listed := c.members.table.Get(i.ID)
+			if listed && (i.Incarnation > held.Incarnation || i.Incarnation == held.Incarnation && i.State > held.State) {
+				news = append(news, announcement{ID: i.ID, Incarnation: i.Incarnation, State: i.State})
+			}
+		}
+	}
+	return news
+}
