--- a/core/dissemination/fault_pairs_test.go
+++ b/core/dissemination/fault_pairs_test.go
@@ -152,6 +152,22 @@
 			f.run(fetched)
 			f.kill(f.role(remoteEntry))
 		}, nil},
+		{"slow link and remote region restarts", 6, boundAny, func(f *fleet) {
+			f.slow = 400 * time.Millisecond
+			f.publish(6)
+			for _, id := range f.ids {
+				if f.nodes[id].instance.Place.Region == remoteRegion {
+					f.kill(id)
+					f.start(id)
+				}
+			}
+		}, nil},
+		{"slow store and primary reader dies", 6, boundAny, func(f *fleet) {
+			f.storeSlow = time.Second
+			f.publish(6)
+			f.run(fetched)
+			f.kill(f.role(primaryReader))
+		}, nil},
 		{"store's region dies and comes back", 6, boundAny, func(f *fleet) {
 			for _, id := range f.ids {
 				if f.nodes[id].instance.Place.Region == storeRegion {
--- a/core/dissemination/fleet_test.go
+++ b/core/dissemination/fleet_test.go
@@ -73,6 +73,7 @@
 	signer    *snapshot.Signer
 	cut       bool                             // the regions are partitioned
 	slow      time.Duration                    // added to the delay between regions
+	storeSlow time.Duration                    // added to the delay of the store's answers
 	defect    func(n *node, a Action) []Action // of a daemon's double; nil for none
 	storeDown bool
 	manifest  []byte
@@ -336,9 +337,9 @@
 }
 
 func (f *fleet) fromStore(n *node, answer, failure func() Event) {
-	delay, generation := storeDelay, n.generation
+	delay, generation := storeDelay+f.storeSlow, n.generation
 	if n.instance.Place.Region != storeRegion {
-		delay += 2 * crossDelay
+		delay += 2 * (crossDelay + f.slow)
 	}
 	f.at(f.now.Add(delay), func() {
 		if !n.alive || n.generation != generation {
