Test the store's budget of daemons without links during changes

Cause: the budget of daemons that fall back to the store was checked for the manifest and the list only, and without changes.

--- a/core/dissemination/fault_pairs_test.go
+++ b/core/dissemination/fault_pairs_test.go
@@ -1,11 +1,15 @@
 package dissemination
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"mangoshed.example/mangoshed/core/membership"
 	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/core/snapshot"
+	"mangoshed.example/mangoshed/core/topology"
 )
 
 // Bounds of convergence, from the design's targets.
@@ -302,3 +306,59 @@
 		})
 	}
 }
+
+// Guards the store's budget when no daemon of the design size reaches another one and
+// versions keep changing: the reads of segments count as well.
+func TestFallbackBudgetDuringChanges(t *testing.T) {
+	t.Parallel()
+	const daemons, length = 19000, 2 * time.Hour
+	view := membership.View{Revision: 1}
+	for i := range daemons {
+		place := model.Place{Region: fmt.Sprintf("r%d", i%39%10), DataCentre: fmt.Sprintf("dc%02d", i%39)}
+		view.Instances = append(view.Instances, model.Instance{ID: model.InstanceID(fmt.Sprintf("instance-%07d", i)), Place: place})
+	}
+	levels := map[bool][]model.Instance{} // by whether the member is a relay or spare relay
+	for _, p := range topology.BuildAll(view, "r0") {
+		if p.ReaderRank < 0 {
+			levels[p.Level == 0] = append(levels[p.Level == 0], p.Self)
+		}
+	}
+	total := 0.0
+	for top, members := range levels {
+		c := New(Config{Self: members[0], StoreRegion: "r0", Seed: 1, FleetSize: daemons})
+		start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		reads, now := 0, start
+		queue := c.Handle(now, Tick{})
+		for now.Before(start.Add(length)) {
+			if len(queue) == 0 {
+				now = c.NextTick()
+				queue = c.Handle(now, Tick{})
+				continue
+			}
+			action := queue[0]
+			queue = queue[1:]
+			version := model.Version(1 + now.Sub(start)*13000/(24*time.Hour))
+			switch a := action.(type) {
+			case Dial:
+				queue = append(queue, c.Handle(now, LinkDown{Peer: a.Instance.ID, Err: errClosed})...)
+			case ReadManifest:
+				reads++
+				_, m, _ := build(t, version, 0, nil)
+				data, err := snapshot.EncodeManifest(m)
+				require.NoError(t, err)
+				queue = append(queue, c.Handle(now, StoreManifest{Data: data, Revision: uint64(version)})...)
+			case ReadList:
+				reads++
+				queue = append(queue, c.Handle(now, StoreList{Revision: 1, Instances: view.Instances})...)
+			case FetchSegments:
+				reads += len(a.Manifest.Segments)
+				_, _, segments := build(t, a.Manifest.Version, 0, nil)
+				queue = append(queue, c.Handle(now, StoreSegments{Manifest: a.Manifest, Segments: segments})...)
+			}
+		}
+		rate := float64(reads) / length.Seconds() * float64(len(members))
+		total += rate
+		t.Logf("%d members, level 0: %t: %d reads each, %.0f reads/s together", len(members), top, reads, rate)
+	}
+	require.LessOrEqual(t, total, 200.0, "store reads per second")
+}
