--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -35,9 +35,9 @@
 	return f(i, r)
 }
 
-type ownerFunc func(service, key string) (model.Instance, bool)
+type ownerFunc func(service, key string) []model.Instance
 
-func (f ownerFunc) Owner(service, key string) (model.Instance, bool) { return f(service, key) }
+func (f ownerFunc) Owners(service, key string) []model.Instance { return f(service, key) }
 
 var home = model.Place{Region: "north", DataCentre: "n1"}
 
