--- a/pkg/upstream/guard_test.go
+++ b/pkg/upstream/guard_test.go
@@ -308,6 +308,15 @@
 		body, refused = resend(other)
 		require.Nil(t, refused)
 		require.Equal(t, "done", body, "the heir answers for the key")
+		for i := range view.Instances {
+			if view.Instances[i].ID == owner.ID {
+				view.Instances[i].State = model.Leaving
+			}
+		}
+		other.Update(versions[""], view)
+		next, _ := other.Owner("shifts", "k1")
+		require.Equal(t, other.cfg.Self.ID, next.ID, "a leaving instance owns no new keys")
+		require.Equal(t, owner.ID, other.Owners("shifts", "k1")[1].ID)
 		require.Equal(t, int64(2), f.seen.Load())
 	})
 }
@@ -367,3 +376,35 @@
 	}
 	require.Len(t, f.conns, 1)
 }
+
+// Guards against internal headers that reach the upstream, a lost remaining time or depth, and
+// against a cancelled call that the upstream does not notice.
+func TestOutgoing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var got http.Header
+		var host string
+		gone := false
+		f := &fake{script: func(conn net.Conn, req *http.Request) {
+			got, host = req.Header, req.Host
+			hang(conn, req)
+			gone = true
+		}}
+		g, end := newGuard(t, f, nil)
+		defer end()
+		ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
+		go func() {
+			synctest.Wait()
+			cancel()
+		}()
+		_, refused, _ := call(g, request(ctx, "POST", "b", refusal.HeaderDepth, "3", refusal.HeaderAttempt, "1", refusal.HeaderDispatch, "1", refusal.HeaderKey, "k"))
+		require.Equal(t, refusal.Cut, refused.Kind)
+		require.Equal(t, refusal.MayHaveRun, refused.Run)
+		synctest.Wait()
+		require.True(t, gone)
+		require.Equal(t, "shifts", host)
+		require.Equal(t, "700", got.Get(refusal.HeaderRemaining))
+		require.Equal(t, "3", got.Get(refusal.HeaderDepth))
+		require.Equal(t, "k", got.Get(refusal.HeaderKey))
+		require.Len(t, got, 4, "besides these only Content-Length: %v", got)
+	})
+}
