--- a/core/dissemination/fleet_test.go
+++ b/core/dissemination/fleet_test.go
@@ -19,11 +19,18 @@
 	regionDelay  = 500 * time.Microsecond
 	crossDelay   = 8 * time.Millisecond
 	storeDelay   = 2 * time.Millisecond
-	idleTimeout  = 5 * time.Second // of a link whose peer has stopped answering
 	storeRegion  = "klang"
 	remoteRegion = "penang"
 )
 
+// ackTimeout is the time after which the sender of a lost frame learns that the link is
+// down.
+const ackTimeout = 3 * time.Second
+
+// idleTimeouts are the times by distance after which a link notices a dead peer without
+// sending.
+var idleTimeouts = [...]time.Duration{40 * time.Second, 50 * time.Second, 100 * time.Second}
+
 var errClosed = errors.New("link closed")
 
 // node is a daemon of the fleet: a Core and the links that its runner would hold.
@@ -73,6 +80,7 @@
 	signer    *snapshot.Signer
 	cut       bool                             // the regions are partitioned
 	slow      time.Duration                    // added to the delay between regions
+	storeSlow time.Duration                    // added to the delay of the store's answers
 	defect    func(n *node, a Action) []Action // of a daemon's double; nil for none
 	storeDown bool
 	manifest  []byte
@@ -81,6 +89,7 @@
 	revision  uint64
 	listed    []model.Instance
 	epoch     int
+	broken    map[int]bool // links by epoch
 	reads     int
 	frames    map[model.Distance]int
 	bytes     map[model.Distance]int
@@ -91,7 +100,7 @@
 	f := &fleet{
 		t: t, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), nodes: map[model.InstanceID]*node{},
 		segments: map[model.Version][][]byte{}, good: map[model.Version]model.Digest{},
-		frames: map[model.Distance]int{}, bytes: map[model.Distance]int{},
+		broken: map[int]bool{}, frames: map[model.Distance]int{}, bytes: map[model.Distance]int{},
 	}
 	for _, region := range []string{storeRegion, remoteRegion} {
 		for dc := range 2 {
@@ -166,7 +175,12 @@
 }
 
 func (f *fleet) breakLink(n *node, peer model.InstanceID, epoch int) {
-	f.at(f.now.Add(idleTimeout), func() {
+	f.loseLink(n, peer, epoch, idleTimeouts[n.instance.Place.DistanceTo(f.nodes[peer].instance.Place)])
+}
+
+// loseLink reports a link as down after a time, on one side.
+func (f *fleet) loseLink(n *node, peer model.InstanceID, epoch int, after time.Duration) {
+	f.at(f.now.Add(after), func() {
 		if n.alive && n.links[peer] == epoch {
 			delete(n.links, peer)
 			f.deliver(n, LinkDown{Peer: peer, Err: errClosed})
@@ -313,9 +327,18 @@
 			return // the core gives up the dial itself
 		}
 		f.epoch++
-		for _, pair := range [][2]*node{{from, to}, {to, from}} {
-			pair[0].links[pair[1].instance.ID] = f.epoch
-			f.deliver(pair[0], LinkUp{Peer: pair[1].instance.ID})
+		pairs, epoch := [][2]*node{{from, to}, {to, from}}, f.epoch
+		for _, pair := range pairs {
+			if _, ok := pair[0].links[pair[1].instance.ID]; ok {
+				delete(pair[0].links, pair[1].instance.ID)
+				f.deliver(pair[0], LinkDown{Peer: pair[1].instance.ID, Err: errClosed}) // replaced
+			}
+		}
+		from.links[to.instance.ID], to.links[from.instance.ID] = epoch, epoch
+		for _, pair := range pairs {
+			if pair[0].links[pair[1].instance.ID] == epoch {
+				f.deliver(pair[0], LinkUp{Peer: pair[1].instance.ID})
+			}
 		}
 	})
 }
@@ -328,17 +351,30 @@
 	distance := from.instance.Place.DistanceTo(to.instance.Place)
 	f.frames[distance]++
 	f.bytes[distance] += len(data)
+	if f.broken[epoch] || !to.alive || to.links[from.instance.ID] != epoch || !f.reachable(from, to) {
+		f.fail(from, to, epoch)
+		return
+	}
 	f.at(f.now.Add(f.delay(from, to)), func() {
-		if to.alive && to.links[from.instance.ID] == epoch && f.reachable(from, to) {
+		if to.alive && to.links[from.instance.ID] == epoch {
 			f.deliver(to, Frame{Peer: from.instance.ID, Data: data})
 		}
 	})
 }
 
+// fail breaks a link on which a frame is lost: retransmissions are so far apart soon that
+// the link stays silent until a timeout, even if the peer can be reached again.
+func (f *fleet) fail(from, to *node, epoch int) {
+	f.broken[epoch] = true
+	f.breakLink(from, to.instance.ID, epoch)
+	f.breakLink(to, from.instance.ID, epoch)
+	f.loseLink(from, to.instance.ID, epoch, ackTimeout)
+}
+
 func (f *fleet) fromStore(n *node, answer, failure func() Event) {
-	delay, generation := storeDelay, n.generation
+	delay, generation := storeDelay+f.storeSlow, n.generation
 	if n.instance.Place.Region != storeRegion {
-		delay += 2 * crossDelay
+		delay += 2 * (crossDelay + f.slow)
 	}
 	f.at(f.now.Add(delay), func() {
 		if !n.alive || n.generation != generation {
--- a/pkg/upstream/ownership.go
+++ b/pkg/upstream/ownership.go
@@ -40,7 +40,7 @@
 	PostPeer(ctx context.Context, inst *model.Instance, path string, header http.Header, body []byte) (*http.Response, error)
 }
 
-// viewCache holds the instances of a view by service.
+// viewCache holds the instances of a view by service, live ones first.
 type viewCache struct {
 	current atomic.Pointer[map[string][]model.Instance]
 }
@@ -50,22 +50,37 @@
 	return &keys{guard: g, core: core, moved: make(chan struct{}, 1), sending: make(chan struct{}, maxSending)}
 }
 
-// Owner returns the first instance in the order of the key, by the present view.
+// Owner returns the instance that owns a new key, by the present view: the first live one in
+// the order of the key, or the first leaving one when none is live.
 func (g *Guard) Owner(service, key string) (model.Instance, bool) {
-	return once.First(once.NewKey(service, key, 0), g.keys.view.of(service))
+	all, live := g.keys.view.of(service)
+	if live > 0 {
+		all = all[:live]
+	}
+	return once.First(once.NewKey(service, key, 0), all)
 }
 
-// Owners returns the instances of the service in the order of the key. The next one owns the
-// key when an earlier one answers not_owner.
+// Owners returns the instances of the service in the order in which they can own the key: live
+// ones first, because a leaving one owns no new keys and hands the others over. The next one can
+// own the key when an earlier one answers not_owner or leaving.
 func (g *Guard) Owners(service, key string) []model.Instance {
-	return once.Order(once.NewKey(service, key, 0), g.keys.view.of(service))
+	all, _ := g.keys.view.of(service)
+	ordered := once.Order(once.NewKey(service, key, 0), all)
+	slices.SortStableFunc(ordered, func(a, b model.Instance) int { return int(a.State) - int(b.State) })
+	return ordered
 }
 
-func (v *viewCache) of(service string) []model.Instance {
-	if m := v.current.Load(); m != nil {
-		return (*m)[service]
+// of returns the instances of a service, the live ones first, and their number.
+func (v *viewCache) of(service string) (all []model.Instance, live int) {
+	m := v.current.Load()
+	if m == nil {
+		return nil, 0
 	}
-	return nil
+	all = (*m)[service]
+	for live < len(all) && all[live].State == model.Live {
+		live++
+	}
+	return all, live
 }
 
 // SetStale tells the guard whether the daemon's version and view are being checked after a
@@ -87,7 +102,10 @@
 		instance := view.Instances[i]
 		services[instance.Service] = append(services[instance.Service], instance)
 	}
-	own := slices.Clone(services[k.guard.cfg.Self.Service])
+	for _, instances := range services {
+		slices.SortStableFunc(instances, func(a, b model.Instance) int { return int(a.State) - int(b.State) })
+	}
+	own := services[k.guard.cfg.Self.Service]
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !fresh { // a list that was read for ownership lacks the announced states
@@ -99,7 +117,7 @@
 }
 
 // tick advances the core and reads the platform's list when the core needs it.
-func (k *keys) tick(ctx context.Context, now time.Time) {
+func (k *keys) tick(now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.send(k.core.Tick(now))
@@ -110,16 +128,16 @@
 	} else {
 		k.ticked = 0
 	}
-	if k.core.NeedsFreshList() && !k.reading && now.Sub(k.readAt) >= readRetry {
+	if k.core.NeedsFreshList() && !k.reading && now.Sub(k.readAt) >= readRetry && k.guard.ctx.Err() == nil {
 		k.reading, k.readAt = true, now
-		k.guard.tasks.Go(func() { k.readList(ctx) })
+		k.guard.tasks.Go(k.readList)
 	}
 }
 
-func (k *keys) readList(ctx context.Context) {
+func (k *keys) readList() {
 	view, err := membership.View{}, errNoReader
 	if k.guard.cfg.Fresh != nil {
-		limited, cancel := context.WithTimeout(ctx, sendTimeout)
+		limited, cancel := context.WithTimeout(k.guard.ctx, sendTimeout)
 		view, err = k.guard.cfg.Fresh(limited)
 		cancel()
 	}
@@ -148,7 +166,7 @@
 // dropped; the core sends it again.
 func (k *keys) send(sends []once.Send) {
 	for _, s := range sends {
-		if k.guard.cfg.Peers == nil {
+		if k.guard.cfg.Peers == nil || k.guard.ctx.Err() != nil {
 			return
 		}
 		select {
@@ -184,7 +202,7 @@
 	if err != nil {
 		return reply, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	ctx, cancel := context.WithTimeout(k.guard.ctx, sendTimeout)
 	defer cancel()
 	resp, err := k.guard.cfg.Peers.PostPeer(ctx, &s.To, ownershipPath, nil, data)
 	if err != nil {
