--- a/cmd/mangoshed/process_test.go
+++ b/cmd/mangoshed/process_test.go
@@ -59,6 +59,11 @@
 			damage(t, values)
 			f.put(values)
 		}},
+		{"segment", func() {
+			values := f.build(true)
+			require.NoError(t, os.WriteFile(values[0].File, []byte("not a segment"), 0o600))
+			f.put(values)
+		}},
 	} {
 		t.Run("bad version: "+bad.name, func(t *testing.T) {
 			good := f.version
