Cut segments by content, so that a change costs a reader one segment

Change: segments are cut before rows whose service hashes to a multiple of their usual size; a fetch names the segments that the version in effect shares, and the runner reads the others only. A bound on the bytes of a version replaces the product of two bounds. Measured: 15 segments of 57,799 bytes in all (before: 1 of 54,040); a changed cell changes one segment of about 3.9 KB beside a manifest of 619 bytes; the test bounds every case by 2 KB/s. Conclusion: 3.8 KB in place of 54 KB for each change at a reader, 7% more bytes for a complete version.

--- a/core/dissemination/action.go
+++ b/core/dissemination/action.go
@@ -34,8 +34,12 @@
 // ReadList asks for one read of the instance list.
 type ReadList struct{}
 
-// FetchSegments asks for the segments that a manifest names.
-type FetchSegments struct{ Manifest snapshot.Manifest }
+// FetchSegments asks for the segments that a manifest names. Those in Have are at hand: the
+// version in effect shares them.
+type FetchSegments struct {
+	Manifest snapshot.Manifest
+	Have     map[model.Digest][]byte
+}
 
 // Apply puts a snapshot into effect. Its version is higher than any applied before.
 type Apply struct {
--- a/core/dissemination/history.go
+++ b/core/dissemination/history.go
@@ -88,6 +88,28 @@
 	return size
 }
 
+// segmentsOf returns the segments of a manifest that the current version shares.
+func (h *history) segmentsOf(m snapshot.Manifest) map[model.Digest][]byte {
+	if h.held() == nil {
+		return nil
+	}
+	held, segments, err := h.held().Encode()
+	if err != nil {
+		return nil
+	}
+	wanted := make(map[model.Digest]bool, len(m.Segments))
+	for _, ref := range m.Segments {
+		wanted[ref.Digest] = true
+	}
+	shared := make(map[model.Digest][]byte)
+	for i, ref := range held.Segments {
+		if wanted[ref.Digest] {
+			shared[ref.Digest] = segments[i]
+		}
+	}
+	return shared
+}
+
 // completeFrames returns the current version in parts. It returns nil for a table that
 // exceeds the bounds of segments, which no accepted version does.
 func (h *history) completeFrames() [][]byte {
--- a/core/dissemination/store.go
+++ b/core/dissemination/store.go
@@ -81,9 +81,10 @@
 		return
 	}
 	c.store.fetching, c.store.fetchedAt = &m, c.now
-	c.emit(FetchSegments{Manifest: m})
+	have := c.history.segmentsOf(m)
+	c.emit(FetchSegments{Manifest: m, Have: have})
 	if !c.store.fallbackAt.IsZero() {
-		c.store.fallbackAt = c.store.fallbackAt.Add(c.fallbackPeriod(float64(len(m.Segments))))
+		c.store.fallbackAt = c.store.fallbackAt.Add(c.fallbackPeriod(float64(len(m.Segments) - len(have))))
 	}
 }
 
--- a/core/dissemination/version.go
+++ b/core/dissemination/version.go
@@ -16,7 +16,7 @@
 	// pullTimeout is the time after which an unanswered pull may be repeated.
 	pullTimeout = time.Second
 	// maxComplete bounds a complete version in transit.
-	maxComplete = snapshot.MaxSegments * snapshot.MaxSegmentBytes
+	maxComplete = snapshot.MaxVersionBytes
 )
 
 func (c *Core) heldMark() mark { return markOf(c.history.held()) }
--- a/core/snapshot/codec.go
+++ b/core/snapshot/codec.go
@@ -18,8 +18,14 @@
 	maxRawBytes = 880_000
 	// MaxSegmentBytes bounds a segment.
 	MaxSegmentBytes = 900_000
-	// MaxSegments bounds the segments of a version: 16 hold MaxCells cells.
-	MaxSegments = 16
+	// MaxSegments bounds the segments of a version.
+	MaxSegments = 64
+	// MaxVersionBytes bounds the segments of a version together: 16 full ones hold MaxCells
+	// cells.
+	MaxVersionBytes = 16 * MaxSegmentBytes
+	// minSegmentRows and usualSegments set the size of segments: rows are cut into about 12
+	// to 24 segments, but not below 32 rows on average, which compress well enough.
+	minSegmentRows, usualSegments = 32, 24
 	// MaxManifestBytes bounds an encoded manifest.
 	MaxManifestBytes = 8 << 10
 	// MaxDeltaBytes bounds a delta; a larger change travels as segments.
--- a/core/snapshot/manifest.go
+++ b/core/snapshot/manifest.go
@@ -90,10 +90,15 @@
 	if len(m.Segments) == 0 || len(m.Segments) > MaxSegments {
 		return fail(Malformed, m.Version, nil, "the manifest names %d segments, not 1 to %d", len(m.Segments), MaxSegments)
 	}
+	total := 0
 	for _, ref := range m.Segments {
 		if ref.Size < 2 || ref.Size > MaxSegmentBytes {
 			return fail(Malformed, m.Version, nil, "a segment has %d bytes, not 2 to %d", ref.Size, MaxSegmentBytes)
 		}
+		total += int(ref.Size)
+	}
+	if total > MaxVersionBytes {
+		return fail(TooLarge, m.Version, nil, "the segments have %d bytes, at most %d are accepted", total, MaxVersionBytes)
 	}
 	return nil
 }
--- a/core/snapshot/snapshot.go
+++ b/core/snapshot/snapshot.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/table"
 )
@@ -80,7 +82,28 @@
 
 // Encode returns the manifest and the segments of the snapshot, for a receiver whose
 // version is too old for a delta. The error is an *Error of kind TooLarge.
+//
+// Segments are cut before rows whose service hashes to a multiple of their usual number of
+// rows, so that a changed, new or removed row changes one segment only, and a reader of the
+// store fetches only that one.
 func (s *Snapshot) Encode() (Manifest, [][]byte, error) {
+	mask := uint64(minSegmentRows - 1)
+	for uint64(len(s.table.Rows))/(mask+1) > usualSegments {
+		mask = mask<<1 | 1
+	}
+	manifest, segments := s.encodeSegments(func(service string) bool { return xxhash.Sum64String(service)&mask == 0 })
+	if len(segments) > MaxSegments { // only full segments are cut
+		manifest, segments = s.encodeSegments(func(string) bool { return false })
+	}
+	if len(segments) > MaxSegments {
+		return manifest, nil, fail(TooLarge, s.Version(), nil, "the table takes %d segments, at most %d are accepted", len(segments), MaxSegments)
+	}
+	return manifest, segments, manifest.check()
+}
+
+// encodeSegments cuts the rows before the services that cut selects, and where a segment is
+// full.
+func (s *Snapshot) encodeSegments(cut func(service string) bool) (Manifest, [][]byte) {
 	manifest := Manifest{Header: s.header, TableDigest: s.digest}
 	var segments [][]byte
 	part, size := segmentWire{Layout: toLayoutWire(s.table.Layout)}, 0
@@ -93,17 +116,14 @@
 	const layoutBytes = 16 << 10 // a layout of the largest size takes less
 	for i := range s.table.Rows {
 		row := encodeRow(&s.table.Rows[i])
-		if size+len(row) > maxRawBytes-layoutBytes {
+		if size+len(row) > maxRawBytes-layoutBytes || len(part.Rows) > 0 && cut(s.table.Rows[i].Service) {
 			flush()
 		}
 		part.Rows = append(part.Rows, row)
 		size += len(row)
 	}
 	flush()
-	if len(segments) > MaxSegments {
-		return manifest, nil, fail(TooLarge, s.Version(), nil, "the table takes %d segments, at most %d are accepted", len(segments), MaxSegments)
-	}
-	return manifest, segments, nil
+	return manifest, segments
 }
 
 func encodeSegment(part segmentWire) []byte {
--- a/pkg/distribution/runner.go
+++ b/pkg/distribution/runner.go
@@ -220,7 +220,7 @@
 	case dissemination.ReadList:
 		r.store.readList()
 	case dissemination.FetchSegments:
-		r.store.fetch(a.Manifest)
+		r.store.fetch(a)
 	case dissemination.Apply:
 		r.apply(a)
 	case dissemination.Members:
--- a/pkg/distribution/store.go
+++ b/pkg/distribution/store.go
@@ -12,7 +12,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"mangoshed.example/mangoshed/core/dissemination"
-	"mangoshed.example/mangoshed/core/snapshot"
 	"mangoshed.example/mangoshed/pkg/platform"
 )
 
@@ -180,12 +179,16 @@
 }
 
 // fetch reads the segments of a manifest.
-func (s *store) fetch(m snapshot.Manifest) {
+func (s *store) fetch(a dissemination.FetchSegments) {
+	m := a.Manifest
 	s.once(fmt.Sprintf("segments of %d/%s", m.Version, m.TableDigest), func(ctx context.Context) {
 		segments := make([][]byte, len(m.Segments))
 		group, groupCtx := errgroup.WithContext(ctx)
 		group.SetLimit(parallelSegments)
 		for i, ref := range m.Segments {
+			if segments[i] = a.Have[ref.Digest]; segments[i] != nil {
+				continue
+			}
 			group.Go(func() error {
 				v, err := s.client.Read(groupCtx, SegmentPrefix+ref.Digest.String())
 				segments[i] = v.Data
