--- a/pkg/upstream/ownership.go
+++ b/pkg/upstream/ownership.go
@@ -137,9 +137,10 @@
 }
 
 // scheduleRead reads the platform's list when the core needs it, at a random time within
-// the period in which the budget allows every known daemon one reading.
+// the period in which the budget allows every known daemon one reading. It waits for a
+// view, because an unchanged list then need not be sent.
 func (k *keys) scheduleRead(now time.Time) {
-	if !k.core.NeedsFreshList() || k.reading || k.guard.ctx.Err() != nil {
+	if !k.core.NeedsFreshList() || k.reading || k.members == 0 || k.guard.ctx.Err() != nil {
 		return
 	}
 	spread := time.Duration(k.members) * time.Second / readsPerSecond
