Replace instances in the demo while callers call; ask the next owner when one has stopped

Cause: the demo showed no planned stop; in it keyed calls were refused for a second because their owner had stopped after it had handed its keys over.

--- a/pkg/caller/dispatch.go
+++ b/pkg/caller/dispatch.go
@@ -231,9 +231,15 @@
 	return resp, err
 }
 
-// passesOn reports whether the next instance in the order of a key may decide about it.
+// passesOn reports whether the next instance in the order of a key may decide about it. A
+// daemon that cannot be reached may have handed its keys over and stopped; if it has not,
+// the next one answers not_owner.
 func passesOn(failed *refusal.Refusal) bool {
-	return failed.Run == refusal.NotRun && (failed.Kind == refusal.NotOwner || failed.Kind == refusal.Leaving)
+	switch failed.Kind {
+	case refusal.NotOwner, refusal.Leaving, refusal.UpstreamFailed:
+		return failed.Run == refusal.NotRun
+	}
+	return false
 }
 
 // tooLate is checked by the clock, because the context's timer can lag after a pause.
--- a/pkg/caller/dispatch_test.go
+++ b/pkg/caller/dispatch_test.go
@@ -213,6 +213,11 @@
 	require.NoError(t, err)
 	require.Equal(t, "k1", resp.body)
 	require.Equal(t, model.InstanceID("c"), <-ran) // the next one decides about a key that a starting instance leaves to it
+	starting = &refusal.Refusal{Kind: refusal.UpstreamFailed, Run: refusal.NotRun}
+	resp, err = ask(t, addr, raw)
+	require.NoError(t, err)
+	require.Equal(t, "k1", resp.body) // a stopped owner has handed its keys over
+	require.Equal(t, model.InstanceID("c"), <-ran)
 	starting = &refusal.Refusal{Kind: refusal.UnknownOutcome, Run: refusal.MayHaveRun}
 	resp, err = ask(t, addr, raw)
 	require.NoError(t, err)
--- a/pkg/ctl/demo.go
+++ b/pkg/ctl/demo.go
@@ -23,6 +23,7 @@
 			&cli.StringFlag{Name: "deployment", Usage: "`NAME` of the deployment: kopi or haddad", Value: "kopi"},
 			&cli.IntFlag{Name: "changes", Usage: "`NUMBER` of edits to publish", Value: 20},
 			&cli.DurationFlag{Name: "duration", Usage: "`TIME` over which the edits are spread", Value: 10 * time.Second},
+			&cli.IntFlag{Name: "replace", Usage: "`NUMBER` of instances to stop gracefully and start again", Value: 2},
 			&cli.BoolFlag{Name: "signed", Usage: "sign every version with an operator's key"},
 			&cli.Uint64Flag{Name: "seed", Usage: "`NUMBER` that feeds the callers' choices", Value: 1},
 			&cli.StringFlag{Name: "log-level", Usage: "write the daemons' events of this `LEVEL` to standard error; none for no log", Value: "none"},
@@ -36,7 +37,10 @@
 	}
 	options := demo.Options{
 		Deployment: cmd.String("deployment"), Changes: cmd.Int("changes"), Duration: cmd.Duration("duration"),
-		Signed: cmd.Bool("signed"), Seed: cmd.Uint64("seed"),
+		Replace: cmd.Int("replace"), Signed: cmd.Bool("signed"), Seed: cmd.Uint64("seed"),
+	}
+	if options.Replace < 0 {
+		return &usage.Error{Problem: "--replace must not be negative", Remedy: "for example --replace 2, or 0 for none"}
 	}
 	if options.Changes < 1 || options.Duration <= 0 {
 		return &usage.Error{Problem: "--changes and --duration must be above 0", Remedy: "for example --changes 20 --duration 10s"}
--- a/pkg/demo/callers.go
+++ b/pkg/demo/callers.go
@@ -51,11 +51,11 @@
 // callers sends reads, claims and uploads to a deployment's daemons.
 type callers struct {
 	services []string
-	targets  []target
 	client   *http.Client
 	ledger   *ledger
 
-	mu        sync.Mutex
+	mu        sync.Mutex // guards the fields below
+	targets   []target
 	totals    callTotals
 	latencies *hdrhistogram.Histogram
 	// notRun holds the keys whose every attempt was refused as not run.
@@ -152,7 +152,9 @@
 
 // request builds a request to a random daemon.
 func (c *callers) request(method, service, path string, body []byte, random *rand.Rand) *http.Request {
+	c.mu.Lock()
 	address := c.targets[random.IntN(len(c.targets))].address
+	c.mu.Unlock()
 	req, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		panic(err) // the method and the address are the demo's own
@@ -171,7 +173,7 @@
 // when there is none.
 func (c *callers) exchange(req *http.Request) (answer []byte, notRun bool) {
 	start := time.Now()
-	resp, err := c.client.Do(req)
+	resp, err := c.send(req)
 	if err != nil {
 		c.count(func(t *callTotals) { t.Failed++ })
 		return nil, false
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -38,6 +38,9 @@
 	Changes int
 	// Duration is the time over which the edits are spread.
 	Duration time.Duration
+	// Replace is the number of instances that are stopped gracefully and started again
+	// after the edits.
+	Replace int
 	// Signed publishes versions with the operator's signature.
 	Signed bool
 	// Seed feeds the callers' choices.
@@ -108,6 +111,9 @@
 		callers.run(callCtx, callerCount, r.Seed)
 	}()
 	err := r.publishChanges(ctx)
+	if err == nil {
+		err = r.replaceInstances(ctx, callers)
+	}
 	stopCallers()
 	<-finished
 	if err != nil {
--- a/pkg/demo/report.go
+++ b/pkg/demo/report.go
@@ -31,6 +31,8 @@
 	IdleBytesPerSecond            float64 `json:"idle_bytes_per_second_per_daemon"`
 	IdleCrossRegionBytesPerSecond float64 `json:"idle_cross_region_bytes_per_second"`
 
+	// Replaced counts instances that were stopped gracefully and started again.
+	Replaced    int            `json:"replaced_instances"`
 	Calls       int            `json:"calls"`
 	Refused     int            `json:"refused_calls"`
 	Refusals    map[string]int `json:"refusals"`
@@ -123,6 +125,7 @@
 convergence         p50 %.1f ms, max %.1f ms over %s
 bytes per change    %.0f in all, %.0f across regions, row delta %.0f
 idle                %.0f bytes/s per daemon, %.1f bytes/s across regions
+replaced            %s stopped and started again while callers called
 calls               %d, refused %d (%s), failed %d
 latency             p50 %.2f ms, p99 %.2f ms
 doubled calls       %d
@@ -134,7 +137,7 @@
 		r.ConvergenceMillisP50, r.ConvergenceMillisMax, plural(r.Changes, "change"),
 		r.ControlBytesPerChange, r.CrossRegionBytesPerChange, r.DeltaBytesPerChange,
 		r.IdleBytesPerSecond, r.IdleCrossRegionBytesPerSecond,
-		r.Calls, r.Refused, strings.Join(refusals, ", "), r.FailedCalls, r.LatencyMillisP50, r.LatencyMillisP99,
+		plural(r.Replaced, "instance"), r.Calls, r.Refused, strings.Join(refusals, ", "), r.FailedCalls, r.LatencyMillisP50, r.LatencyMillisP99,
 		r.DoubledCalls, r.CutCalls, r.FalseNotRun, r.VersionRegressions)
 	return err
 }
