--- a/pkg/daemon/calls.go
+++ b/pkg/daemon/calls.go
@@ -32,7 +32,7 @@
 	s := d.cfg.Settings
 	c := &calls{
 		router:        routing.New(d.self, d.self.Incarnation),
-		forwardClient: forward.NewClient(forward.ClientConfig{Identity: d.cfg.Identity}),
+		forwardClient: forward.NewClient(forward.ClientConfig{Identity: d.cfg.Identity, Log: d.log}),
 	}
 	idle := time.Duration(s.Limits.IdleTimeoutSeconds) * time.Second
 	dispatch := &lateTripper{}
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -10,6 +10,9 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
 	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/refusal"
 	"mangoshed.example/mangoshed/pkg/identity"
@@ -38,6 +41,8 @@
 	DialTimeout time.Duration
 	// Dial opens TCP connections. Default: a net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Log takes the causes of failed calls, at most one line per second. Default: none.
+	Log *zap.Logger
 }
 
 // Client sends calls to the daemons beside other instances. It never sends a call
@@ -45,11 +50,16 @@
 // retries of its own.
 type Client struct {
 	config ClientConfig
+	log    rate.Sometimes
 	mu     sync.Mutex
 	peers  map[peerKey]*peer
 	closed bool
 }
 
+// logInterval is the least time between two lines about failed calls: during an incident
+// thousands fail each second for the same reason.
+const logInterval = time.Second
+
 // peerKey includes the address, because an instance can come back elsewhere.
 type peerKey struct {
 	id   model.InstanceID
@@ -64,13 +74,36 @@
 	if config.Dial == nil {
 		config.Dial = new(net.Dialer).DialContext
 	}
-	return &Client{config: config, peers: make(map[peerKey]*peer)}
+	if config.Log == nil {
+		config.Log = zap.NewNop()
+	}
+	return &Client{config: config, log: rate.Sometimes{Interval: logInterval}, peers: make(map[peerKey]*peer)}
 }
 
 // RoundTrip sends the request to the daemon beside the instance. It owns the request
 // and its header from then on; the path, query, Host, header and body are used. Failures
 // are *Error; an answer of the peer is returned as it is, refusals included.
 func (c *Client) RoundTrip(inst *model.Instance, req *http.Request) (*http.Response, error) {
+	resp, err := c.roundTrip(inst, req)
+	if err != nil && req.Context().Err() == nil {
+		c.report(inst, err)
+	}
+	return resp, err
+}
+
+// report logs the cause of a failed call, which the caller's refusal does not name.
+func (c *Client) report(inst *model.Instance, err error) {
+	var failed *Error
+	if !errors.As(err, &failed) {
+		return
+	}
+	c.log.Do(func() {
+		c.config.Log.Warn("forward_failed", zap.String("instance", string(inst.ID)), zap.String("address", inst.ForwardAddr),
+			zap.String("kind", string(failed.Kind)), zap.String("run", failed.Run.String()), zap.Error(failed.Err))
+	})
+}
+
+func (c *Client) roundTrip(inst *model.Instance, req *http.Request) (*http.Response, error) {
 	ctx := req.Context()
 	link, err := c.link(ctx, inst)
 	if err != nil {
--- a/pkg/identity/identity.go
+++ b/pkg/identity/identity.go
@@ -109,6 +109,12 @@
 		}
 		return err
 	}
+	if used := s.current.Load(); used != nil && used.self != loaded.self {
+		return &Error{
+			File: s.files.Cert, Reason: fmt.Sprintf("names %s, but the one in use names %s", loaded.self, used.self),
+			Remedy: "put the files of " + used.self.String() + " back; those in use stay in use until then",
+		}
+	}
 	s.current.Store(loaded)
 	return nil
 }
--- a/pkg/identity/identity_test.go
+++ b/pkg/identity/identity_test.go
@@ -114,6 +114,10 @@
 	require.NoError(t, clientErr)
 	require.NoError(t, serverErr)
 
+	write(rotated, Peer{Instance: "a-2"})
+	require.ErrorContains(t, s.Reload(), "names instance/a-2, but the one in use names instance/a-1")
+	require.Equal(t, Peer{Instance: "a-1"}, s.Self())
+
 	require.NoError(t, os.WriteFile(files.Cert, []byte("not a certificate"), 0o600))
 	err = s.Reload()
 	var idErr *Error
