--- a/pkg/buildinfo/buildinfo.go
+++ b/pkg/buildinfo/buildinfo.go
@@ -6,12 +6,15 @@
 // revisionLength is the shown part of a commit hash.
 const revisionLength = 12
 
-// Version returns the module version, or the commit of a build from a checkout, with
-// "+changes" if the checkout had changes; "unknown" without either.
+// Release is the number of the release that the sources lead to.
+const Release = "0.1.0"
+
+// Version returns the module version, or the release with the commit of a build from a
+// checkout, with "+changes" if the checkout had changes; the release alone without either.
 func Version() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
-		return "unknown"
+		return Release
 	}
 	revision, changes := "", ""
 	for _, setting := range info.Settings {
@@ -23,10 +26,10 @@
 		}
 	}
 	if revision != "" {
-		return revision + changes
+		return Release + "-" + revision + changes
 	}
 	if version := info.Main.Version; version != "" && version != "(devel)" {
 		return version
 	}
-	return "unknown"
+	return Release
 }
