--- a/pkg/ctl/demo.go
+++ b/pkg/ctl/demo.go
@@ -22,7 +22,7 @@
 			formatFlag(),
 			&cli.StringFlag{Name: "deployment", Usage: "`NAME` of the deployment: kopi or haddad", Value: "kopi"},
 			&cli.IntFlag{Name: "changes", Usage: "`NUMBER` of edits to publish", Value: 20},
-			&cli.DurationFlag{Name: "duration", Usage: "`TIME` over which the edits are spread", Value: 10 * time.Second},
+			&cli.DurationFlag{Name: "duration", Usage: "`TIME` over which the edits are spread", Value: 8 * time.Second},
 			&cli.IntFlag{Name: "replace", Usage: "`NUMBER` of instances to stop gracefully and start again", Value: 2},
 			&cli.BoolFlag{Name: "signed", Usage: "sign every version with an operator's key"},
 			&cli.Uint64Flag{Name: "seed", Usage: "`NUMBER` that feeds the callers' choices", Value: 1},
--- a/pkg/upstream/guard.go
+++ b/pkg/upstream/guard.go
@@ -223,7 +223,7 @@
 
 // handOverTimeout bounds the hand-over of keys, so that a stop does not wait for peers that
 // are dead or stop at the same time.
-const handOverTimeout = 5 * time.Second
+const handOverTimeout = 3 * time.Second
 
 // Drain refuses new work, waits for running requests and hands the keys over. It returns the
 // context's error when requests still run at its end; keys that no peer takes are logged.
