Remove logic that stood twice

Cause: a read-through found the list of faults in core/table and pkg/settings, the store's keys in pkg/ctl and pkg/distribution, and an owner lookup that only tests used beside the ranked one.

--- a/core/once/faults_test.go
+++ b/core/once/faults_test.go
@@ -55,7 +55,7 @@
 			first := func(id model.InstanceID, created time.Time) Key {
 				for n := 'a'; ; n++ {
 					key := NewKey("s", string(n)+created.String(), created.UnixMilli())
-					if owner, _ := First(key, []model.Instance{{ID: ids[0]}, {ID: ids[1]}, {ID: ids[2]}}); owner.ID == id {
+					if owner := Order(key, []model.Instance{{ID: ids[0]}, {ID: ids[1]}, {ID: ids[2]}})[0]; owner.ID == id {
 						return key
 					}
 				}
--- a/core/once/rank.go
+++ b/core/once/rank.go
@@ -59,15 +59,4 @@
 	return ordered
 }
 
-// First returns the first instance in the rendezvous order of the key.
-func First(key Key, instances []model.Instance) (first model.Instance, ok bool) {
-	var best uint64
-	for _, instance := range instances {
-		if h := hashID(instance.ID); !ok || precedes(key.hash, h, best) {
-			first, best, ok = instance, h, true
-		}
-	}
-	return first, ok
-}
-
 func hashDigest(id Digest) uint64 { return xxhash.Sum64(id[:]) }
--- a/core/snapshot/manifest.go
+++ b/core/snapshot/manifest.go
@@ -6,6 +6,12 @@
 	"mangoshed.example/mangoshed/core/model"
 )
 
+// ManifestKey is the store's key of the current manifest.
+const ManifestKey = "manifest"
+
+// SegmentKey returns the store's key of a segment.
+func SegmentKey(digest model.Digest) string { return "segments/" + digest.String() }
+
 // manifestFormat is the first element of an encoded manifest.
 const manifestFormat = 1
 
--- a/pkg/ctl/build.go
+++ b/pkg/ctl/build.go
@@ -16,12 +16,6 @@
 	"mangoshed.example/mangoshed/pkg/usage"
 )
 
-// Names of the store's keys, and of the files below the output directory.
-const (
-	manifestKey   = "manifest"
-	segmentPrefix = "segments/"
-)
-
 func buildCommand() *cli.Command {
 	return &cli.Command{
 		Name: "build", Usage: "write the files of a version and the order to publish them in", ArgsUsage: "FILE", Action: buildTable,
@@ -64,7 +58,7 @@
 		return err
 	}
 	version, out := model.Version(cmd.Uint64("version")), cmd.String("out")
-	if err := checkNewer(filepath.Join(out, manifestKey), version); err != nil {
+	if err := checkNewer(filepath.Join(out, snapshot.ManifestKey), version); err != nil {
 		return err
 	}
 	_, manifest, segments, err := snapshot.Build(t, version, time.Now(), signer)
@@ -130,7 +124,7 @@
 		return writeFile(path, data, modePublic)
 	}
 	for i, segment := range segments {
-		if err := write(segmentPrefix+manifest.Segments[i].Digest.String(), segment); err != nil {
+		if err := write(snapshot.SegmentKey(manifest.Segments[i].Digest), segment); err != nil {
 			return result, err
 		}
 	}
@@ -138,5 +132,5 @@
 	if err != nil {
 		return result, err
 	}
-	return result, write(manifestKey, encoded)
+	return result, write(snapshot.ManifestKey, encoded)
 }
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -62,7 +62,7 @@
 	require.NoError(t, err)
 	var result buildResult
 	require.NoError(t, json.Unmarshal([]byte(out), &result))
-	require.Equal(t, manifestKey, result.Publish[len(result.Publish)-1].Key)
+	require.Equal(t, snapshot.ManifestKey, result.Publish[len(result.Publish)-1].Key)
 
 	var segments [][]byte
 	for _, p := range result.Publish {
--- a/pkg/demo/site.go
+++ b/pkg/demo/site.go
@@ -14,7 +14,6 @@
 	"mangoshed.example/mangoshed/core/snapshot"
 	"mangoshed.example/mangoshed/core/table"
 	"mangoshed.example/mangoshed/pkg/daemon"
-	"mangoshed.example/mangoshed/pkg/distribution"
 	"mangoshed.example/mangoshed/pkg/identity"
 	"mangoshed.example/mangoshed/pkg/platform"
 	"mangoshed.example/mangoshed/pkg/platform/standin"
@@ -201,7 +200,7 @@
 		return 0, 0, err
 	}
 	for i, segment := range segments {
-		key := distribution.SegmentPrefix + manifest.Segments[i].Digest.String()
+		key := snapshot.SegmentKey(manifest.Segments[i].Digest)
 		if _, err := s.platform.Put(key, segment); err != nil {
 			return 0, 0, err
 		}
@@ -220,7 +219,7 @@
 	}
 	s.current = next
 	s.progress.published(version)
-	_, err = s.platform.Put(distribution.ManifestKey, encoded)
+	_, err = s.platform.Put(snapshot.ManifestKey, encoded)
 	return version, deltaBytes, err
 }
 
--- a/pkg/distribution/runner_test.go
+++ b/pkg/distribution/runner_test.go
@@ -149,12 +149,12 @@
 	_, manifest, segments, err := snapshot.Build(parsed, v, time.Now(), nil)
 	require.NoError(s.t, err)
 	for i, segment := range segments {
-		_, err = s.platform.Put(SegmentPrefix+manifest.Segments[i].Digest.String(), segment)
+		_, err = s.platform.Put(snapshot.SegmentKey(manifest.Segments[i].Digest), segment)
 		require.NoError(s.t, err)
 	}
 	encoded, err := snapshot.EncodeManifest(manifest)
 	require.NoError(s.t, err)
-	_, err = s.platform.Put(ManifestKey, encoded)
+	_, err = s.platform.Put(snapshot.ManifestKey, encoded)
 	require.NoError(s.t, err)
 }
 
--- a/pkg/distribution/store.go
+++ b/pkg/distribution/store.go
@@ -12,15 +12,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"mangoshed.example/mangoshed/core/dissemination"
+	"mangoshed.example/mangoshed/core/snapshot"
 	"mangoshed.example/mangoshed/pkg/platform"
 )
 
-// Keys of the store.
-const (
-	ManifestKey   = "manifest"
-	SegmentPrefix = "segments/"
-)
-
 // parallelSegments bounds the segments that are fetched at once.
 const parallelSegments = 4
 
@@ -122,7 +117,7 @@
 }
 
 func (s *store) watchManifest(ctx context.Context, after uint64) (uint64, error) {
-	v, err := s.client.Watch(ctx, ManifestKey, after)
+	v, err := s.client.Watch(ctx, snapshot.ManifestKey, after)
 	s.answer(ctx, dissemination.StoreManifest{Data: v.Data, Revision: v.Revision, Err: err}, len(v.Data), err)
 	return v.Revision, err
 }
@@ -166,7 +161,7 @@
 
 func (s *store) readManifest() {
 	s.once("manifest", func(ctx context.Context) {
-		v, err := s.client.Read(ctx, ManifestKey)
+		v, err := s.client.Read(ctx, snapshot.ManifestKey)
 		s.answer(ctx, dissemination.StoreManifest{Data: v.Data, Revision: v.Revision, Err: err}, len(v.Data), err)
 	})
 }
@@ -190,7 +185,7 @@
 				continue
 			}
 			group.Go(func() error {
-				v, err := s.client.Read(groupCtx, SegmentPrefix+ref.Digest.String())
+				v, err := s.client.Read(groupCtx, snapshot.SegmentKey(ref.Digest))
 				segments[i] = v.Data
 				return err
 			})
--- a/pkg/settings/errors.go
+++ b/pkg/settings/errors.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"strings"
+
+	"mangoshed.example/mangoshed/core/faultlist"
 )
 
 // Error is one fault of the settings.
@@ -36,24 +38,4 @@
 }
 
 // Errors holds all faults of the settings.
-type Errors struct {
-	List []*Error
-}
-
-// Error returns one line per fault.
-func (e *Errors) Error() string {
-	lines := make([]string, len(e.List))
-	for i, fault := range e.List {
-		lines[i] = fault.Error()
-	}
-	return strings.Join(lines, "\n")
-}
-
-// Unwrap returns the single faults.
-func (e *Errors) Unwrap() []error {
-	list := make([]error, len(e.List))
-	for i, fault := range e.List {
-		list[i] = fault
-	}
-	return list
-}
+type Errors = faultlist.List[*Error]
--- a/pkg/upstream/guard_test.go
+++ b/pkg/upstream/guard_test.go
@@ -254,8 +254,9 @@
 		keyed := func(key string) *http.Request {
 			return request(context.Background(), "POST", "claim", refusal.HeaderKey, key, refusal.HeaderCreated, millis())
 		}
-		owner, ok := guards[0].Owner("shifts", "k1")
-		require.True(t, ok)
+		owners := guards[0].Owners("shifts", "k1")
+		require.Len(t, owners, 2)
+		owner := owners[0]
 		mine, other := links[owner.ID], guards[0]
 		if mine == other {
 			other = guards[1]
@@ -314,7 +315,7 @@
 			}
 		}
 		other.Update(versions[""], view)
-		next, _ := other.Owner("shifts", "k1")
+		next := other.Owners("shifts", "k1")[0]
 		require.Equal(t, other.cfg.Self.ID, next.ID, "a leaving instance owns no new keys")
 		require.Equal(t, owner.ID, other.Owners("shifts", "k1")[1].ID)
 		require.Equal(t, int64(2), f.seen.Load())
--- a/pkg/upstream/ownership.go
+++ b/pkg/upstream/ownership.go
@@ -54,16 +54,6 @@
 	return &keys{guard: g, core: core, moved: make(chan struct{}, 1), sending: make(chan struct{}, maxSending)}
 }
 
-// Owner returns the instance that owns a new key, by the present view: the first live one in
-// the order of the key, or the first leaving one when none is live.
-func (g *Guard) Owner(service, key string) (model.Instance, bool) {
-	all, live := g.keys.view.of(service)
-	if live > 0 {
-		all = all[:live]
-	}
-	return once.First(once.NewKey(service, key, 0), all)
-}
-
 // Owners returns the instances of the service in the order in which they can own the key: live
 // ones first, because a leaving one owns no new keys and hands the others over. The next one can
 // own the key when an earlier one answers not_owner or leaving.
