Order waiting requests by what a slot earns, place by expected loss, keep bodies at home

Change: waiting requests go by worth per slot time; the daemon answers before the deadline of the caller by the time of the way back; placement weighs the risk of lateness against bytes over links; large bodies are sent only after the other daemon has asked for them; one header between daemons.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -2,10 +2,11 @@
 // order, and when it refuses one.
 //
 // An upstream runs a fixed number of requests at once. The queue never hands it more, because
-// some upstreams do not answer what they cannot hold. Waiting requests that can still meet
-// their latency objective go first, by priority, returning callers before new ones; the others
-// get what is left. A request that cannot be answered in its time is refused as soon as that
-// is known, so that its caller can go elsewhere or come back.
+// some upstreams do not answer what they cannot hold. Waiting requests go in the order of what
+// a slot earns in the time that they take it: urgent ones before less urgent ones, short ones
+// before long ones, those that can still meet their latency objective before late ones, and
+// returning callers before new ones. A request that cannot be answered in its time is refused
+// as soon as that is known, so that its caller can go elsewhere or come back.
 //
 // Queue is a state machine: it takes the time as an argument, starts no goroutine and is not
 // safe for concurrent use.
@@ -34,6 +35,10 @@
 	defaultRun = 100 * time.Millisecond
 	// estimateWeight is the weight of one sample: about the last 12 runs count.
 	estimateWeight = 1.0 / 12
+	// lateWorth is the worth of a late answer against one in time.
+	lateWorth = 0.4
+	// sameDensity is the ratio of earnings up to which two calls count as equal; run times are estimates.
+	sameDensity = 1.15
 	// expectedShare of a latency objective is the first guess of a run time.
 	expectedShare = 4
 )
@@ -154,8 +159,15 @@
 	if wait+run <= time.Duration(goalShare*float64(c.Goal.Sub(now))) {
 		return true
 	}
-	// The call will be late: everything that waits goes before it.
-	return lateFactor*q.wait(now, q.waiting)+run <= c.Deadline.Sub(now)
+	// The call will be late: more calls than now wait go before it.
+	return lateFactor*q.wait(now, q.aheadOfLate(now, c))+run <= c.Deadline.Sub(now)
+}
+
+// aheadOfLate returns the waiting calls that go before the call once it is late.
+func (q *Queue) aheadOfLate(now time.Time, c *Call) []*Call {
+	late := *c
+	late.Goal = now
+	return q.ahead(now, &late)
 }
 
 // ahead returns the waiting calls that go before the call.
@@ -188,11 +200,9 @@
 
 // before reports whether a goes before b.
 func (q *Queue) before(now time.Time, a, b *Call) bool {
-	if la, lb := q.late(now, a), q.late(now, b); la != lb {
-		return lb
-	}
-	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
+	da, db := q.density(now, a), q.density(now, b)
+	if da > db*sameDensity || db > da*sameDensity {
+		return da > db
 	}
 	if a.Returning != b.Returning {
 		return a.Returning
@@ -200,6 +210,15 @@
 	return a.queued.Before(b.queued)
 }
 
+// density returns what the call earns for each second of a slot.
+func (q *Queue) density(now time.Time, c *Call) float64 {
+	worth := 1 / float64(1+c.Priority)
+	if q.late(now, c) {
+		worth *= lateWorth
+	}
+	return worth / max(q.expected(c), time.Millisecond).Seconds()
+}
+
 // late reports whether the call misses its objective even if it starts now.
 func (q *Queue) late(now time.Time, c *Call) bool {
 	return now.Add(q.expected(c)).After(c.Goal)
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -2,9 +2,11 @@
 //
 // Each answer and refusal of another daemon carries the load of its upstream. The expected
 // time until an answer is the time on the way, the expected wait by the last report and by
-// what was sent since, and the run time with the measured slowness of the upstream. The best
-// of a few random candidates gets the request: choosing the best of all from reports that lag
-// would send every daemon to the same instance.
+// what was sent since, and the run time with the measured slowness of the upstream. The
+// expected loss of an instance is the risk of a late answer, which grows with the part of the
+// latency objective that the expected time takes, and the cost of the bytes that cross a link.
+// The candidate with the least loss gets the request; candidates are those of the own data
+// centre and a few random others, so that daemons do not all choose the same one.
 package placement
 
 import (
@@ -19,8 +21,14 @@
 
 // Tuning of the choice.
 const (
-	// candidates is the number of random instances that are compared.
-	candidates = 3
+	// farCandidates is the number of random instances of other data centres that are compared,
+	// and nearCandidates that of the own one.
+	farCandidates  = 6
+	nearCandidates = 12
+	// lateLoss is the loss of an answer that takes exactly its objective, in shares of its worth.
+	lateLoss = 0.5
+	// defaultBytes is the expected size of an answer before one was seen.
+	defaultBytes = 2000
 	// reportLife is the age at which a load report has lost its weight: about a few run times.
 	reportLife = 500 * time.Millisecond
 	// defaultRun is the expected run time before an answer was seen.
@@ -51,13 +59,19 @@
 	failureDecay = 4 * time.Second
 )
 
-// Costs are the expected times on the way, and what a link costs expressed in time.
+// Costs are the expected times to an instance and back, and what a kilobyte across costs in
+// shares of the worth of a request.
 type Costs struct {
 	DataCentre, Region, Remote time.Duration
+	RegionKB, RemoteKB         float64
 }
 
-// DefaultCosts fit data centres about a millisecond and regions about 8 ms apart, one way.
-var DefaultCosts = Costs{DataCentre: 300 * time.Microsecond, Region: 4 * time.Millisecond, Remote: 22 * time.Millisecond}
+// DefaultCosts fit data centres about a millisecond and regions about 8 ms apart, one way, and
+// links billed so that some 25 kB between regions cost as much as a request is worth.
+var DefaultCosts = Costs{
+	DataCentre: 300 * time.Microsecond, Region: 2500 * time.Microsecond, Remote: 18 * time.Millisecond,
+	RegionKB: 0.02, RemoteKB: 0.04,
+}
 
 // Outcome is what became of a request at an instance.
 type Outcome uint8
@@ -84,6 +98,8 @@
 	Load intake.Load
 	// Run is the time that the upstream took, 0 if unknown.
 	Run time.Duration
+	// Bytes is the size of the answer.
+	Bytes int
 }
 
 // stat is what is known of one instance.
@@ -101,6 +117,12 @@
 	seen     time.Time
 }
 
+// routeStat is what is known of the requests of a route.
+type routeStat struct {
+	run   float64 // mean run time in nanoseconds
+	bytes float64 // mean size of an answer
+}
+
 // Placer chooses instances. It is safe for concurrent use.
 type Placer struct {
 	self  model.Place
@@ -111,7 +133,7 @@
 	view   *catalog.View
 	groups map[string][]*catalog.Instance
 	stats  map[model.InstanceID]*stat
-	runs   map[string]float64 // mean run time by route, nanoseconds
+	runs   map[string]*routeStat
 	warm   map[model.InstanceID]time.Time
 }
 
@@ -119,7 +141,7 @@
 func New(self model.Place, costs Costs, seed uint64) *Placer {
 	return &Placer{
 		self: self, costs: costs, random: rand.New(rand.NewPCG(seed, seed)), stats: make(map[model.InstanceID]*stat),
-		runs: make(map[string]float64), groups: make(map[string][]*catalog.Instance), warm: make(map[model.InstanceID]time.Time),
+		runs: make(map[string]*routeStat), groups: make(map[string][]*catalog.Instance), warm: make(map[model.InstanceID]time.Time),
 	}
 }
 
@@ -157,10 +179,12 @@
 type Query struct {
 	Service string
 	Route   string
+	// Slack is the time that is left until the objective.
+	Slack time.Duration
+	// Bytes is the size of the request.
+	Bytes int
 	// Exclude lists instances that are out of the question.
 	Exclude []model.InstanceID
-	// All compares all instances in place of a few random ones.
-	All bool
 }
 
 // Choice is a chosen instance. Done ends it.
@@ -172,35 +196,73 @@
 	Wait time.Duration
 }
 
-// Choose returns the instance with the shortest expected time among a few, false without any.
-// It counts a request in flight there until Done.
+// Choose returns the instance with the least expected loss among a few, false without any. It
+// counts a request in flight there until Done.
 func (p *Placer) Choose(now time.Time, q Query) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	usable := p.usable(now, q)
-	if len(usable) == 0 {
-		return Choice{}, false
-	}
-	if !q.All && len(usable) > candidates {
-		for i := range candidates {
-			j := i + p.random.IntN(len(usable)-i)
-			usable[i], usable[j] = usable[j], usable[i]
-		}
-		usable = usable[:candidates]
-	}
 	var best Choice
-	for _, inst := range usable {
+	least := 0.0
+	for _, inst := range p.candidates(p.usable(now, q)) {
 		c := p.score(now, q.Route, inst)
-		if best.Instance == nil || c.Expected < best.Expected {
-			best = c
+		if loss := p.loss(q, c); best.Instance == nil || loss < least {
+			best, least = c, loss
 		}
 	}
+	if best.Instance == nil {
+		return Choice{}, false
+	}
 	s := p.stats[best.Instance.ID]
 	s.inFlight++
 	s.sent++
 	return best, true
 }
 
+// loss returns what a choice is expected to cost in shares of the worth of the request.
+func (p *Placer) loss(q Query, c Choice) float64 {
+	part := float64(c.Expected) / float64(max(q.Slack, minSlack))
+	loss := lateLoss * part * part
+	kb := (float64(q.Bytes) + p.stat(q.Route).bytes) / 1000
+	switch c.Instance.Place.DistanceTo(p.self) {
+	case model.SameRegion:
+		loss += kb * p.costs.RegionKB
+	case model.CrossRegion:
+		loss += kb * p.costs.RemoteKB
+	}
+	return loss
+}
+
+// minSlack keeps the choice among instances meaningful for requests that are late already.
+const minSlack = 50 * time.Millisecond
+
+// candidates returns the instances to compare, chosen at random beyond a number.
+func (p *Placer) candidates(usable []*catalog.Instance) []*catalog.Instance {
+	if len(usable) <= nearCandidates {
+		return usable
+	}
+	var near, far []*catalog.Instance
+	for _, inst := range usable {
+		if inst.Place == p.self {
+			near = append(near, inst)
+		} else {
+			far = append(far, inst)
+		}
+	}
+	return append(p.some(near, nearCandidates), p.some(far, farCandidates)...)
+}
+
+// some returns n random instances of the list, or all.
+func (p *Placer) some(list []*catalog.Instance, n int) []*catalog.Instance {
+	if len(list) <= n {
+		return list
+	}
+	for i := range n {
+		j := i + p.random.IntN(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+	}
+	return list[:n]
+}
+
 // usable returns the instances that may get the request; those that are out for a time only
 // if there is no other.
 func (p *Placer) usable(now time.Time, q Query) []*catalog.Instance {
@@ -233,7 +295,7 @@
 // score returns the expected times at an instance.
 func (p *Placer) score(now time.Time, route string, inst *catalog.Instance) Choice {
 	s := p.stats[inst.ID]
-	run := p.run(route)
+	run := p.stat(route).run
 	slow := 1 + (s.slow-1)*decay(now.Sub(s.slowAt), slowDecay)
 	if at, ok := p.warm[inst.ID]; ok && now.Before(at) {
 		slow = max(slow, coldSlow)
@@ -268,19 +330,19 @@
 	return max(0, 1-float64(age)/float64(life))
 }
 
-// run returns the mean run time of a route in nanoseconds.
-func (p *Placer) run(route string) float64 {
-	if mean, ok := p.runs[route]; ok {
-		return mean
+// stat returns what is known of a route.
+func (p *Placer) stat(route string) routeStat {
+	if r, ok := p.runs[route]; ok {
+		return *r
 	}
-	return float64(defaultRun)
+	return routeStat{run: float64(defaultRun), bytes: defaultBytes}
 }
 
 // Run returns the mean run time of a route over all instances.
 func (p *Placer) Run(route string) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return time.Duration(p.run(route))
+	return time.Duration(p.stat(route).run)
 }
 
 // way returns the time to an instance and back.
@@ -310,7 +372,7 @@
 	case Answered:
 		s.strikes, s.outUntil = 0, time.Time{}
 		p.fail(now, s, 0)
-		p.learn(now, s, route, r.Run)
+		p.learn(now, s, route, r)
 	case Refused:
 		s.strikes = 0
 	case Leaving:
@@ -330,22 +392,24 @@
 	s.failures, s.failedAt = share+failureWeight*(outcome-share), now
 }
 
-// learn takes the run time of an answer.
-func (p *Placer) learn(now time.Time, s *stat, route string, took time.Duration) {
-	if took <= 0 {
+// learn takes the run time and the size of an answer.
+func (p *Placer) learn(now time.Time, s *stat, route string, r Report) {
+	if r.Run <= 0 {
 		return
 	}
-	mean, ok := p.runs[route]
+	took := float64(r.Run)
+	known, ok := p.runs[route]
 	if !ok {
 		if len(p.runs) >= maxRoutes {
 			clear(p.runs)
 		}
-		mean = float64(took)
+		known = &routeStat{run: took, bytes: float64(r.Bytes)}
+		p.runs[route] = known
 	}
-	ratio := min(max(float64(took)/mean, minSlow), maxSlow)
+	ratio := min(max(took/known.run, minSlow), maxSlow)
 	// One very slow answer moves the mean of the route by little.
-	mean += runWeight * (min(float64(took), 4*mean) - mean)
-	p.runs[route] = mean
+	known.run += runWeight * (min(took, 4*known.run) - known.run)
+	known.bytes += runWeight * (float64(r.Bytes) - known.bytes)
 	slow := 1 + (s.slow-1)*decay(now.Sub(s.slowAt), slowDecay)
 	s.slow, s.slowAt = slow+slowWeight*(ratio-slow), now
 }
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -49,6 +49,9 @@
 	// MaxIdle is the age of the oldest idle connection that may carry the request; 0 takes
 	// that of the Config, and a negative one a new connection.
 	MaxIdle time.Duration
+	// Confirm sends the body only when the peer has asked for it, so that one that refuses the
+	// request does not cost its bytes.
+	Confirm bool
 }
 
 // Response is a whole answer.
@@ -130,6 +133,8 @@
 	conn     *conn
 	request  *Request
 	reusable bool
+	// refused is the final answer of a peer that did not ask for the body.
+	refused *http.Response
 }
 
 // past makes pending reads and writes fail.
@@ -173,22 +178,49 @@
 // write sends the request. Its error arrives on the channel; join waits for the writer.
 func (x *transfer) write() (<-chan error, func()) {
 	done := make(chan error, 1)
-	head := x.head()
-	if len(x.request.Body) <= inlineBody {
-		head = append(head, x.request.Body...)
-		_, err := x.conn.Write(head)
+	head, body := x.head(), x.request.Body
+	if x.request.Confirm {
+		if err := x.confirm(head); err != nil || x.refused != nil {
+			done <- err
+			return done, func() {}
+		}
+		head = nil
+	}
+	if len(body) <= inlineBody {
+		_, err := x.conn.Write(append(head, body...))
 		done <- err
 		return done, func() {}
 	}
 	var group sync.WaitGroup
 	group.Go(func() {
-		buffers := net.Buffers{head, x.request.Body}
+		buffers := net.Buffers{head, body}
 		_, err := buffers.WriteTo(x.conn.Conn)
 		done <- err
 	})
 	return done, group.Wait
 }
 
+// confirm sends the head and waits until the peer asks for the body or answers.
+func (x *transfer) confirm(head []byte) error {
+	if _, err := x.conn.Write(head); err != nil {
+		return err
+	}
+	for range maxInterim {
+		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
+		if err != nil {
+			return err
+		}
+		if resp.StatusCode == http.StatusContinue {
+			return nil
+		}
+		if resp.StatusCode >= http.StatusOK {
+			x.refused = resp
+			return nil
+		}
+	}
+	return errInterim
+}
+
 // head returns the request line and the header.
 func (x *transfer) head() []byte {
 	r := x.request
@@ -212,6 +244,9 @@
 		b.WriteString(strconv.Itoa(len(r.Body)))
 		b.WriteString("\r\n")
 	}
+	if r.Confirm {
+		b.WriteString("Expect: 100-continue\r\n")
+	}
 	b.WriteString("\r\n")
 	return b.Bytes()
 }
@@ -265,6 +300,11 @@
 
 // readHead reads the header of the next final answer.
 func (x *transfer) readHead() (*http.Response, error) {
+	if resp := x.refused; resp != nil {
+		x.refused = nil
+		resp.Close = true
+		return resp, nil
+	}
 	for range maxInterim {
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
 		if err != nil {
@@ -301,7 +341,7 @@
 // hopByHop are the headers that concern one connection only.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
 }
 
 // EndToEnd returns the headers without those that concern one connection only.
--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -16,6 +16,8 @@
 	looks = 2
 	// maxRefusals bounds the daemons that are asked for one request.
 	maxRefusals = 6
+	// headBytes is the usual size of the headers of a request and its answer between daemons.
+	headBytes = 700
 	// minAttemptTime is the least time in which another attempt can succeed.
 	minAttemptTime = 10 * time.Millisecond
 )
@@ -87,13 +89,15 @@
 		// Those that had no free slot may let the request wait.
 		req.exclude = req.exclude[:0]
 	}
-	query := placement.Query{Service: req.service, Route: req.route.Name, Exclude: req.exclude, All: wait}
+	query := placement.Query{
+		Service: req.service, Route: req.route.Name, Exclude: req.exclude, Slack: req.goal.Sub(now), Bytes: len(req.job.Body) + headBytes,
+	}
 	choice, ok := i.placer.Choose(now, query)
 	if !ok && len(req.exclude) > 0 && !wait {
 		wait = true
 		req.refusals = looks
 		req.exclude = req.exclude[:0]
-		query.Exclude, query.All = nil, true
+		query.Exclude = nil
 		choice, ok = i.placer.Choose(now, query)
 	}
 	if !ok {
@@ -109,10 +113,20 @@
 	if res.Refusal != nil && !res.Arrived {
 		req.refusals++
 	}
-	i.placer.Done(time.Now(), choice, req.route.Name, placement.Report{Outcome: outcome(ctx, &res), Load: res.Load, Run: res.Run})
+	i.placer.Done(time.Now(), choice, req.route.Name, placement.Report{
+		Outcome: outcome(ctx, &res), Load: res.Load, Run: res.Run, Bytes: res.bytes(),
+	})
 	return res, true
 }
 
+// bytes returns the size of the answer's body.
+func (r *Result) bytes() int {
+	if r.Answer == nil {
+		return 0
+	}
+	return len(r.Answer.Body)
+}
+
 // outcome classes a result for the placer.
 func outcome(ctx context.Context, res *Result) placement.Outcome {
 	switch {
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -252,25 +252,33 @@
 // servePeer answers other daemons.
 func (d *Daemon) servePeer(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	if r.URL.Path == statePath && r.Method == http.MethodGet && r.Header.Get(headerInstance) == "" {
+	if r.URL.Path == statePath && r.Header.Get(headerJob) == "" {
 		serveState(d.fleet, w, r)
 		return
 	}
-	j, ok := decodeJob(r, now)
+	j, revision, ok := decodeJob(r, now)
 	if !ok {
 		http.Error(w, "this address is for other daemons; send requests to "+d.settings.Listen.CallerAddress, http.StatusForbidden)
 		return
 	}
-	body, refused, err := readBody(w, r, 0)
-	if err != nil {
-		panic(http.ErrAbortHandler)
+	d.fleet.Heard(now, revision)
+	j.ID = r.Header.Get(d.platform.Headers.RequestID)
+	j.HasBody = r.ContentLength != 0 || r.Header.Get("Content-Length") != ""
+	j.Load = func() ([]byte, error) {
+		body, refused, err := readBody(w, r, 0)
+		if refused != nil {
+			return nil, refused
+		}
+		return body, err
 	}
-	if refused != nil {
-		writeResult(w, &Result{Refusal: refused}, d.fleet.View().Revision)
-		return
+	if r.ContentLength < confirmBytes {
+		// Its sender does not wait for a go-ahead.
+		body, err := j.Load()
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		j.Body, j.Load = body, nil
 	}
-	j.ID = r.Header.Get(d.platform.Headers.RequestID)
-	j.Body, j.HasBody = body, r.ContentLength != 0 || r.Header.Get("Content-Length") != ""
 	res := d.guard.Run(r.Context(), j)
 	if r.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -251,6 +251,13 @@
 func (g *Guard) send(ctx context.Context, j *Job) Result {
 	ctx, cancel := context.WithDeadline(ctx, j.Deadline)
 	defer cancel()
+	if j.Load != nil {
+		body, err := j.Load()
+		if err != nil {
+			return Result{Refusal: notRun(refusal.Cut, "the body did not arrive: "+err.Error(), 0)}
+		}
+		j.Body = body
+	}
 	request := g.request(j)
 	started := time.Now()
 	resp, err := g.client.Do(ctx, request)
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -24,6 +24,8 @@
 	// returningAfter is the time that a caller has spent on earlier attempts from which on it
 	// counts as returning; less is the scatter of the way.
 	returningAfter = 25 * time.Millisecond
+	// wayBack is the time that an answer may take to its caller.
+	wayBack = 20 * time.Millisecond
 	// defaultMaxBody bounds a body while no table sets a limit, in bytes.
 	defaultMaxBody = 64 << 20
 	// bodyBuffer is the first size in bytes of the buffer of a body without a length.
@@ -216,6 +218,10 @@
 		arrived: arrived, deadline: arrived.Add(left), goal: arrived.Add(matched.Goal - spent),
 		returning: spent > returningAfter, id: r.Header.Get(i.headers.RequestID),
 	}
+	// The answer has to reach the caller before it gives up.
+	margin := min(wayBack, left/10)
+	req.deadline = req.deadline.Add(-margin)
+	req.goal = req.goal.Add(-margin)
 	header := ownHeaders(r.Header)
 	delete(header, i.headers.Caller)
 	delete(header, i.headers.Expected)
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -12,20 +13,11 @@
 	"mangoshed.example/mangoshed/pkg/exchange"
 )
 
-// Headers between daemons. Those of callers with the prefix are removed.
+// Headers between daemons, one for each direction to keep them short. Those of callers with
+// the prefix are removed.
 const (
-	headerRoute     = refusal.HeaderPrefix + "Route"
-	headerRemaining = refusal.HeaderRemaining
-	headerGoal      = refusal.HeaderPrefix + "Goal-Ms"
-	headerObjective = refusal.HeaderPrefix + "Objective-Ms"
-	headerPriority  = refusal.HeaderPrefix + "Priority"
-	headerFlags     = refusal.HeaderPrefix + "Flags"
-	headerInstance  = refusal.HeaderPrefix + "Instance"
-	headerCaller    = refusal.HeaderPrefix + "Caller"
-	headerLoad      = refusal.HeaderLoad
-	headerRevision  = refusal.HeaderPrefix + "Revision"
-	headerArrived   = refusal.HeaderPrefix + "Arrived"
-	headerRun       = refusal.HeaderPrefix + "Run-Us"
+	headerJob    = refusal.HeaderPrefix + "Job"
+	headerResult = refusal.HeaderPrefix + "Result"
 )
 
 // Flags of a job.
@@ -35,6 +27,10 @@
 	flagRepeat    = 's'
 )
 
+// confirmBytes is the size of a body from which on the other daemon is asked before the body
+// is sent: below, the body costs less than the question.
+const confirmBytes = 4 << 10
+
 // Job is a request on its way to one instance.
 type Job struct {
 	Instance model.InstanceID
@@ -54,6 +50,8 @@
 	Header                   http.Header
 	Body                     []byte
 	HasBody                  bool
+	// Load reads the body once the job has a slot; nil if Body holds it.
+	Load func() ([]byte, error)
 }
 
 // Result is what became of a job. Exactly one of Answer and Refusal is set.
@@ -72,26 +70,47 @@
 
 // encode returns the request to the daemon beside the instance.
 func (j *Job) encode(now time.Time, address string, revision uint64) *exchange.Request {
-	h := make(http.Header, len(j.Header)+10)
+	h := make(http.Header, len(j.Header)+1)
 	for name, values := range j.Header {
 		h[name] = values
 	}
-	set := func(name, value string) { h[name] = []string{value} }
-	set(headerInstance, string(j.Instance))
-	set(headerRoute, j.Route)
-	set(headerCaller, j.Caller)
-	set(headerPriority, strconv.Itoa(j.Priority))
-	set(headerRemaining, millis(j.Deadline.Sub(now)))
-	set(headerGoal, millis(j.Goal.Sub(now)))
-	set(headerObjective, millis(j.Objective))
-	set(headerFlags, j.flags())
-	set(headerRevision, strconv.FormatUint(revision, 10))
+	h[headerJob] = []string{joinFields(
+		string(j.Instance), j.Route, j.Caller, j.flags(), strconv.Itoa(j.Priority), millis(j.Deadline.Sub(now)), millis(j.Goal.Sub(now)),
+		millis(j.Objective), strconv.FormatUint(revision, 10),
+	)}
 	return &exchange.Request{
 		Address: address, Method: j.Method, Target: j.Target, Host: j.Host, Header: h, Body: j.Body, HasBody: j.HasBody, ID: j.ID,
-		MaxIdle: peerIdle,
+		MaxIdle: peerIdle, Confirm: len(j.Body) >= confirmBytes,
 	}
 }
 
+// jobFields is the number of fields of a job.
+const jobFields = 9
+
+// joinFields joins the fields of a header between daemons.
+func joinFields(fields ...string) string {
+	for i, field := range fields {
+		fields[i] = url.QueryEscape(field)
+	}
+	return strings.Join(fields, ";")
+}
+
+// splitFields reverses joinFields; false if there are not n fields.
+func splitFields(text string, n int) ([]string, bool) {
+	fields := strings.Split(text, ";")
+	if len(fields) != n {
+		return nil, false
+	}
+	for i, field := range fields {
+		plain, err := url.QueryUnescape(field)
+		if err != nil {
+			return nil, false
+		}
+		fields[i] = plain
+	}
+	return fields, true
+}
+
 func (j *Job) flags() string {
 	flags := []byte{'-'}
 	if j.MayWait {
@@ -108,29 +127,34 @@
 
 func millis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
 
-// decodeJob reads a request of another daemon. The body is not read.
-func decodeJob(r *http.Request, now time.Time) (*Job, bool) {
-	j := &Job{
-		Instance: model.InstanceID(r.Header.Get(headerInstance)), Route: r.Header.Get(headerRoute), Caller: r.Header.Get(headerCaller),
-		Method: r.Method, Target: r.RequestURI, Host: r.Host,
-	}
-	remaining, err1 := strconv.ParseInt(r.Header.Get(headerRemaining), 10, 32)
-	goal, err2 := strconv.ParseInt(r.Header.Get(headerGoal), 10, 32)
-	objective, err3 := strconv.ParseInt(r.Header.Get(headerObjective), 10, 32)
-	priority, err4 := strconv.Atoi(r.Header.Get(headerPriority))
-	if j.Instance == "" || err1 != nil || err2 != nil || err3 != nil || err4 != nil {
-		return nil, false
+// decodeJob reads a request of another daemon and the revision of that daemon's view. The body
+// is not read.
+func decodeJob(r *http.Request, now time.Time) (*Job, uint64, bool) {
+	fields, ok := splitFields(r.Header.Get(headerJob), jobFields)
+	if !ok || fields[0] == "" {
+		return nil, 0, false
 	}
-	j.Deadline = now.Add(time.Duration(remaining) * time.Millisecond)
-	j.Goal = now.Add(time.Duration(goal) * time.Millisecond)
-	j.Objective = time.Duration(objective) * time.Millisecond
-	j.Priority = priority
-	flags := r.Header.Get(headerFlags)
-	j.MayWait = strings.IndexByte(flags, flagMayWait) >= 0
-	j.Returning = strings.IndexByte(flags, flagReturning) >= 0
-	j.MayRepeat = strings.IndexByte(flags, flagRepeat) >= 0
-	j.Header = ownHeaders(r.Header)
-	return j, true
+	var numbers [4]int64 // priority, remaining, goal, objective
+	for i := range numbers {
+		n, err := strconv.ParseInt(fields[4+i], 10, 32)
+		if err != nil {
+			return nil, 0, false
+		}
+		numbers[i] = n
+	}
+	revision, err := strconv.ParseUint(fields[8], 10, 64)
+	if err != nil {
+		return nil, 0, false
+	}
+	after := func(ms int64) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	flags := fields[3]
+	return &Job{
+		Instance: model.InstanceID(fields[0]), Route: fields[1], Caller: fields[2],
+		MayWait: strings.IndexByte(flags, flagMayWait) >= 0, Returning: strings.IndexByte(flags, flagReturning) >= 0,
+		MayRepeat: strings.IndexByte(flags, flagRepeat) >= 0,
+		Priority:  int(numbers[0]), Deadline: after(numbers[1]), Goal: after(numbers[2]), Objective: time.Duration(numbers[3]) * time.Millisecond,
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: ownHeaders(r.Header),
+	}, revision, true
 }
 
 // ownHeaders returns the end-to-end headers without those between daemons.
@@ -148,23 +172,34 @@
 func writeResult(w http.ResponseWriter, res *Result, revision uint64) {
 	h := w.Header()
 	h["Date"] = nil
-	h.Set(headerRevision, strconv.FormatUint(revision, 10))
-	if res.Load.Slots > 0 {
-		h.Set(headerLoad, encodeLoad(res.Load))
-	}
+	arrived, kind, ran, retry := "", "", "", ""
 	if res.Arrived {
-		h.Set(headerArrived, "1")
+		arrived = "1"
 	}
+	if r := res.Refusal; r != nil {
+		kind, retry = string(r.Kind), millis(r.RetryAfter)
+		if r.Run == refusal.NotRun {
+			ran = notRunMark
+		}
+	}
+	h[headerResult] = []string{joinFields(
+		encodeLoad(res.Load), strconv.FormatUint(revision, 10), arrived, strconv.FormatInt(res.Run.Microseconds(), 10), kind, ran, retry,
+	)}
 	if res.Refusal != nil {
-		refusal.Write(w, res.Refusal)
+		h["Content-Type"] = nil
+		w.WriteHeader(res.Refusal.StatusCode())
 		return
 	}
-	if res.Run > 0 {
-		h.Set(headerRun, strconv.FormatInt(res.Run.Microseconds(), 10))
-	}
 	writeAnswer(w, res.Answer)
 }
 
+const (
+	// resultFields is the number of fields of a result.
+	resultFields = 7
+	// notRunMark stands for a refusal of a request that has not run.
+	notRunMark = "n"
+)
+
 // writeAnswer passes an upstream's answer on unchanged.
 func writeAnswer(w http.ResponseWriter, a *exchange.Response) {
 	h := w.Header()
@@ -183,19 +218,29 @@
 	_, _ = w.Write(a.Body) // a failed write means that the caller has gone
 }
 
-// decodeResult reads the answer of another daemon.
+// decodeResult reads the answer of another daemon and the revision of that daemon's view. An
+// answer that no daemon wrote counts as a failure that may have run.
 func decodeResult(resp *exchange.Response) (Result, uint64) {
-	h := resp.Header
-	res := Result{Load: decodeLoad(h.Get(headerLoad)), Arrived: h.Get(headerArrived) != ""}
-	revision, _ := strconv.ParseUint(h.Get(headerRevision), 10, 64) // 0 tells nothing
-	if us, err := strconv.ParseInt(h.Get(headerRun), 10, 64); err == nil {
+	fields, ok := splitFields(resp.Header.Get(headerResult), resultFields)
+	if !ok {
+		return Result{Arrived: true, Refusal: mayHaveRun(refusal.UpstreamFailed, "the answer was not written by a daemon")}, 0
+	}
+	res := Result{Load: decodeLoad(fields[0]), Arrived: fields[2] != ""}
+	revision, _ := strconv.ParseUint(fields[1], 10, 64) // 0 tells nothing
+	if us, err := strconv.ParseInt(fields[3], 10, 64); err == nil {
 		res.Run = time.Duration(us) * time.Microsecond
 	}
-	if refused, ok := refusal.FromResponse(&http.Response{StatusCode: resp.Status, Header: h}); ok {
-		res.Refusal = refused
+	if kind := fields[4]; kind != "" {
+		res.Refusal = mayHaveRun(refusal.Kind(kind), "refused by the daemon beside the instance; see its log")
+		if fields[5] == notRunMark {
+			res.Refusal.Run = refusal.NotRun
+		}
+		if ms, err := strconv.ParseInt(fields[6], 10, 32); err == nil {
+			res.Refusal.RetryAfter = time.Duration(ms) * time.Millisecond
+		}
 		return res, revision
 	}
-	resp.Header = ownHeaders(h)
+	resp.Header = ownHeaders(resp.Header)
 	res.Answer = resp
 	return res, revision
 }
