Estimate waits by playing the queue, refuse late calls that get no slot, serve longer while stopping

Cause: a wait for a slot counted all running work, so inner calls were refused that a slot would have taken within 20 ms; late calls waited out their whole time and got no slot; an attempt was begun with less time than a run takes; callers were turned away after 3 s of a stop although too few daemons of their data centre were ready to take them.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -26,7 +26,11 @@
 	lateFactor = 2
 	// goalShare is the part of the time to the objective that the expected wait and run may
 	// take when a request is accepted. The rest covers the scatter of run times and the way back.
-	goalShare = 0.85
+	goalShare = 0.7
+	// lateWeight is the weight of one outcome in the share of late calls that got a slot, and
+	// minLateShare the share below which no more calls are let in that will be late.
+	lateWeight   = 1.0 / 16
+	minLateShare = 0.6
 	// minRetryAfter is the shortest pause that a refusal asks for: about one run of a short request.
 	minRetryAfter = 30 * time.Millisecond
 	// maxRetryAfter bounds the pause; an expected wait further ahead is a guess.
@@ -35,6 +39,8 @@
 	defaultRun = 100 * time.Millisecond
 	// estimateWeight is the weight of one sample: about the last 12 runs count.
 	estimateWeight = 1.0 / 12
+	// leastRest is the part of an expected run that a call which has run for longer still needs.
+	leastRest = 6
 	// lateWorth is the worth of a late answer against one in time.
 	lateWorth = 0.4
 	// sameDensity is the ratio of earnings up to which two calls count as equal; run times are estimates.
@@ -81,9 +87,10 @@
 	// method that decides.
 	Decide func(Verdict)
 
-	queued  time.Time
-	started time.Time
-	running bool
+	queued       time.Time
+	started      time.Time
+	running      bool
+	admittedLate bool
 }
 
 // Queue hands out the slots of one upstream.
@@ -93,6 +100,11 @@
 	waiting  []*Call // in the order of their arrival
 	estimate map[string]float64
 	closed   bool
+	// lateShare is the share of calls admitted as late that got a slot; lateWaiting counts
+	// those that wait.
+	lateShare   float64
+	lateWaiting int
+	ends        []time.Duration // scratch of wait
 }
 
 // New returns a queue with the slots.
@@ -100,7 +112,7 @@
 	if slots <= 0 {
 		slots = DefaultSlots
 	}
-	return &Queue{slots: slots, estimate: make(map[string]float64)}
+	return &Queue{slots: slots, estimate: make(map[string]float64), lateShare: 1}
 }
 
 // Resize sets the number of slots.
@@ -114,15 +126,15 @@
 // Load is the state of a queue as answers between daemons carry it.
 type Load struct {
 	Running, Slots, Queued int
-	// Wait is the expected time until a new call of average urgency starts.
-	Wait time.Duration
+	// Next is the expected time until a slot is free, Wait that until all that waits has started.
+	Next, Wait time.Duration
 }
 
 // Load returns the present load.
 func (q *Queue) Load(now time.Time) Load {
 	l := Load{Running: len(q.running), Slots: q.slots, Queued: len(q.waiting)}
 	if len(q.running) >= q.slots || len(q.waiting) > 0 {
-		l.Wait = q.wait(now, q.waiting)
+		l.Next, l.Wait = q.wait(now, nil), q.wait(now, q.waiting)
 	}
 	return l
 }
@@ -134,9 +146,10 @@
 		return Closed
 	}
 	c.queued = now
-	run := q.expected(c)
 	if len(q.running) < q.slots && len(q.waiting) == 0 {
-		if now.Add(run/2).After(c.Deadline) && len(q.running) > 0 {
+		// An idle upstream also takes what will probably be late: the estimate may be wrong, and
+		// refusing everything would keep it from being corrected.
+		if now.Add(q.expected(c)/2).After(c.Deadline) && len(q.running) > 0 {
 			return Overloaded
 		}
 		q.start(now, c)
@@ -149,6 +162,9 @@
 		return Overloaded
 	}
 	q.waiting = append(q.waiting, c)
+	if c.admittedLate {
+		q.lateWaiting++
+	}
 	return Waiting
 }
 
@@ -159,8 +175,13 @@
 	if wait+run <= time.Duration(goalShare*float64(c.Goal.Sub(now))) {
 		return true
 	}
-	// The call will be late: more calls than now wait go before it.
-	return lateFactor*q.wait(now, q.aheadOfLate(now, c))+run <= c.Deadline.Sub(now)
+	// The call will be late: more calls than now wait go before it. As long as such calls get
+	// no slot in the end, only one is let in at a time, to see when that changes.
+	if q.lateShare < minLateShare && q.lateWaiting > 0 {
+		return false
+	}
+	c.admittedLate = lateFactor*q.wait(now, q.aheadOfLate(now, c))+run <= c.Deadline.Sub(now)
+	return c.admittedLate
 }
 
 // aheadOfLate returns the waiting calls that go before the call once it is late.
@@ -181,21 +202,31 @@
 	return list
 }
 
-// wait estimates the time until a slot is free for a call behind the others.
+// wait estimates the time until a slot is free for a call behind the others: it plays the
+// expected ends of what runs and what waits.
 func (q *Queue) wait(now time.Time, ahead []*Call) time.Duration {
-	if len(q.running)+len(ahead) < q.slots {
+	free := q.slots - len(q.running)
+	if free > len(ahead) {
 		return 0
 	}
-	var work time.Duration
+	ends := q.ends[:0]
 	for _, c := range q.running {
 		run := q.expected(c)
-		work += max(run-now.Sub(c.started), run/8)
+		ends = append(ends, max(run-now.Sub(c.started), run/leastRest))
 	}
+	for range free {
+		ends = append(ends, 0)
+	}
+	q.ends = ends
+	slices.Sort(ends)
 	for _, c := range ahead {
-		work += q.expected(c)
+		// The first slot to be free takes the call; the ends stay sorted.
+		end := ends[0] + q.expected(c)
+		at, _ := slices.BinarySearch(ends[1:], end)
+		copy(ends, ends[1:1+at])
+		ends[at] = end
 	}
-	// Of n slots the first one is free after a part of the work.
-	return work / time.Duration(q.slots+1)
+	return ends[0]
 }
 
 // before reports whether a goes before b.
@@ -279,10 +310,31 @@
 		return false
 	}
 	q.waiting = slices.Delete(q.waiting, i, i+1)
+	q.left(c)
 	q.advance(now)
 	return true
 }
 
+// left counts a call that does not wait any more.
+func (q *Queue) left(c *Call) {
+	if c.admittedLate {
+		q.lateWaiting--
+	}
+}
+
+// settle counts a call that does not wait any more and whether it got a slot.
+func (q *Queue) settle(c *Call, slot bool) {
+	q.left(c)
+	if !c.admittedLate {
+		return
+	}
+	outcome := 0.0
+	if slot {
+		outcome = 1
+	}
+	q.lateShare += lateWeight * (outcome - q.lateShare)
+}
+
 // Close refuses all waiting and new calls. Started ones keep their slots.
 func (q *Queue) Close() {
 	q.closed = true
@@ -296,6 +348,7 @@
 	waiting := q.waiting
 	q.waiting = nil
 	for _, c := range waiting {
+		q.left(c)
 		c.Decide(Closed)
 	}
 }
@@ -314,6 +367,7 @@
 		}
 		c := q.waiting[best]
 		q.waiting = slices.Delete(q.waiting, best, best+1)
+		q.settle(c, true)
 		q.start(now, c)
 		c.Decide(Started)
 	}
@@ -330,6 +384,7 @@
 		return hopeless
 	})
 	for _, c := range gone {
+		q.settle(c, false)
 		c.Decide(Overloaded)
 	}
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -134,6 +134,7 @@
 	groups map[string][]*catalog.Instance
 	stats  map[model.InstanceID]*stat
 	runs   map[string]*routeStat
+	means  map[string]float64 // mean run time by service, nanoseconds
 	warm   map[model.InstanceID]time.Time
 }
 
@@ -141,7 +142,7 @@
 func New(self model.Place, costs Costs, seed uint64) *Placer {
 	return &Placer{
 		self: self, costs: costs, random: rand.New(rand.NewPCG(seed, seed)), stats: make(map[model.InstanceID]*stat),
-		runs: make(map[string]*routeStat), groups: make(map[string][]*catalog.Instance), warm: make(map[model.InstanceID]time.Time),
+		runs: make(map[string]*routeStat), means: make(map[string]float64), groups: make(map[string][]*catalog.Instance), warm: make(map[model.InstanceID]time.Time),
 	}
 }
 
@@ -312,17 +313,40 @@
 // loses weight with its age in favour of what this daemon itself has in flight.
 func (p *Placer) wait(now time.Time, s *stat, inst *catalog.Instance, run float64) (time.Duration, float64) {
 	slots := float64(max(1, inst.Slots))
-	occupied := float64(s.inFlight)
-	if s.load.Slots > 0 {
-		slots = float64(s.load.Slots)
-		reported := float64(s.load.Running+s.load.Queued+s.sent) * decay(now.Sub(s.loadAt), reportLife)
-		occupied = max(occupied, reported)
+	if s.load.Slots == 0 {
+		return excess(float64(s.inFlight), slots, run), min(1, float64(s.inFlight)/slots)
 	}
-	excess := occupied + 1 - slots
-	if excess <= 0 {
-		return 0, occupied / slots
+	slots = float64(s.load.Slots)
+	weight := decay(now.Sub(s.loadAt), reportLife)
+	occupied := float64(s.load.Running+s.load.Queued+s.sent) * weight
+	busy := min(1, max(occupied, float64(s.inFlight))/slots)
+	mean := p.meanRun(inst.Service)
+	// Shorter requests go before longer ones, so that they see a part of the queue only.
+	part := min(1, run/max(mean, 1))
+	reported := float64(s.load.Next) + part*float64(s.load.Wait-s.load.Next)
+	free := float64(s.load.Slots - s.load.Running - s.load.Queued)
+	if free > float64(s.sent) {
+		reported = 0
+	} else {
+		reported += (float64(s.sent) - max(0, free)) * run / slots
 	}
-	return time.Duration(excess * run / (slots + 1)), 1
+	return max(time.Duration(reported*weight), excess(float64(s.inFlight), slots, run)), busy
+}
+
+// excess returns the wait behind more requests than there are slots.
+func excess(occupied, slots, run float64) time.Duration {
+	if over := occupied + 1 - slots; over > 0 {
+		return time.Duration(over * run / slots)
+	}
+	return 0
+}
+
+// meanRun returns the mean run time of the answers of a service in nanoseconds.
+func (p *Placer) meanRun(service string) float64 {
+	if mean, ok := p.means[service]; ok {
+		return mean
+	}
+	return float64(defaultRun)
 }
 
 // decay falls linearly from 1 to 0 over a life time.
@@ -372,7 +396,7 @@
 	case Answered:
 		s.strikes, s.outUntil = 0, time.Time{}
 		p.fail(now, s, 0)
-		p.learn(now, s, route, r)
+		p.learn(now, s, c.Instance.Service, route, r)
 	case Refused:
 		s.strikes = 0
 	case Leaving:
@@ -393,7 +417,7 @@
 }
 
 // learn takes the run time and the size of an answer.
-func (p *Placer) learn(now time.Time, s *stat, route string, r Report) {
+func (p *Placer) learn(now time.Time, s *stat, service, route string, r Report) {
 	if r.Run <= 0 {
 		return
 	}
@@ -406,6 +430,8 @@
 		known = &routeStat{run: took, bytes: float64(r.Bytes)}
 		p.runs[route] = known
 	}
+	mean := p.meanRun(service)
+	p.means[service] = mean + runWeight*(min(took, 4*mean)-mean)
 	ratio := min(max(took/known.run, minSlow), maxSlow)
 	// One very slow answer moves the mean of the route by little.
 	known.run += runWeight * (min(took, 4*known.run) - known.run)
--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -24,7 +24,12 @@
 
 // send places the request until it is answered or nothing more can be done.
 func (i *Ingress) send(ctx context.Context, req *request) Result {
-	i.budget.Request(time.Now(), req.service)
+	now := time.Now()
+	i.budget.Request(now, req.service)
+	if !i.canMakeIt(req, now) {
+		res := Result{Refusal: notRun(refusal.Deadline, "the time left is shorter than a usual run; allow more", 0)}
+		return i.conclude(req, res, res)
+	}
 	var last Result
 	for {
 		res, ok := i.attempt(ctx, req)
@@ -53,13 +58,14 @@
 // again decides on another attempt.
 func (i *Ingress) again(ctx context.Context, req *request, res *Result) bool {
 	now := time.Now()
-	if ctx.Err() != nil || req.deadline.Sub(now) < minAttemptTime {
+	if ctx.Err() != nil || !i.canMakeIt(req, now) {
 		return false
 	}
 	refused := res.Refusal
 	if refused != nil && refused.Run == refusal.NotRun && !res.Arrived {
-		// No upstream saw the request.
-		return req.refusals < maxRefusals
+		// No upstream saw the request. One that has failed before is not worth a place in a
+		// queue: what failed it is mostly a lack of room.
+		return req.refusals < maxRefusals && (!req.mayHaveRun || req.refusals < looks)
 	}
 	if refused == nil || refused.Run != refusal.NotRun {
 		req.mayHaveRun = true
@@ -70,9 +76,6 @@
 	if req.sent >= req.route.MaxAttempts {
 		return false
 	}
-	if run := i.placer.Run(req.route.Name); req.deadline.Sub(now) < run/2 {
-		return false
-	}
 	if !i.budget.Take(now, req.service) {
 		i.metrics.retries("budget")
 		return false
@@ -81,6 +84,12 @@
 	return true
 }
 
+// canMakeIt reports whether another attempt can be answered in time: a usual run takes at
+// least half of the mean.
+func (i *Ingress) canMakeIt(req *request, now time.Time) bool {
+	return req.deadline.Sub(now) >= max(minAttemptTime, i.placer.Run(req.route.Name)/2)
+}
+
 // attempt sends the request to one instance. It returns false when there is none.
 func (i *Ingress) attempt(ctx context.Context, req *request) (Result, bool) {
 	now := time.Now()
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -42,9 +42,17 @@
 	pauseTime = 700 * time.Millisecond
 	// pruneTicks is the number of ticks between two looks at idle connections.
 	pruneTicks = 8
-	// noticeTime is the time from SIGTERM in which callers learn to go elsewhere; new requests
-	// are served meanwhile. Platforms probe once a second and act on two misses.
-	noticeTime = 3 * time.Second
+	// noticeTime is the time from SIGTERM in which callers learn to go elsewhere. Platforms
+	// probe once a second and act on two misses.
+	noticeTime = 2500 * time.Millisecond
+	// quietTime is the time without a new request after which all callers count as gone.
+	quietTime = 500 * time.Millisecond
+	// finishTime is the time before the end of the process at which new requests are refused,
+	// so that what runs can finish. Callers that are sent here all the same, because too few
+	// daemons of their data centre are ready, are served until then.
+	finishTime = 1800 * time.Millisecond
+	// drainPoll is the period of looks at what still runs.
+	drainPoll = 50 * time.Millisecond
 	// stopSlack is the time before the end of the grace period at which the process ends.
 	stopSlack = 400 * time.Millisecond
 	// logBuffer is the number of lines that wait for a slow reader of the log.
@@ -314,17 +322,38 @@
 	d.log.Info("settings_reloaded", zap.Int("seeds", len(s.Seeds)))
 }
 
-// Drain stops the daemon: it reports not ready, serves on until callers had the time to leave,
-// finishes what runs and ends within the grace period.
+// Drain stops the daemon: it reports not ready, serves on until its callers have gone or the
+// grace period nears its end, finishes what runs and ends within the grace period.
 func (d *Daemon) Drain() {
 	began := time.Now()
 	d.stopping.Store(true)
 	d.ingress.stopping.Store(true)
-	d.guard.Stop()
 	d.log.Info("daemon_stopping", zap.Int64("requests", d.ingress.active.Load()), zap.Int("jobs", d.guard.Active()))
 	end := began.Add(d.settings.Bounds.Grace - stopSlack)
-	time.Sleep(min(noticeTime, time.Until(end)))
+	d.awaitCallers(began, end.Add(-finishTime))
+	d.guard.Stop()
 	d.ingress.closing.Store(true)
+	for time.Now().Before(end) && (d.guard.Active() > 0 || d.ingress.active.Load() > 0) {
+		time.Sleep(drainPoll)
+	}
+	d.shutdown(end)
+	d.stop()
+	d.log.Info("daemon_stopped", zap.Duration("took", time.Since(began)))
+}
+
+// awaitCallers waits until no caller sends requests any more, at most until the last time.
+func (d *Daemon) awaitCallers(began, last time.Time) {
+	for time.Now().Before(last) {
+		time.Sleep(drainPoll)
+		now := time.Now()
+		if now.Sub(began) >= noticeTime && now.Sub(d.ingress.lastRequest()) >= quietTime {
+			return
+		}
+	}
+}
+
+// shutdown closes the servers; what still runs at the end is cut.
+func (d *Daemon) shutdown(end time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	var closers sync.WaitGroup
@@ -337,8 +366,6 @@
 		})
 	}
 	closers.Wait()
-	d.stop()
-	d.log.Info("daemon_stopped", zap.Duration("took", time.Since(began)))
 }
 
 // Close stops the daemon without notice and cuts what runs.
@@ -358,8 +385,15 @@
 	return log, writer.Close, err
 }
 
-// tuneMemory bounds the heap unless the environment does.
+// gcPercent lets the heap grow further between collections: the live heap is a few megabytes,
+// and bodies of uploads would start a collection every few requests.
+const gcPercent = 400
+
+// tuneMemory sets the garbage collector unless the environment does.
 func tuneMemory(limitMB int) {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	if limitMB > 0 && os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(int64(memoryShare * float64(limitMB<<20)))
 	}
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -48,6 +48,7 @@
 	log     *decisions
 
 	active   atomic.Int64
+	last     atomic.Pointer[time.Time] // arrival of the last request
 	stopping atomic.Bool
 	closing  atomic.Bool
 	random   random
@@ -91,6 +92,7 @@
 	defer i.active.Add(-1)
 	arrived := time.Now()
 	if i.stopping.Load() {
+		i.last.Store(&arrived)
 		w.Header().Set("Connection", "close")
 	}
 	req, refused := i.accept(w, r, arrived)
@@ -120,6 +122,14 @@
 	writeAnswer(w, res.Answer)
 }
 
+// lastRequest returns the time of the last request since the daemon began to stop, zero without one.
+func (i *Ingress) lastRequest() time.Time {
+	if last := i.last.Load(); last != nil {
+		return *last
+	}
+	return time.Time{}
+}
+
 // refuse answers with a refusal.
 func (i *Ingress) refuse(w http.ResponseWriter, r *http.Request, req *request, refused *refusal.Refusal) {
 	if req == nil {
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -245,18 +245,21 @@
 	return res, revision
 }
 
-// encodeLoad writes a load as running/slots/queued/wait in milliseconds.
+// encodeLoad writes a load as running/slots/queued/next/wait, the times in milliseconds.
 func encodeLoad(l intake.Load) string {
-	return strconv.Itoa(l.Running) + "/" + strconv.Itoa(l.Slots) + "/" + strconv.Itoa(l.Queued) + "/" + millis(l.Wait)
+	return strconv.Itoa(l.Running) + "/" + strconv.Itoa(l.Slots) + "/" + strconv.Itoa(l.Queued) + "/" + millis(l.Next) + "/" + millis(l.Wait)
 }
 
+// loadFields is the number of fields of a load.
+const loadFields = 5
+
 // decodeLoad reads a load; one that cannot be read has no slots.
 func decodeLoad(text string) intake.Load {
 	parts := strings.Split(text, "/")
-	if len(parts) != 4 {
+	if len(parts) != loadFields {
 		return intake.Load{}
 	}
-	var n [4]int
+	var n [loadFields]int
 	for i, part := range parts {
 		v, err := strconv.Atoi(part)
 		if err != nil || v < 0 {
@@ -264,5 +267,6 @@
 		}
 		n[i] = v
 	}
-	return intake.Load{Running: n[0], Slots: n[1], Queued: n[2], Wait: time.Duration(n[3]) * time.Millisecond}
+	after := func(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+	return intake.Load{Running: n[0], Slots: n[1], Queued: n[2], Next: after(n[3]), Wait: after(n[4])}
 }
