Count the calls of repeated runs, hold bodies back until there is a slot, ask full instances to queue at once

Requests asked two instances for a free slot although all were known to be full.

Change: a repeat takes two from the budgets of the other services; the body of a request that may not be repeated is held back until the other daemon has a slot; what is known to be full is asked to queue at once; time-outs count against an instance only if it answered nothing else.

--- /dev/null
+++ b/core/catalog/catalog_test.go
@@ -0,0 +1,112 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/core/route"
+)
+
+var now = time.Unix(1000, 0)
+
+func listed(id string, revision uint64) Entry {
+	inst := &Instance{Upstream: "10.0.0.1:1", Slots: 9}
+	inst.ID, inst.Service = model.InstanceID(id), "s"
+	return Entry{ID: inst.ID, Instance: inst, Revision: revision}
+}
+
+func removed(id string, revision uint64) Entry {
+	return Entry{ID: model.InstanceID(id), Revision: revision}
+}
+
+func table(t *testing.T, version uint64) *route.Table {
+	made, err := route.New(version, nil, nil, route.Limits{})
+	require.NoError(t, err)
+	return made
+}
+
+func ids(c *Catalog) []string {
+	out := []string{}
+	for _, inst := range c.View().Instances {
+		out = append(out, string(inst.ID))
+	}
+	return out
+}
+
+// Guards against a daemon that moves back to an older table or list, whichever way they come.
+func TestNeverMovesBack(t *testing.T) {
+	c := New()
+	require.True(t, c.Replace(now, State{Revision: 10, Table: table(t, 5), Entries: []Entry{listed("a", 9)}}))
+	require.False(t, c.Apply(now, State{Revision: 9, Table: table(t, 6)}))
+	require.False(t, c.Replace(now, State{Revision: 8, Entries: []Entry{listed("b", 8)}}))
+	require.False(t, c.Apply(now, State{Revision: 11, Table: table(t, 4)}))
+	require.Equal(t, uint64(5), c.View().Table.Version)
+	require.Equal(t, []string{"a"}, ids(c))
+	require.Equal(t, uint64(11), c.Revision())
+}
+
+// Guards against an older entry that replaces a newer one when a state and a change overlap.
+func TestOlderEntryDoesNotReplaceNewer(t *testing.T) {
+	c := New()
+	c.Apply(now, State{Revision: 20, Entries: []Entry{removed("a", 20), listed("b", 19)}})
+	c.Apply(now, State{Revision: 21, Entries: []Entry{listed("a", 21)}})
+	c.Apply(now, State{Revision: 21, Entries: []Entry{removed("a", 20)}})
+	require.Equal(t, []string{"a", "b"}, ids(c))
+}
+
+// Guards against one entry that cannot be read hiding the others, and against using it.
+func TestUnusableEntryNamesNoInstance(t *testing.T) {
+	c := New()
+	c.Apply(now, State{Revision: 2, Entries: []Entry{listed("a", 1), listed("b", 2)}})
+	c.Apply(now, State{Revision: 3, Entries: []Entry{{ID: "a", Problem: "not JSON", Revision: 3}}})
+	require.Equal(t, []string{"b"}, ids(c))
+}
+
+// Guards against work for instances that have left, and against dropping live ones whose
+// entries lapsed while the store was away.
+func TestRemovalAfterAnOutageWaitsForTheReturn(t *testing.T) {
+	c := New()
+	c.Replace(now, State{Revision: 5, Entries: []Entry{listed("a", 1), listed("b", 2), listed("c", 3)}})
+	c.Apply(now, State{Revision: 6, Entries: []Entry{removed("c", 6)}})
+	require.Equal(t, []string{"a", "b"}, ids(c), "without an outage a removal holds at once")
+
+	c.Returned(now)
+	c.Replace(now, State{Revision: 9, Entries: nil})
+	require.Equal(t, []string{"a", "b"}, ids(c))
+	c.Apply(now.Add(time.Second), State{Revision: 10, Entries: []Entry{listed("a", 10)}})
+	require.False(t, c.Expire(now.Add(1900*time.Millisecond)))
+	require.True(t, c.Expire(now.Add(returnTime)))
+	require.Equal(t, []string{"a"}, ids(c))
+}
+
+// Guards against a draining instance that stays in use because the store was away.
+func TestDrainingInstanceIsRemovedAtOnce(t *testing.T) {
+	c := New()
+	leaving := listed("a", 1)
+	leaving.Instance.State = model.Leaving
+	c.Replace(now, State{Revision: 5, Entries: []Entry{leaving}})
+	c.Returned(now)
+	c.Apply(now, State{Revision: 6, Entries: []Entry{removed("a", 6)}})
+	require.Empty(t, ids(c))
+}
+
+// Guards against new views, and the work that they cause, for check-ins that change nothing.
+func TestCheckInChangesNothing(t *testing.T) {
+	c := New()
+	require.True(t, c.Apply(now, State{Revision: 1, Entries: []Entry{listed("a", 1)}}))
+	require.False(t, c.Apply(now, State{Revision: 2, Entries: []Entry{listed("a", 2)}}))
+}
+
+// Guards against the wrong instance at an address that was used again.
+func TestAtReturnsTheLatestIncarnation(t *testing.T) {
+	old, fresh := listed("a", 1), listed("b", 2)
+	old.Instance.Incarnation, fresh.Instance.Incarnation = 100, 200
+	c := New()
+	c.Apply(now, State{Revision: 2, Entries: []Entry{old, fresh}})
+	inst, ok := c.View().At("10.0.0.1:1")
+	require.True(t, ok)
+	require.Equal(t, model.InstanceID("b"), inst.ID)
+}
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -43,6 +43,9 @@
 	leastRest = 6
 	// lateWorth is the worth of a late answer against one in time.
 	lateWorth = 0.4
+	// returningWorth puts callers that were refused before ahead of new ones of their kind: a
+	// second refusal is worse than a first.
+	returningWorth = 1.4
 	// sameDensity is the ratio of earnings up to which two calls count as equal; run times are estimates.
 	sameDensity = 1.15
 	// expectedShare of a latency objective is the first guess of a run time.
@@ -247,6 +250,9 @@
 	if q.late(now, c) {
 		worth *= lateWorth
 	}
+	if c.Returning {
+		worth *= returningWorth
+	}
 	return worth / max(q.expected(c), time.Millisecond).Seconds()
 }
 
--- /dev/null
+++ b/core/intake/intake_test.go
@@ -0,0 +1,312 @@
+package intake
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// at returns the time a number of milliseconds after the start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// outcome records the verdict of a call that waited.
+type outcome struct{ verdicts []Verdict }
+
+func call(route string, priority, arrived, goal, deadline int) (*Call, *outcome) {
+	o := &outcome{}
+	return &Call{
+		Route: route, Priority: priority, Goal: at(arrived + goal), Deadline: at(arrived + deadline), Objective: time.Duration(goal) * time.Millisecond,
+		Decide: func(v Verdict) { o.verdicts = append(o.verdicts, v) },
+	}, o
+}
+
+// teach gives a route a known run time.
+func teach(q *Queue, route string, ms int) {
+	q.estimate[route] = float64(time.Duration(ms) * time.Millisecond)
+}
+
+// fill starts calls on all slots.
+func fill(t *testing.T, q *Queue, now time.Time, route string) []*Call {
+	var calls []*Call
+	for range q.slots {
+		c, _ := call(route, 1, 0, 10_000, 20_000)
+		require.Equal(t, Started, q.Offer(now, c, false))
+		calls = append(calls, c)
+	}
+	return calls
+}
+
+// Guards against handing an upstream more than its slots, whose answers some never send.
+func TestNeverExceedsSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(rapid.IntRange(1, 5).Draw(t, "slots"))
+		now := start
+		var running []*Call
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "offer") {
+				c := &Call{
+					Route: fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "route")), Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
+					Goal: now.Add(200 * time.Millisecond), Deadline: now.Add(500 * time.Millisecond), Objective: 200 * time.Millisecond,
+				}
+				c.Decide = func(v Verdict) {
+					if v == Started {
+						running = append(running, c)
+					}
+				}
+				if q.Offer(now, c, rapid.Bool().Draw(t, "may wait")) == Started {
+					running = append(running, c)
+				}
+			} else if len(running) > 0 {
+				c := running[0]
+				running = running[1:]
+				q.Done(now, c, true)
+			}
+			require.LessOrEqual(t, len(q.running), q.slots)
+			require.Equal(t, len(q.running), len(running))
+			if len(q.waiting) > 0 {
+				require.Len(t, q.running, q.slots, "a slot is free while calls wait")
+			}
+		}
+	})
+}
+
+// Guards against verdicts that are lost or given twice: each call that waits gets exactly one.
+func TestEveryWaitingCallIsDecidedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(2)
+		now := start
+		decided := make(map[*Call]int)
+		waited := make(map[*Call]bool)
+		var running []*Call
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0, 1:
+				c := &Call{Route: "r", Goal: now.Add(150 * time.Millisecond), Deadline: now.Add(400 * time.Millisecond), Objective: 150 * time.Millisecond}
+				c.Decide = func(v Verdict) {
+					decided[c]++
+					if v == Started {
+						running = append(running, c)
+					}
+				}
+				switch q.Offer(now, c, true) {
+				case Started:
+					running = append(running, c)
+				case Waiting:
+					waited[c] = true
+				}
+			case 2:
+				if len(running) > 0 {
+					c := running[0]
+					running = running[1:]
+					q.Done(now, c, rapid.Bool().Draw(t, "completed"))
+				}
+			case 3:
+				q.Advance(now)
+			}
+		}
+		q.Close()
+		for c := range waited {
+			require.Equal(t, 1, decided[c])
+		}
+		require.Len(t, decided, len(waited))
+		require.Zero(t, q.lateWaiting)
+	})
+}
+
+// Guards against calls that wait behind others that earn less of a slot: a call that another
+// upstream's request waits for must not queue behind long ones of the same priority.
+func TestOrderOfWaitingCalls(t *testing.T) {
+	q := New(1)
+	teach(q, "long", 240)
+	teach(q, "short", 15)
+	teach(q, "mid", 70)
+	running := fill(t, q, start, "mid")
+	var order []string
+	offer := func(name, route string, priority, goal int, returning bool) {
+		c, _ := call(route, priority, 0, goal, 5000)
+		c.Returning = returning
+		c.Decide = func(v Verdict) {
+			require.Equal(t, Started, v)
+			order = append(order, name)
+			running = append(running, c)
+		}
+		require.Equal(t, Waiting, q.Offer(start, c, true), name)
+	}
+	offer("long", "long", 2, 3000, false)
+	offer("mid, less urgent", "mid", 2, 3000, false)
+	offer("mid", "mid", 1, 3000, false)
+	offer("mid, returning", "mid", 1, 3000, true)
+	offer("short", "short", 1, 3000, false)
+	for n := 0; len(running) > 0; n++ {
+		c := running[0]
+		running = running[1:]
+		q.Done(at(20*n), c, false)
+	}
+	require.Equal(t, []string{"short", "mid, returning", "mid", "mid, less urgent", "long"}, order)
+}
+
+// Guards against callers that wait out their time for nothing: what cannot be answered in
+// time is refused at once.
+func TestRefusesAtOnceWhatCannotBeServed(t *testing.T) {
+	q := New(1)
+	teach(q, "r", 100)
+	fill(t, q, start, "r")
+	c, _ := call("r", 1, 0, 50, 150)
+	require.Equal(t, Overloaded, q.Offer(start, c, true))
+	ok, _ := call("r", 1, 0, 500, 1000)
+	require.Equal(t, Busy, q.Offer(start, ok, false))
+	require.Equal(t, Waiting, q.Offer(start, ok, true))
+}
+
+// Guards against calls that stay in the queue although their time has run out.
+func TestExpelsWhatRanOutOfTime(t *testing.T) {
+	q := New(1)
+	teach(q, "r", 100)
+	running := fill(t, q, start, "r")
+	c, o := call("r", 1, 0, 400, 500)
+	require.Equal(t, Waiting, q.Offer(start, c, true))
+	next, ok := q.NextTick()
+	require.True(t, ok)
+	require.Equal(t, at(400), next)
+	q.Advance(at(401))
+	require.Equal(t, []Verdict{Overloaded}, o.verdicts)
+	q.Done(at(402), running[0], true)
+	require.Empty(t, q.running)
+}
+
+// Guards against an estimate of the wait that counts all running work: the next of nine slots
+// is free long before all nine are.
+func TestWaitIsThatOfTheNextSlot(t *testing.T) {
+	q := New(9)
+	teach(q, "r", 240)
+	for n := range 9 {
+		c, _ := call("r", 1, 0, 10_000, 20_000)
+		require.Equal(t, Started, q.Offer(at(20*n), c, false))
+	}
+	load := q.Load(at(160))
+	require.Equal(t, 80*time.Millisecond, load.Next) // the first one began at 0 and takes 240 ms
+	short, _ := call("short", 1, 160, 200, 400)
+	teach(q, "short", 15)
+	require.Equal(t, Waiting, q.Offer(at(160), short, true))
+}
+
+// Guards against refusals that name a pause for which nothing is known.
+func TestRetryAfterIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(1)
+		teach(q, "r", rapid.IntRange(1, 100_000).Draw(t, "run"))
+		c, _ := call("r", 1, 0, 10_000, 20_000)
+		q.Offer(start, c, false)
+		other, _ := call("r", 1, 0, rapid.IntRange(0, 5000).Draw(t, "goal"), 10_000)
+		after := q.RetryAfter(start, other)
+		require.GreaterOrEqual(t, after, minRetryAfter)
+		require.LessOrEqual(t, after, maxRetryAfter)
+	})
+}
+
+// load is a stream of calls of one route.
+type load struct {
+	route     string
+	priority  int
+	run       int // milliseconds
+	every     int // milliseconds between calls
+	goal, end int // milliseconds from the arrival
+}
+
+// replay plays streams against a queue in steps of a millisecond and returns, for each route,
+// the shares of calls answered within their objective and answered at all.
+func replay(q *Queue, length int, streams []load) (inGoal, answered map[string]float64) {
+	type run struct {
+		c       *Call
+		end     int
+		goal    int
+		started bool
+	}
+	counts, good, all := map[string]float64{}, map[string]float64{}, map[string]float64{}
+	var running []*run
+	for now := range length {
+		for i := 0; i < len(running); {
+			r := running[i]
+			if now < r.end {
+				i++
+				continue
+			}
+			running = append(running[:i], running[i+1:]...)
+			all[r.c.Route]++
+			if now <= r.goal {
+				good[r.c.Route]++
+			}
+			q.Done(at(now), r.c, true)
+		}
+		q.Advance(at(now))
+		for _, s := range streams {
+			if now%s.every != 0 {
+				continue
+			}
+			counts[s.route]++
+			c, _ := call(s.route, s.priority, now, s.goal, s.end)
+			begin := func(at int) { running = append(running, &run{c: c, end: at + s.run, goal: now + s.goal}) }
+			moment := now
+			c.Decide = func(v Verdict) {
+				if v == Started {
+					begin(moment)
+				}
+			}
+			if q.Offer(at(now), c, true) == Started {
+				begin(now)
+			}
+		}
+		// A waiting call starts at the present step.
+		for _, c := range q.waiting {
+			c := c
+			route, goal := c.Route, int(c.Goal.Sub(start).Milliseconds())
+			runTime := 0
+			for _, s := range streams {
+				if s.route == route {
+					runTime = s.run
+				}
+			}
+			step := now
+			c.Decide = func(v Verdict) {
+				if v == Started {
+					running = append(running, &run{c: c, end: step + 1 + runTime, goal: goal})
+				}
+			}
+		}
+	}
+	for route, n := range counts {
+		good[route] /= n
+		all[route] /= n
+	}
+	return good, all
+}
+
+// Replays an upstream of 9 slots under 1.4 times its capacity: long reads of low priority,
+// uploads and short inner calls. Guards against inner calls and urgent requests that fail for
+// the sake of long ones, and against slots that go to answers that come too late.
+func TestOverloadServesWhatEarnsMost(t *testing.T) {
+	q := New(9)
+	streams := []load{
+		{route: "inner", priority: 1, run: 15, every: 7, goal: 60, end: 200},
+		{route: "upload", priority: 1, run: 72, every: 40, goal: 300, end: 1200},
+		{route: "read", priority: 2, run: 240, every: 28, goal: 800, end: 1500},
+	}
+	for _, s := range streams {
+		teach(q, s.route, s.run)
+	}
+	inGoal, answered := replay(q, 30_000, streams)
+	require.Greater(t, answered["inner"], 0.99)
+	require.Greater(t, inGoal["upload"], 0.95)
+	// What the others leave of the 9 slots is enough for three quarters of the reads.
+	left := 9 - 15.0/7 - 72.0/40
+	fair := min(1, left/(240.0/28))
+	require.Greater(t, answered["read"], 0.85*fair)
+	require.Greater(t, inGoal["read"], 0.8*answered["read"])
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -85,8 +85,11 @@
 	Leaving
 	// Failed: the upstream failed the request.
 	Failed
-	// Unreachable: the daemon does not answer.
+	// Unreachable: the daemon's connection failed.
 	Unreachable
+	// Silent: the time ran out without an answer. It speaks against an instance that has
+	// answered nothing else meanwhile.
+	Silent
 	// Cancelled: the caller left; nothing is learnt.
 	Cancelled
 )
@@ -114,7 +117,6 @@
 	failedAt time.Time
 	strikes  int
 	outUntil time.Time
-	seen     time.Time
 }
 
 // routeStat is what is known of the requests of a route.
@@ -195,6 +197,7 @@
 	Expected time.Duration
 	// Wait is the expected wait for a slot, a part of Expected.
 	Wait time.Duration
+	at   time.Time
 }
 
 // Choose returns the instance with the least expected loss among a few, false without any. It
@@ -214,6 +217,7 @@
 		return Choice{}, false
 	}
 	s := p.stats[best.Instance.ID]
+	best.at = now
 	s.inFlight++
 	s.sent++
 	return best, true
@@ -403,13 +407,23 @@
 		s.outUntil = now.Add(leavingTime)
 	case Failed:
 		p.fail(now, s, 1)
+	case Silent:
+		p.fail(now, s, 1)
+		if s.loadAt.Before(c.at) {
+			s.strike(now)
+		}
 	case Unreachable:
-		s.strikes++
-		s.outUntil = now.Add(min(suspectTime<<min(s.strikes-1, 8), maxSuspectTime))
+		s.strike(now)
 	case Cancelled:
 	}
 }
 
+// strike leaves an instance out for a time that grows with each failure in a row.
+func (s *stat) strike(now time.Time) {
+	s.strikes++
+	s.outUntil = now.Add(min(suspectTime<<min(s.strikes-1, 8), maxSuspectTime))
+}
+
 // fail counts an outcome into the share of failures.
 func (p *Placer) fail(now time.Time, s *stat, outcome float64) {
 	share := s.failures * decay(now.Sub(s.failedAt), failureDecay)
--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,197 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoshed.example/mangoshed/core/catalog"
+	"mangoshed.example/mangoshed/core/intake"
+	"mangoshed.example/mangoshed/core/model"
+)
+
+var (
+	now  = time.Unix(1000, 0)
+	home = model.Place{Region: "a", DataCentre: "a1"}
+	next = model.Place{Region: "a", DataCentre: "a2"}
+	far  = model.Place{Region: "b", DataCentre: "b1"}
+)
+
+func view(places ...model.Place) *catalog.View {
+	v := &catalog.View{Revision: 1}
+	for i, place := range places {
+		inst := catalog.Instance{Slots: 9}
+		inst.ID, inst.Service, inst.Place = model.InstanceID(fmt.Sprintf("i%02d", i)), "s", place
+		v.Instances = append(v.Instances, inst)
+	}
+	return v
+}
+
+func placer(v *catalog.View) *Placer {
+	p := New(home, DefaultCosts, 1)
+	p.Update(now, v)
+	return p
+}
+
+func query() Query { return Query{Service: "s", Route: "r", Slack: 250 * time.Millisecond, Bytes: 700} }
+
+// answer ends a choice with an answer that reports a load.
+func answer(p *Placer, at time.Time, c Choice, load intake.Load, run time.Duration) {
+	p.Done(at, c, "r", Report{Outcome: Answered, Load: load, Run: run, Bytes: 1000})
+}
+
+func choose(t *testing.T, p *Placer, at time.Time, q Query) Choice {
+	c, ok := p.Choose(at, q)
+	require.True(t, ok)
+	return c
+}
+
+// visit sends one request to every instance, so that the placer knows the load of each.
+func visit(t *testing.T, p *Placer, at time.Time, loads map[model.InstanceID]intake.Load) {
+	q := query()
+	for range loads {
+		c := choose(t, p, at, q)
+		answer(p, at, c, loads[c.Instance.ID], 60*time.Millisecond)
+		q.Exclude = append(q.Exclude, c.Instance.ID)
+	}
+}
+
+func free() intake.Load { return intake.Load{Running: 2, Slots: 9} }
+
+func full(wait time.Duration) intake.Load {
+	return intake.Load{Running: 9, Slots: 9, Queued: 8, Next: wait / 8, Wait: wait}
+}
+
+// Guards against bytes on billed links while there is room nearby.
+func TestStaysInTheOwnDataCentreWhileThereIsRoom(t *testing.T) {
+	p := placer(view(home, next, far))
+	visit(t, p, now, map[model.InstanceID]intake.Load{"i00": free(), "i01": free(), "i02": free()})
+	for range 6 {
+		require.Equal(t, home, choose(t, p, now, query()).Instance.Place)
+	}
+}
+
+// Replays a data centre whose instance is full while others have room. Guards against waiting
+// at home until the objective is missed, and against sending large bodies far for a short wait.
+func TestLeavesAFullDataCentre(t *testing.T) {
+	p := placer(view(home, next, far))
+	visit(t, p, now, map[model.InstanceID]intake.Load{"i00": full(200 * time.Millisecond), "i01": free(), "i02": free()})
+	require.Equal(t, next, choose(t, p, now, query()).Instance.Place)
+	upload := query()
+	upload.Bytes, upload.Slack = 100_000, 400*time.Millisecond
+	require.Equal(t, home, choose(t, p, now, upload).Instance.Place)
+}
+
+// Guards against a cross-region choice while the own region has room.
+func TestPrefersTheOwnRegion(t *testing.T) {
+	p := placer(view(far, far, next))
+	for range 20 {
+		c := choose(t, p, now, query())
+		require.Equal(t, next, c.Instance.Place)
+		answer(p, now, c, free(), 60*time.Millisecond)
+	}
+}
+
+// Guards against requests for instances that leave or cannot be reached, and against leaving
+// them out for good.
+func TestLeavesOutForATime(t *testing.T) {
+	for _, outcome := range []Outcome{Leaving, Unreachable} {
+		p := placer(view(home, home))
+		c := choose(t, p, now, query())
+		p.Done(now, c, "r", Report{Outcome: outcome})
+		for range 20 {
+			other := choose(t, p, now, query())
+			require.NotEqual(t, c.Instance.ID, other.Instance.ID)
+			answer(p, now, other, free(), 60*time.Millisecond)
+		}
+		later := now.Add(maxSuspectTime)
+		seen := map[model.InstanceID]bool{}
+		for range 40 {
+			seen[choose(t, p, later, query()).Instance.ID] = true
+		}
+		require.Len(t, seen, 2)
+	}
+}
+
+// Guards against a refusal while instances exist: if all are out, one is tried all the same.
+func TestTriesInstancesThatAreOutIfThereAreNoOthers(t *testing.T) {
+	p := placer(view(home))
+	c := choose(t, p, now, query())
+	p.Done(now, c, "r", Report{Outcome: Unreachable})
+	require.Equal(t, c.Instance.ID, choose(t, p, now, query()).Instance.ID)
+	q := query()
+	q.Exclude = []model.InstanceID{c.Instance.ID}
+	_, ok := p.Choose(now, q)
+	require.False(t, ok)
+}
+
+// Replays an upstream that has become six times slower. Guards against giving it the share of
+// a sound one, and against never trying it again.
+func TestSlowInstanceGetsLess(t *testing.T) {
+	p := placer(view(home, home, home))
+	at := now
+	count := map[model.InstanceID]int{}
+	for n := range 600 {
+		at = at.Add(10 * time.Millisecond)
+		c := choose(t, p, at, query())
+		run := 60 * time.Millisecond
+		if c.Instance.ID == "i00" {
+			run *= 6
+		}
+		if n >= 100 {
+			count[c.Instance.ID]++
+		}
+		answer(p, at, c, intake.Load{Running: 4, Slots: 9}, run)
+	}
+	require.Less(t, count["i00"]*4, count["i01"])
+	require.Positive(t, count["i00"])
+}
+
+// Replays an upstream that fails half of its requests. Guards against failing callers for the
+// sake of an instance that looks free.
+func TestFailingInstanceGetsLess(t *testing.T) {
+	p := placer(view(home, home, home))
+	at := now
+	count := map[model.InstanceID]int{}
+	for n := range 600 {
+		at = at.Add(10 * time.Millisecond)
+		c := choose(t, p, at, query())
+		count[c.Instance.ID]++
+		if c.Instance.ID == "i00" && n%2 == 0 {
+			p.Done(at, c, "r", Report{Outcome: Failed, Load: intake.Load{Running: 1, Slots: 9}})
+			continue
+		}
+		answer(p, at, c, intake.Load{Running: 4, Slots: 9}, 60*time.Millisecond)
+	}
+	require.Less(t, count["i00"]*3, count["i01"])
+}
+
+// Guards against knowledge that is lost at each change of the list.
+func TestUpdateKeepsWhatIsKnown(t *testing.T) {
+	p := placer(view(home, next))
+	visit(t, p, now, map[model.InstanceID]intake.Load{"i00": full(300 * time.Millisecond), "i01": free()})
+	p.Update(now, view(home, next, far))
+	require.Equal(t, next, choose(t, p, now, query()).Instance.Place)
+}
+
+// Guards against all requests for one instance when many are alike.
+func TestSpreadsOverEqualInstances(t *testing.T) {
+	places := make([]model.Place, 30)
+	for i := range places {
+		places[i] = home
+	}
+	p := placer(view(places...))
+	count := map[model.InstanceID]int{}
+	for n := range 900 {
+		at := now.Add(time.Duration(n) * time.Millisecond)
+		c := choose(t, p, at, query())
+		count[c.Instance.ID]++
+		answer(p, at, c, free(), 60*time.Millisecond)
+	}
+	require.Len(t, count, 30)
+	for id, n := range count {
+		require.Less(t, n, 90, id)
+	}
+}
--- /dev/null
+++ b/core/retry/fleet_test.go
@@ -0,0 +1,91 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against a fleet whose daemons together send more repeats in some window than the
+// platform allows, for any timing of requests and failures.
+func TestFleetBudgetHoldsOverAllDaemons(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rules := FleetRules{Ratio: 0.2, Allowance: 60, Window: 10 * time.Second}
+		start := time.Unix(0, 0)
+		daemons := rapid.IntRange(1, 12).Draw(t, "daemons")
+		budgets := make([]*FleetBudget, daemons)
+		for i := range budgets {
+			budgets[i] = NewFleetBudget(rules, start)
+			budgets[i].SetDaemons(daemons)
+		}
+		type event struct {
+			at     time.Duration
+			repeat bool
+		}
+		var events []event
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 1500).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 120).Draw(t, "ms")) * time.Millisecond
+			b := budgets[rapid.IntRange(0, daemons-1).Draw(t, "daemon")]
+			if rapid.IntRange(0, 2).Draw(t, "event") > 0 {
+				b.Request(start.Add(now), "s")
+				events = append(events, event{at: now})
+			}
+			if b.Take(start.Add(now), "s") {
+				events = append(events, event{at: now, repeat: true})
+			}
+		}
+		for i, e := range events {
+			requests, repeats := 0, 0
+			for _, o := range events[:i+1] {
+				switch {
+				case o.at <= e.at-2*rules.Window:
+				case o.repeat && o.at > e.at-rules.Window:
+					repeats++
+				case !o.repeat:
+					// The platform counts the window with the most requests of this one and
+					// the one before it; both together are an upper bound of what is granted.
+					requests++
+				}
+			}
+			require.LessOrEqual(t, float64(repeats), rules.Ratio*float64(requests)+rules.Allowance)
+		}
+	})
+}
+
+// Guards against a budget that never fills again.
+func TestFleetBudgetRecovers(t *testing.T) {
+	start := time.Unix(0, 0)
+	b := NewFleetBudget(FleetRules{Ratio: 0.2, Allowance: 10, Window: 10 * time.Second}, start)
+	granted := 0
+	for b.Take(start, "a") {
+		granted++
+	}
+	require.Equal(t, 8, granted) // the share used of the allowance
+	require.False(t, b.Take(start.Add(5*time.Second), "a"))
+	require.True(t, b.Take(start.Add(11*time.Second), "a"))
+}
+
+// Replays runs of one service that are repeated, each of which calls another service twice.
+// Guards against repeated calls there that the budget of the called service does not cover.
+func TestFleetBudgetCoversTheCallsOfRepeatedRuns(t *testing.T) {
+	start := time.Unix(0, 0)
+	b := NewFleetBudget(FleetRules{Ratio: 0.2, Allowance: 0, Window: 10 * time.Second}, start)
+	requests, repeatedCalls := 0, 0
+	for ms := range 10_000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		b.Request(now, "caller")
+		b.Request(now, "called")
+		requests++
+		if b.Take(now, "caller") {
+			repeatedCalls += 2
+		}
+		if b.Take(now, "called") {
+			repeatedCalls++
+		}
+	}
+	require.LessOrEqual(t, float64(repeatedCalls), 0.2*float64(requests))
+	require.Positive(t, repeatedCalls)
+}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -50,7 +50,7 @@
 	// that of the Config, and a negative one a new connection.
 	MaxIdle time.Duration
 	// Confirm sends the body only when the peer has asked for it, so that one that refuses the
-	// request does not cost its bytes.
+	// request does not cost its bytes, and one that breaks before cannot have run it.
 	Confirm bool
 }
 
@@ -65,7 +65,8 @@
 
 // Error is a request without a whole answer.
 type Error struct {
-	// Sent says that a byte of the request may have reached the peer.
+	// Sent says that a byte of the request may have reached the peer; with Request.Confirm,
+	// a byte of its body.
 	Sent bool
 	// Reused says that the connection had served other requests before.
 	Reused bool
@@ -133,8 +134,10 @@
 	conn     *conn
 	request  *Request
 	reusable bool
-	// refused is the final answer of a peer that did not ask for the body.
+	// refused is the final answer of a peer that did not ask for the body; held says that the
+	// peer has not got the body.
 	refused *http.Response
+	held    bool
 }
 
 // past makes pending reads and writes fail.
@@ -150,6 +153,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = x.conn.SetDeadline(past) })
 	defer stop()
 	written, join := x.write()
+	if x.held && x.refused == nil {
+		return nil, &Error{Reused: x.conn.used, Err: <-written}
+	}
 	resp, began, err := x.read()
 	if err == nil && ctx.Err() == nil {
 		// The rest of a body that was answered early is not sent.
@@ -180,11 +186,12 @@
 	done := make(chan error, 1)
 	head, body := x.head(), x.request.Body
 	if x.request.Confirm {
+		x.held = len(body) > 0
 		if err := x.confirm(head); err != nil || x.refused != nil {
 			done <- err
 			return done, func() {}
 		}
-		head = nil
+		x.held, head = false, nil
 	}
 	if len(body) <= inlineBody {
 		_, err := x.conn.Write(append(head, body...))
--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -13,9 +13,14 @@
 const (
 	// looks is the number of instances that are asked for a free slot before a request waits
 	// for one. An instance answers at once, within the region in about a millisecond.
-	looks = 2
+	looks = 3
 	// maxRefusals bounds the daemons that are asked for one request.
 	maxRefusals = 6
+	// maxTurnedAway bounds the instances that say that a request cannot wait there. Others are
+	// rarely better off, and the caller learns sooner that it has to come back.
+	maxTurnedAway = 2
+	// freeWait is the expected wait up to which an instance is taken to have a free slot.
+	freeWait = time.Millisecond
 	// headBytes is the usual size of the headers of a request and its answer between daemons.
 	headBytes = 700
 	// minAttemptTime is the least time in which another attempt can succeed.
@@ -63,9 +68,8 @@
 	}
 	refused := res.Refusal
 	if refused != nil && refused.Run == refusal.NotRun && !res.Arrived {
-		// No upstream saw the request. One that has failed before is not worth a place in a
-		// queue: what failed it is mostly a lack of room.
-		return req.refusals < maxRefusals && (!req.mayHaveRun || req.refusals < looks)
+		// No upstream saw the request.
+		return req.refusals < maxRefusals && req.turnedAway < maxTurnedAway && (!req.mayHaveRun || req.refusals < looks)
 	}
 	if refused == nil || refused.Run != refusal.NotRun {
 		req.mayHaveRun = true
@@ -93,39 +97,46 @@
 // attempt sends the request to one instance. It returns false when there is none.
 func (i *Ingress) attempt(ctx context.Context, req *request) (Result, bool) {
 	now := time.Now()
-	wait := req.refusals >= looks
-	if wait && req.refusals == looks {
-		// Those that had no free slot may let the request wait.
-		req.exclude = req.exclude[:0]
-	}
-	query := placement.Query{
+	choice, ok := i.placer.Choose(now, placement.Query{
 		Service: req.service, Route: req.route.Name, Exclude: req.exclude, Slack: req.goal.Sub(now), Bytes: len(req.job.Body) + headBytes,
-	}
-	choice, ok := i.placer.Choose(now, query)
-	if !ok && len(req.exclude) > 0 && !wait {
-		wait = true
-		req.refusals = looks
-		req.exclude = req.exclude[:0]
-		query.Exclude = nil
-		choice, ok = i.placer.Choose(now, query)
-	}
+	})
 	if !ok {
 		return Result{Refusal: notRun(refusal.NoInstance, "no live instance of "+req.service+" can be reached; try again", noInstanceRetry)}, false
 	}
 	job := req.job
-	job.Instance, job.MayWait = choice.Instance.ID, wait
+	job.Instance = choice.Instance.ID
+	// An instance that is known to be full and is the best choice all the same may let the
+	// request wait; one that seems to have a free slot is only asked for that. A request that
+	// has failed before is not worth a place in a queue: what failed it is mostly a lack of room.
+	job.MayWait = !req.mayHaveRun && (choice.Wait > freeWait || req.refusals >= looks)
 	res := i.sender.Send(ctx, &job, choice.Instance)
+	i.count(req, &job, &res)
+	i.placer.Done(time.Now(), choice, req.route.Name, placement.Report{
+		Outcome: outcome(ctx, &res), Load: res.Load, Run: res.Run, Bytes: res.bytes(),
+	})
+	return res, true
+}
+
+// count keeps what an attempt says about further ones.
+func (i *Ingress) count(req *request, job *Job, res *Result) {
+	req.last = job.Instance
 	if res.Arrived {
 		req.sent++
 	}
-	req.exclude = append(req.exclude, choice.Instance.ID)
-	if res.Refusal != nil && !res.Arrived {
+	if res.Refusal == nil {
+		req.exclude = append(req.exclude, job.Instance)
+		return
+	}
+	if !res.Arrived {
 		req.refusals++
 	}
-	i.placer.Done(time.Now(), choice, req.route.Name, placement.Report{
-		Outcome: outcome(ctx, &res), Load: res.Load, Run: res.Run, Bytes: res.bytes(),
-	})
-	return res, true
+	full := res.Refusal.Kind == refusal.Overloaded && !res.Arrived
+	if full && job.MayWait {
+		req.turnedAway++
+	}
+	if !full || job.MayWait {
+		req.exclude = append(req.exclude, job.Instance)
+	}
 }
 
 // bytes returns the size of the answer's body.
@@ -145,6 +156,8 @@
 		return placement.Failed
 	case errors.Is(ctx.Err(), context.Canceled):
 		return placement.Cancelled
+	case res.Unreachable && ctx.Err() != nil:
+		return placement.Silent
 	case res.Unreachable:
 		return placement.Unreachable
 	case res.Refusal.Kind == refusal.Leaving:
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -54,7 +54,7 @@
 	// drainPoll is the period of looks at what still runs.
 	drainPoll = 50 * time.Millisecond
 	// stopSlack is the time before the end of the grace period at which the process ends.
-	stopSlack = 400 * time.Millisecond
+	stopSlack = 700 * time.Millisecond
 	// logBuffer is the number of lines that wait for a slow reader of the log.
 	logBuffer = 512
 	// memoryShare is the part of the memory limit that the heap may take before the collector
@@ -191,7 +191,9 @@
 // listen opens a listener whose connections notice a peer that has gone silent.
 func listen(address string) (net.Listener, error) {
 	config := net.ListenConfig{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3},
+		// No probes: they cost four system calls for each connection, and the idle timeout
+		// closes those whose caller has gone silent.
+		KeepAlive: -1,
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			return exchange.SetUserTimeout(raw, callerUnacknowledged)
 		},
@@ -279,8 +281,8 @@
 		}
 		return body, err
 	}
-	if r.ContentLength < confirmBytes {
-		// Its sender does not wait for a go-ahead.
+	if r.Header.Get("Expect") == "" {
+		// The sender does not wait for a go-ahead.
 		body, err := j.Load()
 		if err != nil {
 			panic(http.ErrAbortHandler)
--- a/pkg/mesh/decisions.go
+++ b/pkg/mesh/decisions.go
@@ -68,8 +68,8 @@
 		zap.String("service", req.service), zap.Duration("took", took), zap.Duration("left", req.deadline.Sub(now)),
 		zap.Bool("returning", req.returning), zap.Int("sent", req.sent), zap.Int("refusals", req.refusals),
 	}
-	if len(req.exclude) > 0 {
-		fields = append(fields, zap.String("last_instance", string(req.exclude[len(req.exclude)-1])))
+	if req.last != "" {
+		fields = append(fields, zap.String("last_instance", string(req.last)))
 	}
 	if res.Load.Slots > 0 {
 		fields = append(fields, zap.String("load", encodeLoad(res.Load)))
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -26,6 +26,8 @@
 	returningAfter = 25 * time.Millisecond
 	// wayBack is the time that an answer may take to its caller.
 	wayBack = 20 * time.Millisecond
+	// wayThere is the time that a caller may have spent on connecting and sending.
+	wayThere = 20 * time.Millisecond
 	// defaultMaxBody bounds a body while no table sets a limit, in bytes.
 	defaultMaxBody = 64 << 20
 	// bodyBuffer is the first size in bytes of the buffer of a body without a length.
@@ -83,7 +85,10 @@
 	mayHaveRun bool
 	// refusals counts the daemons that refused it for their load.
 	refusals int
-	exclude  []model.InstanceID
+	// turnedAway counts those where it could not even wait.
+	turnedAway int
+	exclude    []model.InstanceID
+	last       model.InstanceID
 }
 
 // ServeHTTP answers one request.
@@ -231,7 +236,7 @@
 	// The answer has to reach the caller before it gives up.
 	margin := min(wayBack, left/10)
 	req.deadline = req.deadline.Add(-margin)
-	req.goal = req.goal.Add(-margin)
+	req.goal = req.goal.Add(-min(wayThere+margin, matched.Goal/4))
 	header := ownHeaders(r.Header)
 	delete(header, i.headers.Caller)
 	delete(header, i.headers.Expected)
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -80,10 +80,17 @@
 	)}
 	return &exchange.Request{
 		Address: address, Method: j.Method, Target: j.Target, Host: j.Host, Header: h, Body: j.Body, HasBody: j.HasBody, ID: j.ID,
-		MaxIdle: peerIdle, Confirm: len(j.Body) >= confirmBytes,
+		MaxIdle: peerIdle, Confirm: j.confirm(),
 	}
 }
 
+// confirm reports whether the body is held back until the other daemon has a slot for the job:
+// large bodies cost their way, and without its body a request that may not be repeated cannot
+// have run when the other daemon breaks down.
+func (j *Job) confirm() bool {
+	return len(j.Body) >= confirmBytes || len(j.Body) > 0 && !j.MayRepeat
+}
+
 // jobFields is the number of fields of a job.
 const jobFields = 9
 
--- /dev/null
+++ b/pkg/mesh/meshtest/fleet.go
@@ -0,0 +1,114 @@
+package meshtest
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mangoshed.example/mangoshed/core/catalog"
+	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/core/route"
+	"mangoshed.example/mangoshed/pkg/mesh"
+)
+
+// DataCentres are the places of the stand-in fleet.
+var DataCentres = map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+
+// Member is one daemon with its upstream.
+type Member struct {
+	Daemon   *mesh.Daemon
+	Upstream *Upstream
+	Instance catalog.Instance
+	Settings *mesh.Settings
+}
+
+// Fleet is a store with daemons and upstreams on loopback.
+type Fleet struct {
+	Store   *Store
+	Members []*Member
+	Log     *zap.Logger
+}
+
+// NewFleet returns a fleet without members.
+func NewFleet(log *zap.Logger) *Fleet { return &Fleet{Store: NewStore(), Log: log} }
+
+// ReadyPath is the path of readiness probes.
+const ReadyPath = "/ready"
+
+// Add starts an upstream and the daemon beside it, and lists the instance.
+func (f *Fleet) Add(service, dataCentre string, slots int, work time.Duration) (*Member, error) {
+	id := model.InstanceID(fmt.Sprintf("%s-%d", service, len(f.Members)+1))
+	u, err := NewUpstream(id, work)
+	if err != nil {
+		return nil, err
+	}
+	s := mesh.DefaultSettings()
+	s.Instance = mesh.Instance{Service: service, Region: DataCentres[dataCentre], DataCentre: dataCentre}
+	s.DataCentres = DataCentres
+	s.Upstream.Address = u.Addr()
+	s.Bounds.Grace = 4 * time.Second
+	for _, address := range []*string{&s.Listen.CallerAddress, &s.Listen.ForwardAddress, &s.Listen.ReadyAddress, &s.Listen.AdminAddress} {
+		if *address, err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	m := &Member{Upstream: u, Settings: &s, Instance: catalog.Instance{Upstream: u.Addr(), Slots: slots}}
+	m.Instance.ID, m.Instance.Service, m.Instance.ForwardAddr = id, service, s.Listen.ForwardAddress
+	m.Instance.Place = s.Place()
+	if err := f.start(m); err != nil {
+		u.Close()
+		return nil, err
+	}
+	f.Store.Put(m.Instance)
+	f.Members = append(f.Members, m)
+	return m, nil
+}
+
+func (f *Fleet) start(m *Member) error {
+	platform := mesh.Platform{Store: f.Store, Headers: Headers, ReadyPath: ReadyPath}
+	d, err := mesh.New(m.Settings, platform, f.Log)
+	if err != nil {
+		return err
+	}
+	d.Start()
+	m.Daemon = d
+	return nil
+}
+
+// Restart starts the daemon of a member again, after it was closed.
+func (f *Fleet) Restart(m *Member) error { return f.start(m) }
+
+// freeAddress returns a loopback address with a free port.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+// Close stops all members.
+func (f *Fleet) Close() {
+	for _, m := range f.Members {
+		m.Daemon.Close()
+		m.Upstream.Close()
+	}
+}
+
+// Table returns a table with a safe, an unsafe and an upload route to the service on host "app".
+func Table(version uint64, service string) *route.Table {
+	to := []route.Share{{Service: service, Weight: 1}}
+	base := route.Route{Host: "app", Timeout: 2 * time.Second, Goal: time.Second, Priority: 1, MaxAttempts: 3, Shares: to}
+	safe, unsafe, upload := base, base, base
+	safe.Name, safe.Prefix, safe.Kind = "read", "/read/", route.Safe
+	unsafe.Name, unsafe.Prefix, unsafe.Kind = "write", "/write/", route.Unsafe
+	upload.Name, upload.Prefix, upload.Kind = "upload", "/upload/", route.Upload
+	t, err := route.New(version, []route.Route{safe, unsafe, upload}, []route.Service{{Name: service}}, route.Limits{})
+	if err != nil {
+		panic(err) // the table is a constant
+	}
+	return t
+}
--- /dev/null
+++ b/pkg/mesh/meshtest/upstream.go
@@ -0,0 +1,266 @@
+package meshtest
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/pkg/mesh"
+)
+
+// Headers are the names that the stand-ins use.
+var Headers = mesh.Headers{
+	RequestID: "Test-Request", Remaining: "Test-Remaining-Ms", Proof: "Test-Proof", Expected: "Test-Expected", Instance: "Test-Instance",
+	NotRun: "Test-Not-Run", Caller: "Test-Caller", Load: "Test-Load",
+}
+
+// Request is what an upstream saw.
+type Request struct {
+	Instance             model.InstanceID
+	Method, Target, Host string
+	ID, Caller           string
+	Remaining            time.Duration
+	Body                 []byte
+	At                   time.Time
+}
+
+// Fault spoils one answer of an upstream.
+type Fault uint8
+
+// The faults.
+const (
+	// None answers as it should.
+	None Fault = iota
+	// Reset closes the connection without an answer, after running the request.
+	Reset
+	// Truncate breaks off in the middle of the body.
+	Truncate
+	// Garbage sends bytes that are no answer.
+	Garbage
+	// Double sends a second answer behind the first.
+	Double
+	// Foreign sends the answer of another request first.
+	Foreign
+	// Unframed sends a body without a length and closes the connection.
+	Unframed
+	// UnframedReset sends a part of a body without a length and resets the connection.
+	UnframedReset
+	// Early answers before it has read the body, and reads on.
+	Early
+	// Shed refuses the request as not run.
+	Shed
+	// Unproved answers without its mark.
+	Unproved
+	// Fail answers 500.
+	Fail
+	// Hang never answers.
+	Hang
+)
+
+// Upstream is a stand-in for an application that speaks HTTP/1.1 on a raw connection.
+type Upstream struct {
+	ID model.InstanceID
+	// Work is the time that a request takes; Size the length of the answer's body.
+	Work time.Duration
+	Size int
+	// Fault chooses the fault of a request; nil for none.
+	Fault func(r *Request) Fault
+
+	listener net.Listener
+	mu       sync.Mutex
+	seen     []Request
+	conns    map[net.Conn]bool
+	running  int
+	peak     int
+	tasks    sync.WaitGroup
+}
+
+// NewUpstream starts an upstream on loopback.
+func NewUpstream(id model.InstanceID, work time.Duration) (*Upstream, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	u := &Upstream{ID: id, Work: work, Size: 400, listener: listener, conns: make(map[net.Conn]bool)}
+	u.tasks.Go(u.accept)
+	return u, nil
+}
+
+// Addr returns the address.
+func (u *Upstream) Addr() string { return u.listener.Addr().String() }
+
+// Seen returns the requests that it began to run.
+func (u *Upstream) Seen() []Request {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]Request(nil), u.seen...)
+}
+
+// Peak returns the highest number of requests that ran at once.
+func (u *Upstream) Peak() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.peak
+}
+
+// Close stops it and closes all connections.
+func (u *Upstream) Close() {
+	_ = u.listener.Close()
+	u.mu.Lock()
+	for c := range u.conns {
+		_ = c.Close()
+	}
+	u.mu.Unlock()
+	u.tasks.Wait()
+}
+
+func (u *Upstream) accept() {
+	for {
+		c, err := u.listener.Accept()
+		if err != nil {
+			return
+		}
+		u.mu.Lock()
+		u.conns[c] = true
+		u.mu.Unlock()
+		u.tasks.Go(func() {
+			u.serve(c)
+			_ = c.Close()
+			u.mu.Lock()
+			delete(u.conns, c)
+			u.mu.Unlock()
+		})
+	}
+}
+
+// serve answers the requests of a connection one after the other.
+func (u *Upstream) serve(c net.Conn) {
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if !u.answer(c, r) {
+			return
+		}
+	}
+}
+
+// answer reports whether the connection can be used again.
+func (u *Upstream) answer(c net.Conn, r *http.Request) bool {
+	ms, _ := strconv.Atoi(r.Header.Get(Headers.Remaining)) // 0 shows a fault to the test
+	seen := Request{
+		Instance: u.ID, Method: r.Method, Target: r.RequestURI, Host: r.Host, ID: r.Header.Get(Headers.RequestID), Caller: r.Header.Get(Headers.Caller),
+		Remaining: time.Duration(ms) * time.Millisecond, At: time.Now(),
+	}
+	if expected := r.Header.Get(Headers.Expected); expected != "" && expected != string(u.ID) {
+		u.write(c, http.StatusMisdirectedRequest, seen.ID, "", Headers.Instance+": "+string(u.ID))
+		return true
+	}
+	fault := None
+	if u.Fault != nil {
+		fault = u.Fault(&seen)
+	}
+	if fault == Shed {
+		u.write(c, http.StatusServiceUnavailable, seen.ID, "", Headers.NotRun+": 1")
+		return true
+	}
+	if fault == Early {
+		u.write(c, http.StatusOK, seen.ID, "early", Headers.Proof+": p")
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return false
+	}
+	seen.Body = body
+	u.run(seen)
+	return u.reply(c, &seen, fault)
+}
+
+// run takes the time of a request.
+func (u *Upstream) run(r Request) {
+	u.mu.Lock()
+	u.seen = append(u.seen, r)
+	u.running++
+	u.peak = max(u.peak, u.running)
+	u.mu.Unlock()
+	if u.Work > 0 {
+		time.Sleep(u.Work)
+	}
+	u.mu.Lock()
+	u.running--
+	u.mu.Unlock()
+}
+
+// Body returns the body of the answer to a request.
+func Body(id string, size int) string {
+	text := "answer to " + id + "\n"
+	for len(text) < size {
+		text += "."
+	}
+	return text
+}
+
+func (u *Upstream) reply(c net.Conn, r *Request, fault Fault) bool {
+	proof := Headers.Proof + ": p"
+	body := Body(r.ID, u.Size)
+	switch fault {
+	case Early:
+		return true
+	case Reset:
+		return false
+	case Hang:
+		_, _ = io.Copy(io.Discard, c) // until the other side closes
+		return false
+	case Truncate:
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\nContent-Length: %d\r\n\r\n%s", Headers.RequestID, r.ID, proof, len(body), body[:len(body)/2])
+		return false
+	case Garbage:
+		_, _ = io.WriteString(c, "\x00\x01\x02 not an answer\r\n\r\n")
+		return false
+	case Unframed, UnframedReset:
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\nConnection: close\r\n\r\n", Headers.RequestID, r.ID, proof)
+		return u.unframed(c, body, fault)
+	case Unproved:
+		u.write(c, http.StatusOK, r.ID, body)
+		return true
+	case Fail:
+		u.write(c, http.StatusInternalServerError, r.ID, "failed", proof)
+		return true
+	case Foreign:
+		u.write(c, http.StatusOK, "other", Body("other", u.Size), proof)
+	}
+	u.write(c, http.StatusOK, r.ID, body, proof, Headers.Load+": 1,0,9")
+	if fault == Double {
+		u.write(c, http.StatusOK, r.ID, body, proof)
+	}
+	return true
+}
+
+// unframed sends a body that ends with its connection, cleanly or not.
+func (u *Upstream) unframed(c net.Conn, body string, fault Fault) bool {
+	if fault == Unframed {
+		_, _ = io.WriteString(c, body)
+		return false
+	}
+	_, _ = io.WriteString(c, body[:len(body)/2])
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	return false
+}
+
+func (u *Upstream) write(c net.Conn, status int, id, body string, headers ...string) {
+	text := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), Headers.RequestID, id, len(body))
+	for _, h := range headers {
+		text += h + "\r\n"
+	}
+	_, _ = io.WriteString(c, text+"\r\n"+body)
+}
--- a/pkg/mesh/sender.go
+++ b/pkg/mesh/sender.go
@@ -72,16 +72,18 @@
 // unreachable turns the error of an exchange with another daemon into a result.
 func unreachable(ctx context.Context, err error) Result {
 	var failed *exchange.Error
-	if errors.As(err, &failed) && !failed.Sent {
-		if ctx.Err() != nil {
-			return Result{Refusal: notRun(refusal.Deadline, "allow more time", 0), Unreachable: true}
-		}
-		return Result{Unreachable: true, Refusal: notRun(refusal.UpstreamFailed, "the daemon beside the instance cannot be reached: "+err.Error(), 0)}
+	sent := !errors.As(err, &failed) || failed.Sent
+	refused := mayHaveRun(refusal.Cut, "the connection to the instance's daemon broke: "+err.Error())
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		refused = mayHaveRun(refusal.Deadline, "no answer in time")
 	}
-	if ctx.Err() != nil {
-		return Result{Arrived: true, Unreachable: true, Refusal: mayHaveRun(refusal.Deadline, "no answer in time")}
+	if !sent {
+		refused.Run = refusal.NotRun
+		if ctx.Err() == nil {
+			refused.Kind = refusal.UpstreamFailed
+		}
 	}
-	return Result{Arrived: true, Unreachable: true, Refusal: mayHaveRun(refusal.Cut, "the connection to the instance's daemon broke: "+err.Error())}
+	return Result{Arrived: sent, Unreachable: true, Refusal: refused}
 }
 
 // peerState is the form in which daemons pass their state to each other.
