--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -224,10 +224,9 @@
 // the shares of calls answered within their objective and answered at all.
 func replay(q *Queue, length int, streams []load) (inGoal, answered map[string]float64) {
 	type run struct {
-		c       *Call
-		end     int
-		goal    int
-		started bool
+		c    *Call
+		end  int
+		goal int
 	}
 	counts, good, all := map[string]float64{}, map[string]float64{}, map[string]float64{}
 	var running []*run
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -217,11 +217,12 @@
 		if err != nil {
 			return err
 		}
-		if resp.StatusCode == http.StatusContinue {
+		if resp.StatusCode >= http.StatusOK {
+			x.refused = resp // readBody closes it
 			return nil
 		}
-		if resp.StatusCode >= http.StatusOK {
-			x.refused = resp
+		_ = resp.Body.Close() // an interim answer has none
+		if resp.StatusCode == http.StatusContinue {
 			return nil
 		}
 	}
@@ -268,7 +269,7 @@
 // read returns the answer to the request; began says that a part of it arrived.
 func (x *transfer) read() (resp *Response, began bool, err error) {
 	for range maxForeign {
-		head, err := x.readHead()
+		head, err := x.readHead() //nolint:bodyclose // readBody closes it
 		if err != nil {
 			return nil, began, err
 		}
--- /dev/null
+++ b/pkg/mesh/fleet_test.go
@@ -0,0 +1,388 @@
+package mesh_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/core/route"
+	"mangoshed.example/mangoshed/pkg/mesh/meshtest"
+)
+
+// patience bounds waits for something that happens soon; a test that reaches it has failed.
+const patience = 20 * time.Second
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	require.Eventually(t, condition, patience, 5*time.Millisecond, what)
+}
+
+// newFleet starts an ingress and upstreams of the service "back", one in each data centre named.
+func newFleet(t *testing.T, slots int, dataCentres ...string) (*meshtest.Fleet, *meshtest.Member, []*meshtest.Member) {
+	fleet := meshtest.NewFleet(zap.NewNop())
+	t.Cleanup(fleet.Close)
+	ingress, err := fleet.Add("front", "a1", 9, 0)
+	require.NoError(t, err)
+	var backs []*meshtest.Member
+	for _, dc := range dataCentres {
+		m, err := fleet.Add("back", dc, slots, 0)
+		require.NoError(t, err)
+		backs = append(backs, m)
+	}
+	fleet.Store.SetTable(meshtest.Table(1, "back"))
+	settled(t, fleet)
+	return fleet, ingress, backs
+}
+
+// settled waits until every daemon knows the whole state of the store.
+func settled(t *testing.T, fleet *meshtest.Fleet) {
+	for _, m := range fleet.Members {
+		eventually(t, "the daemon follows the store", func() bool { return m.Daemon.Ready() && m.Daemon.Status().Revision == fleet.Store.Revision() })
+	}
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+var requests atomic.Int64
+
+// send sends a request through the ingress and returns its ID and the reply.
+func send(m *meshtest.Member, method, path, body string, headers ...string) (string, reply) {
+	id := fmt.Sprintf("id-%d", requests.Add(1))
+	req, err := http.NewRequest(method, "http://"+m.Settings.Listen.CallerAddress+path, strings.NewReader(body))
+	if err != nil {
+		return id, reply{err: err}
+	}
+	req.Host = "app"
+	req.Header.Set(meshtest.Headers.RequestID, id)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	return id, do(req)
+}
+
+func do(req *http.Request) reply {
+	transport := &http.Transport{DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	resp, err := (&http.Client{Transport: transport}).Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(text), err: err}
+}
+
+// runs returns how often the upstreams began to run the request.
+func runs(backs []*meshtest.Member, id string) int {
+	n := 0
+	for _, m := range backs {
+		for _, r := range m.Upstream.Seen() {
+			if r.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Guards against requests or answers that change on their way over two daemons.
+func TestRequestAndAnswerArriveUnchanged(t *testing.T) {
+	_, ingress, backs := newFleet(t, 4, "a2")
+	body := strings.Repeat("0123456789", 20_000)
+	for _, path := range []string{"/write/x%2Fy?a=%20b&c", "/upload/", "/read/../x"} {
+		id, got := send(ingress, http.MethodPost, path, body, "X-Other", "kept", "Mangoshed-Job", "forged", meshtest.Headers.Caller, "forged", meshtest.Headers.Remaining, "1500")
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, meshtest.Body(id, 400), got.body)
+		require.Equal(t, "p", got.header.Get(meshtest.Headers.Proof))
+		require.Equal(t, id, got.header.Get(meshtest.Headers.RequestID))
+		seen := backs[0].Upstream.Seen()
+		last := seen[len(seen)-1]
+		require.Equal(t, path, last.Target)
+		require.Equal(t, "app", last.Host)
+		require.Equal(t, "front", last.Caller)
+		require.True(t, bytes.Equal([]byte(body), last.Body))
+		require.LessOrEqual(t, last.Remaining, 1500*time.Millisecond)
+		require.Positive(t, last.Remaining)
+	}
+}
+
+// Guards against a request that may not be repeated running twice, against a success that is
+// not the upstream's whole answer, and against a refusal that promises not-run falsely.
+func TestUnsafeRequestRunsAtMostOnce(t *testing.T) {
+	_, ingress, backs := newFleet(t, 4, "a1", "a2", "b1")
+	for _, fault := range []meshtest.Fault{
+		meshtest.Reset, meshtest.Truncate, meshtest.Garbage, meshtest.UnframedReset, meshtest.Unproved, meshtest.Fail,
+	} {
+		for _, m := range backs {
+			m.Upstream.SetFault(func(*meshtest.Request) meshtest.Fault { return fault })
+		}
+		for _, path := range []string{"/write/x", "/upload/x"} {
+			id, got := send(ingress, http.MethodPost, path, "a body")
+			require.NoError(t, got.err, fault)
+			require.GreaterOrEqual(t, got.status, 500, fault)
+			require.NotEqual(t, http.StatusServiceUnavailable, got.status, fault)
+			require.Equal(t, 1, runs(backs, id), fault)
+		}
+	}
+}
+
+// Guards against giving up on what may be repeated, and against passing on a spoiled answer.
+func TestSafeRequestIsSentAgain(t *testing.T) {
+	_, ingress, backs := newFleet(t, 4, "a1", "a2", "b1")
+	for _, fault := range []meshtest.Fault{
+		meshtest.Reset, meshtest.Truncate, meshtest.Garbage, meshtest.UnframedReset, meshtest.Unproved, meshtest.Fail, meshtest.Shed,
+	} {
+		var spoiled sync.Map
+		for _, m := range backs {
+			m.Upstream.SetFault(func(r *meshtest.Request) meshtest.Fault {
+				if _, again := spoiled.LoadOrStore(r.ID, true); again {
+					return meshtest.None
+				}
+				return fault
+			})
+		}
+		id, got := send(ingress, http.MethodGet, "/read/x", "")
+		require.NoError(t, got.err, fault)
+		require.Equal(t, http.StatusOK, got.status, fault)
+		require.Equal(t, meshtest.Body(id, 400), got.body, fault)
+	}
+}
+
+// Guards against an unsafe request that fails although the upstream said that it has not run.
+func TestUnsafeRequestIsSentAgainWhenItHasNotRun(t *testing.T) {
+	_, ingress, backs := newFleet(t, 4, "a1", "a2")
+	var refused sync.Map
+	for _, m := range backs {
+		m.Upstream.SetFault(func(r *meshtest.Request) meshtest.Fault {
+			if _, again := refused.LoadOrStore(r.ID, true); again {
+				return meshtest.None
+			}
+			return meshtest.Shed
+		})
+	}
+	id, got := send(ingress, http.MethodPost, "/write/x", "a body")
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, 1, runs(backs, id))
+}
+
+// Guards against answers that go to another request after a second, a foreign, an early or an
+// unframed answer on a connection.
+func TestAnswersAreNotMixedUp(t *testing.T) {
+	_, ingress, backs := newFleet(t, 2, "a1")
+	for _, fault := range []meshtest.Fault{meshtest.Double, meshtest.Foreign, meshtest.Unframed} {
+		n := 0
+		backs[0].Upstream.SetFault(func(*meshtest.Request) meshtest.Fault {
+			if n++; n%2 == 1 {
+				return fault
+			}
+			return meshtest.None
+		})
+		for range 12 {
+			id, got := send(ingress, http.MethodPost, "/write/x", "a body")
+			require.NoError(t, got.err)
+			require.Equal(t, http.StatusOK, got.status)
+			require.Equal(t, meshtest.Body(id, 400), got.body, fault)
+			require.Equal(t, 1, runs(backs, id), fault)
+		}
+	}
+	backs[0].Upstream.SetFault(func(*meshtest.Request) meshtest.Fault { return meshtest.Early })
+	_, got := send(ingress, http.MethodPost, "/upload/x", strings.Repeat("x", 300_000))
+	require.Equal(t, "early", got.body)
+	backs[0].Upstream.SetFault(nil)
+	id, got := send(ingress, http.MethodPost, "/write/x", "a body")
+	require.Equal(t, meshtest.Body(id, 400), got.body)
+}
+
+// Guards against an upstream that gets more requests than it has slots.
+func TestSlotsAreKept(t *testing.T) {
+	_, ingress, backs := newFleet(t, 3, "a1")
+	backs[0].Upstream.SetWork(5 * time.Millisecond)
+	var group sync.WaitGroup
+	for range 40 {
+		group.Go(func() { send(ingress, http.MethodGet, "/read/x", "") })
+	}
+	group.Wait()
+	require.LessOrEqual(t, backs[0].Upstream.Peak(), 3)
+	require.Positive(t, backs[0].Upstream.Peak())
+}
+
+// Guards against a 404 from a daemon that cannot know, and against a wait for a missing route.
+func TestRefusalsBeforePlacement(t *testing.T) {
+	fleet := meshtest.NewFleet(zap.NewNop())
+	defer fleet.Close()
+	m, err := fleet.Add("front", "a1", 9, 0)
+	require.NoError(t, err)
+	_, got := send(m, http.MethodGet, "/read/x", "")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+	require.False(t, m.Daemon.Ready())
+	fleet.Store.SetTable(meshtest.Table(1, "back"))
+	settled(t, fleet)
+	_, got = send(m, http.MethodGet, "/nosuch/x", "")
+	require.Equal(t, http.StatusNotFound, got.status)
+	_, got = send(m, http.MethodPost, "/write/x", "")
+	require.Equal(t, http.StatusServiceUnavailable, got.status, "no instance is listed")
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+}
+
+// Guards against a request that runs at another instance which has taken over an address.
+func TestAddressOfAnotherInstance(t *testing.T) {
+	fleet, ingress, backs := newFleet(t, 4, "a1", "a2")
+	// The upstream has started anew under another ID, which the store does not list yet.
+	backs[0].Upstream.SetID("other")
+	for range 10 {
+		id, got := send(ingress, http.MethodPost, "/write/x", "a body")
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, 1, runs(backs, id))
+	}
+	require.Empty(t, backs[0].Upstream.Seen())
+	fresh := backs[0].Instance
+	fresh.ID = "other"
+	fleet.Store.Remove(backs[0].Instance.ID)
+	fleet.Store.Put(fresh)
+	settled(t, fleet)
+	eventually(t, "the new instance gets requests", func() bool {
+		send(ingress, http.MethodPost, "/write/x", "a body")
+		return len(backs[0].Upstream.Seen()) > 0
+	})
+}
+
+// Guards against new work for an instance that drains or whose entry cannot be read any more.
+func TestLeavingInstanceGetsNoNewWork(t *testing.T) {
+	fleet, ingress, backs := newFleet(t, 4, "a1", "a2")
+	draining := backs[0].Instance
+	draining.State = model.Leaving
+	fleet.Store.Put(draining)
+	settled(t, fleet)
+	before := len(backs[0].Upstream.Seen())
+	for range 10 {
+		_, got := send(ingress, http.MethodGet, "/read/x", "")
+		require.Equal(t, http.StatusOK, got.status)
+	}
+	require.Len(t, backs[0].Upstream.Seen(), before)
+	fleet.Store.Reject(backs[1].Instance.ID, "not JSON")
+	settled(t, fleet)
+	_, got := send(ingress, http.MethodGet, "/read/x", "")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+}
+
+// Guards against a caller that has left while its request still runs.
+func TestCallerThatLeavesStopsTheRun(t *testing.T) {
+	_, ingress, backs := newFleet(t, 1, "a2")
+	backs[0].Upstream.SetFault(func(*meshtest.Request) meshtest.Fault { return meshtest.Hang })
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+ingress.Settings.Listen.CallerAddress+"/read/x", nil)
+	require.NoError(t, err)
+	req.Host = "app"
+	done := make(chan reply, 1)
+	go func() { done <- do(req) }()
+	eventually(t, "the request runs", func() bool { return len(backs[0].Upstream.Seen()) == 1 })
+	cancel()
+	require.Error(t, (<-done).err)
+	eventually(t, "the slot is free", func() bool { return backs[0].Daemon.Status().Running == 0 })
+	eventually(t, "the upstream's connection is closed", func() bool { return backs[0].Upstream.Connections() == 0 })
+}
+
+// Guards against a request that outlasts its route's timeout.
+func TestTimeoutOfTheRoute(t *testing.T) {
+	fleet, ingress, backs := newFleet(t, 4, "a2")
+	short := route.Route{
+		Name: "short", Host: "app", Prefix: "/short/", Kind: route.Unsafe, Timeout: 60 * time.Millisecond, Goal: 50 * time.Millisecond, MaxAttempts: 2,
+		Shares: []route.Share{{Service: "back", Weight: 1}},
+	}
+	table, err := route.New(2, []route.Route{short}, []route.Service{{Name: "back"}}, route.Limits{})
+	require.NoError(t, err)
+	fleet.Store.SetTable(table)
+	settled(t, fleet)
+	backs[0].Upstream.SetFault(func(*meshtest.Request) meshtest.Fault { return meshtest.Hang })
+	_, got := send(ingress, http.MethodPost, "/short/x", "a body", meshtest.Headers.Remaining, "60000")
+	require.Equal(t, http.StatusGatewayTimeout, got.status)
+	_, got = send(ingress, http.MethodPost, "/write/x", "a body")
+	require.Equal(t, http.StatusNotFound, got.status, "the route of version 1 is gone")
+}
+
+// Guards against a daemon that starts while the store is away and stays without a table.
+func TestStartsFromOtherDaemonsWhileTheStoreIsAway(t *testing.T) {
+	fleet, ingress, backs := newFleet(t, 4, "a1")
+	backs[0].Daemon.Close()
+	fleet.Store.SetDown(true)
+	backs[0].Settings.Seeds = []string{ingress.Settings.Listen.ForwardAddress}
+	require.NoError(t, fleet.Restart(backs[0]))
+	eventually(t, "the daemon is ready", backs[0].Daemon.Ready)
+	require.Equal(t, ingress.Daemon.Status().Revision, backs[0].Daemon.Status().Revision)
+	id, got := send(backs[0], http.MethodGet, "/read/x", "")
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, 1, runs(backs, id))
+	fleet.Store.SetTable(meshtest.Table(2, "back"))
+	fleet.Store.SetDown(false)
+	settled(t, fleet)
+	require.Equal(t, uint64(2), backs[0].Daemon.Status().Version)
+}
+
+// Guards against a planned stop that cuts requests or turns callers away while the daemon is
+// still in its notice period.
+func TestDrainFinishesWhatRuns(t *testing.T) {
+	_, ingress, backs := newFleet(t, 4, "a2")
+	backs[0].Upstream.SetWork(30 * time.Millisecond)
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	var failed, served atomic.Int64
+	for range 4 {
+		group.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			for {
+				select {
+				case <-stop:
+					client.CloseIdleConnections()
+					return
+				default:
+				}
+				req, err := http.NewRequest(http.MethodPost, "http://"+ingress.Settings.Listen.CallerAddress+"/write/x", strings.NewReader("a body"))
+				if err != nil {
+					failed.Add(1)
+					return
+				}
+				req.Host = "app"
+				resp, err := client.Do(req)
+				if err != nil || resp.StatusCode != http.StatusOK {
+					failed.Add(1)
+					continue
+				}
+				if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+					failed.Add(1)
+				}
+				_ = resp.Body.Close()
+				served.Add(1)
+			}
+		})
+	}
+	eventually(t, "requests are served", func() bool { return served.Load() > 20 })
+	drained := make(chan struct{})
+	go func() {
+		ingress.Daemon.Drain()
+		close(drained)
+	}()
+	eventually(t, "the daemon is not ready", func() bool { return !ingress.Daemon.Ready() })
+	before := served.Load()
+	eventually(t, "callers are served during the notice", func() bool { return served.Load() > before+20 })
+	close(stop)
+	group.Wait()
+	<-drained
+	require.Zero(t, failed.Load())
+}
--- /dev/null
+++ b/pkg/mesh/follow_test.go
@@ -0,0 +1,208 @@
+package mesh_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"mangoshed.example/mangoshed/core/catalog"
+	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/pkg/mesh"
+	"mangoshed.example/mangoshed/pkg/mesh/meshtest"
+)
+
+// inForce is the time within which platforms want a change to be in force.
+const inForce = 2 * time.Second
+
+// contact is the time after which a daemon that has been cut off must keep the bounds again.
+const contact = 3 * time.Second
+
+type noPeers struct{}
+
+func (noPeers) AskState(context.Context, uint64) (catalog.State, string, error) {
+	return catalog.State{}, "", errors.New("no other daemon is known")
+}
+
+// follow runs a follower in a bubble of virtual time.
+func follow(t *testing.T, peers mesh.Peers, test func(store *meshtest.Store, fleet *mesh.Fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		store := meshtest.NewStore()
+		fleet := mesh.NewFleet(zap.NewNop(), func(time.Time, *catalog.View) {})
+		f := &mesh.Follower{Store: store, Fleet: fleet, Peers: peers, Log: zap.NewNop()}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			f.Run(ctx)
+			close(done)
+		}()
+		test(store, fleet)
+		cancel()
+		<-done
+	})
+}
+
+func instance(id string) catalog.Instance {
+	inst := catalog.Instance{Upstream: "10.0.0.1:1", Slots: 9}
+	inst.ID, inst.Service = model.InstanceID(id), "back"
+	return inst
+}
+
+func version(f *mesh.Fleet) uint64 {
+	if table := f.View().Table; table != nil {
+		return table.Version
+	}
+	return 0
+}
+
+// Guards against changes that are not in force in time, and against a call for each of many
+// changes in a row.
+func TestFollowsChanges(t *testing.T) {
+	follow(t, noPeers{}, func(store *meshtest.Store, fleet *mesh.Fleet) {
+		time.Sleep(inForce)
+		_, before := store.Calls()
+		for v := uint64(1); v <= 25; v++ {
+			store.SetTable(meshtest.Table(v, "back"))
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(inForce)
+		require.Equal(t, uint64(25), version(fleet))
+		_, after := store.Calls()
+		require.Less(t, after-before, 10)
+		time.Sleep(time.Minute)
+		_, idle := store.Calls()
+		require.Less(t, idle-after, 8, "calls of an idle minute")
+	})
+}
+
+// Guards against a daemon that stays behind after an outage of the store, and against a burst
+// of calls during one.
+func TestOutageOfTheStore(t *testing.T) {
+	follow(t, noPeers{}, func(store *meshtest.Store, fleet *mesh.Fleet) {
+		store.SetTable(meshtest.Table(1, "back"))
+		store.Put(instance("a"))
+		time.Sleep(inForce)
+		store.SetDown(true)
+		_, before := store.Calls()
+		time.Sleep(time.Minute)
+		_, after := store.Calls()
+		require.Less(t, after-before, 150)
+		require.Equal(t, uint64(1), version(fleet))
+		require.Len(t, fleet.View().Instances, 1, "the last list holds while the store is away")
+		store.SetTable(meshtest.Table(2, "back"))
+		store.SetDown(false)
+		time.Sleep(inForce)
+		require.Equal(t, uint64(2), version(fleet))
+	})
+}
+
+// Guards against dropping live instances whose entries lapsed while the store was away, and
+// against keeping those that do not come back.
+func TestEntriesThatLapsedWhileTheStoreWasAway(t *testing.T) {
+	follow(t, noPeers{}, func(store *meshtest.Store, fleet *mesh.Fleet) {
+		store.SetTable(meshtest.Table(1, "back"))
+		store.Put(instance("a"))
+		store.Put(instance("b"))
+		time.Sleep(inForce)
+		store.SetDown(true)
+		time.Sleep(5 * time.Second)
+		store.Remove("a")
+		store.Remove("b")
+		store.SetDown(false)
+		time.Sleep(1500 * time.Millisecond)
+		require.Len(t, fleet.View().Instances, 2)
+		store.Put(instance("b"))
+		// No event ends the time of grace here; the daemon's housekeeping does.
+		time.Sleep(2 * time.Second)
+		fleet.Expire(time.Now())
+		require.Len(t, fleet.View().Instances, 1)
+		require.Equal(t, model.InstanceID("b"), fleet.View().Instances[0].ID)
+	})
+}
+
+// Guards against changes that are missed when the store has dropped its history.
+func TestHistoryGone(t *testing.T) {
+	follow(t, noPeers{}, func(store *meshtest.Store, fleet *mesh.Fleet) {
+		store.SetTable(meshtest.Table(1, "back"))
+		store.Put(instance("a"))
+		store.Put(instance("b"))
+		time.Sleep(inForce)
+		store.SetDown(true)
+		time.Sleep(300 * time.Millisecond)
+		store.Remove("a")
+		store.Forget()
+		store.SetDown(false)
+		time.Sleep(inForce)
+		require.Len(t, fleet.View().Instances, 1)
+		lists, _ := store.Calls()
+		require.Equal(t, 2, lists)
+	})
+}
+
+// Guards against a watch on a connection that has gone silent: other daemons' revisions show it.
+func TestSilentWatchIsFoundByOtherDaemons(t *testing.T) {
+	follow(t, noPeers{}, func(store *meshtest.Store, fleet *mesh.Fleet) {
+		store.SetTable(meshtest.Table(1, "back"))
+		time.Sleep(inForce)
+		store.SetSilent(true)
+		store.Put(instance("cut")) // wakes the present watch, so that the next one is silent
+		time.Sleep(inForce)
+		store.SetSilent(false)
+		store.SetTable(meshtest.Table(2, "back"))
+		require.Equal(t, uint64(1), version(fleet))
+		for range 20 { // answers of other daemons
+			fleet.Heard(time.Now(), store.Revision())
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.Equal(t, uint64(2), version(fleet))
+	})
+}
+
+// Guards against acting on an old view after a pause of the process.
+func TestWakeUpReadsAgain(t *testing.T) {
+	follow(t, noPeers{}, func(store *meshtest.Store, fleet *mesh.Fleet) {
+		store.SetTable(meshtest.Table(1, "back"))
+		time.Sleep(inForce)
+		store.SetSilent(true)
+		store.Put(instance("cut"))
+		time.Sleep(time.Second)
+		store.SetSilent(false)
+		store.SetTable(meshtest.Table(2, "back"))
+		fleet.Woke()
+		time.Sleep(contact)
+		require.Equal(t, uint64(2), version(fleet))
+	})
+}
+
+// statePeers answers with a state.
+type statePeers struct{ state catalog.State }
+
+func (p statePeers) AskState(_ context.Context, newer uint64) (catalog.State, string, error) {
+	if p.state.Revision <= newer {
+		return catalog.State{}, "", errors.New("nothing newer is known")
+	}
+	return p.state, "10.0.0.2:1", nil
+}
+
+// Guards against a daemon that waits for the store although others know a newer state, and
+// against one that is taken back by the store's older answers.
+func TestTakesTheStateOfOtherDaemonsDuringAnOutage(t *testing.T) {
+	inst := instance("a")
+	peers := statePeers{catalog.State{
+		Revision: 50, Table: meshtest.Table(7, "back"), Entries: []catalog.Entry{{ID: "a", Instance: &inst, Revision: 50}},
+	}}
+	follow(t, peers, func(store *meshtest.Store, fleet *mesh.Fleet) {
+		store.SetDown(true)
+		time.Sleep(inForce)
+		require.Equal(t, uint64(7), version(fleet))
+		require.Len(t, fleet.View().Instances, 1)
+		store.SetTable(meshtest.Table(3, "back"))
+		store.SetDown(false)
+		time.Sleep(inForce)
+		require.Equal(t, uint64(7), version(fleet))
+	})
+}
--- a/pkg/mesh/meshtest/fleet.go
+++ b/pkg/mesh/meshtest/fleet.go
@@ -40,7 +40,7 @@
 // Add starts an upstream and the daemon beside it, and lists the instance.
 func (f *Fleet) Add(service, dataCentre string, slots int, work time.Duration) (*Member, error) {
 	id := model.InstanceID(fmt.Sprintf("%s-%d", service, len(f.Members)+1))
-	u, err := NewUpstream(id, work)
+	u, err := NewUpstream(id, slots, work)
 	if err != nil {
 		return nil, err
 	}
@@ -49,6 +49,7 @@
 	s.DataCentres = DataCentres
 	s.Upstream.Address = u.Addr()
 	s.Bounds.Grace = 4 * time.Second
+	s.Bounds.RetryAllowance = 10_000 // tests that need a small budget set their own
 	for _, address := range []*string{&s.Listen.CallerAddress, &s.Listen.ForwardAddress, &s.Listen.ReadyAddress, &s.Listen.AdminAddress} {
 		if *address, err = freeAddress(); err != nil {
 			return nil, err
--- a/pkg/mesh/meshtest/store.go
+++ b/pkg/mesh/meshtest/store.go
@@ -28,7 +28,7 @@
 	down     bool
 	silent   bool
 	changed  chan struct{}
-	// Lists and Watches count the calls.
+	// lists and watches count the calls.
 	lists, watches int
 }
 
@@ -108,6 +108,13 @@
 	s.history = nil
 }
 
+// Revision returns the revision of the last change.
+func (s *Store) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // Calls returns the numbers of lists and watches so far.
 func (s *Store) Calls() (lists, watches int) {
 	s.mu.Lock()
--- a/pkg/mesh/meshtest/upstream.go
+++ b/pkg/mesh/meshtest/upstream.go
@@ -22,7 +22,7 @@
 
 // Request is what an upstream saw.
 type Request struct {
-	Instance             model.InstanceID
+	Instance, Expected   model.InstanceID
 	Method, Target, Host string
 	ID, Caller           string
 	Remaining            time.Duration
@@ -65,15 +65,15 @@
 
 // Upstream is a stand-in for an application that speaks HTTP/1.1 on a raw connection.
 type Upstream struct {
-	ID model.InstanceID
-	// Work is the time that a request takes; Size the length of the answer's body.
-	Work time.Duration
+	// Size is the length of the answer's body.
 	Size int
-	// Fault chooses the fault of a request; nil for none.
-	Fault func(r *Request) Fault
 
+	slots    int
 	listener net.Listener
 	mu       sync.Mutex
+	id       model.InstanceID
+	work     time.Duration
+	fault    func(r *Request) Fault
 	seen     []Request
 	conns    map[net.Conn]bool
 	running  int
@@ -81,17 +81,57 @@
 	tasks    sync.WaitGroup
 }
 
-// NewUpstream starts an upstream on loopback.
-func NewUpstream(id model.InstanceID, work time.Duration) (*Upstream, error) {
+// NewUpstream starts an upstream on loopback that reports the slots as its own.
+func NewUpstream(id model.InstanceID, slots int, work time.Duration) (*Upstream, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	u := &Upstream{ID: id, Work: work, Size: 400, listener: listener, conns: make(map[net.Conn]bool)}
+	u := &Upstream{id: id, slots: slots, work: work, Size: 400, listener: listener, conns: make(map[net.Conn]bool)}
 	u.tasks.Go(u.accept)
 	return u, nil
 }
 
+// SetFault sets the function that chooses the fault of a request; nil for none. It is called
+// for one request at a time.
+func (u *Upstream) SetFault(fault func(r *Request) Fault) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.fault = fault
+}
+
+// SetWork sets the time that a request takes.
+func (u *Upstream) SetWork(work time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.work = work
+}
+
+// SetID makes the upstream another instance at the same address.
+func (u *Upstream) SetID(id model.InstanceID) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.id = id
+}
+
+// Connections returns the number of open connections.
+func (u *Upstream) Connections() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.conns)
+}
+
+// choose returns the present ID and the fault of a request.
+func (u *Upstream) choose(r *Request) (model.InstanceID, Fault) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	r.Instance = u.id
+	if u.fault == nil || r.Expected != "" && r.Expected != u.id {
+		return u.id, None
+	}
+	return u.id, u.fault(r)
+}
+
 // Addr returns the address.
 func (u *Upstream) Addr() string { return u.listener.Addr().String() }
 
@@ -157,21 +197,10 @@
 func (u *Upstream) answer(c net.Conn, r *http.Request) bool {
 	ms, _ := strconv.Atoi(r.Header.Get(Headers.Remaining)) // 0 shows a fault to the test
 	seen := Request{
-		Instance: u.ID, Method: r.Method, Target: r.RequestURI, Host: r.Host, ID: r.Header.Get(Headers.RequestID), Caller: r.Header.Get(Headers.Caller),
+		Expected: model.InstanceID(r.Header.Get(Headers.Expected)), Method: r.Method, Target: r.RequestURI, Host: r.Host, ID: r.Header.Get(Headers.RequestID), Caller: r.Header.Get(Headers.Caller),
 		Remaining: time.Duration(ms) * time.Millisecond, At: time.Now(),
 	}
-	if expected := r.Header.Get(Headers.Expected); expected != "" && expected != string(u.ID) {
-		u.write(c, http.StatusMisdirectedRequest, seen.ID, "", Headers.Instance+": "+string(u.ID))
-		return true
-	}
-	fault := None
-	if u.Fault != nil {
-		fault = u.Fault(&seen)
-	}
-	if fault == Shed {
-		u.write(c, http.StatusServiceUnavailable, seen.ID, "", Headers.NotRun+": 1")
-		return true
-	}
+	id, fault := u.choose(&seen)
 	if fault == Early {
 		u.write(c, http.StatusOK, seen.ID, "early", Headers.Proof+": p")
 	}
@@ -179,6 +208,14 @@
 	if err != nil {
 		return false
 	}
+	switch {
+	case seen.Expected != "" && seen.Expected != id:
+		u.write(c, http.StatusMisdirectedRequest, seen.ID, "", Headers.Instance+": "+string(id))
+		return true
+	case fault == Shed:
+		u.write(c, http.StatusServiceUnavailable, seen.ID, "", Headers.NotRun+": 1")
+		return true
+	}
 	seen.Body = body
 	u.run(seen)
 	return u.reply(c, &seen, fault)
@@ -190,9 +227,10 @@
 	u.seen = append(u.seen, r)
 	u.running++
 	u.peak = max(u.peak, u.running)
+	work := u.work
 	u.mu.Unlock()
-	if u.Work > 0 {
-		time.Sleep(u.Work)
+	if work > 0 {
+		time.Sleep(work)
 	}
 	u.mu.Lock()
 	u.running--
@@ -237,7 +275,7 @@
 	case Foreign:
 		u.write(c, http.StatusOK, "other", Body("other", u.Size), proof)
 	}
-	u.write(c, http.StatusOK, r.ID, body, proof, Headers.Load+": 1,0,9")
+	u.write(c, http.StatusOK, r.ID, body, proof, fmt.Sprintf("%s: 1,0,%d", Headers.Load, u.slots))
 	if fault == Double {
 		u.write(c, http.StatusOK, r.ID, body, proof)
 	}
--- a/pkg/mesh/sender.go
+++ b/pkg/mesh/sender.go
@@ -25,8 +25,6 @@
 	peerDial = 400 * time.Millisecond
 	// peerUnacknowledged is the time after which a daemon that acknowledges nothing counts as gone.
 	peerUnacknowledged = 900 * time.Millisecond
-	// answerSlack is the time beyond a job's deadline that the answer may be on its way.
-	answerSlack = 30 * time.Millisecond
 	// statePath is the path of the state that daemons ask each other for.
 	statePath = "/mangoshed-peer/state"
 	// maxState bounds the state of another daemon in bytes.
