Feed most daemons from two readers of the store in each region

Change: two daemons of each region, derived from the list of instances, read the store and stream row deltas to the others; a daemon that is not fed, or hears of a later revision, changes the reader and then reads for itself.

--- /dev/null
+++ b/core/route/delta.go
@@ -0,0 +1,70 @@
+package route
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Key identifies a route within a table.
+type Key struct{ Host, Prefix string }
+
+// Delta turns a table into another one. Services and limits are few and sent as a whole.
+type Delta struct {
+	From, To uint64
+	Put      []Route
+	Removed  []Key
+	Services []Service
+	Limits   Limits
+}
+
+// key returns the key of the route.
+func (r *Route) key() Key { return Key{r.Host, r.Prefix} }
+
+// Diff returns the delta from a table to another.
+func Diff(from, to *Table) Delta {
+	d := Delta{From: from.Version, To: to.Version, Services: to.Services, Limits: to.Limits}
+	old := make(map[Key]*Route, len(from.Routes))
+	for i := range from.Routes {
+		old[from.Routes[i].key()] = &from.Routes[i]
+	}
+	for i := range to.Routes {
+		r := &to.Routes[i]
+		if was := old[r.key()]; was == nil || !was.Equal(r) {
+			d.Put = append(d.Put, *r)
+		}
+		delete(old, r.key())
+	}
+	for key := range old {
+		d.Removed = append(d.Removed, key)
+	}
+	return d
+}
+
+// BaseError reports a delta for another table than the one that is held.
+type BaseError struct{ Have, Want uint64 }
+
+// Error names both versions and the remedy.
+func (e *BaseError) Error() string {
+	return fmt.Sprintf("the delta is for version %d, not %d; read the whole table", e.Want, e.Have)
+}
+
+// Apply returns the table that the delta makes of this one. The error is a *BaseError or *Faults.
+func (t *Table) Apply(d Delta) (*Table, error) {
+	if t.Version != d.From {
+		return nil, &BaseError{Have: t.Version, Want: d.From}
+	}
+	changed := make(map[Key]bool, len(d.Put)+len(d.Removed))
+	for i := range d.Put {
+		changed[d.Put[i].key()] = true
+	}
+	for _, key := range d.Removed {
+		changed[key] = true
+	}
+	routes := make([]Route, 0, len(t.Routes)+len(d.Put))
+	for i := range t.Routes {
+		if !changed[t.Routes[i].key()] {
+			routes = append(routes, t.Routes[i])
+		}
+	}
+	return New(d.To, slices.Concat(routes, d.Put), d.Services, d.Limits)
+}
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -81,6 +81,7 @@
 	servers  []*server
 	ready    atomic.Bool
 	stopping atomic.Bool
+	leaving  chan struct{} // closed when the daemon begins to stop
 	seeds    atomic.Pointer[[]string]
 	tasks    sync.WaitGroup
 	stop     context.CancelFunc
@@ -110,7 +111,7 @@
 
 // New binds the daemon's sockets and builds its parts. Nothing is served before Start.
 func New(s *Settings, p Platform, log *zap.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, platform: p, log: log, registry: telemetry.NewRegistry()}
+	d := &Daemon{settings: s, platform: p, log: log, registry: telemetry.NewRegistry(), leaving: make(chan struct{})}
 	d.seeds.Store(&s.Seeds)
 	var err error
 	if d.metrics, err = newMetrics(d.registry); err != nil {
@@ -142,7 +143,7 @@
 		budget: d.budget, metrics: d.metrics, log: log, random: random{src: rand.New(rand.NewPCG(seed, uint64(os.Getpid())))},
 	}
 	d.follower = &Follower{
-		Store: d.platform.Store, Fleet: d.fleet, Peers: d.sender, Log: d.log,
+		Store: d.platform.Store, Fleet: d.fleet, Peers: d.sender, Log: d.log, Region: s.Instance.Region, Own: s.Listen.ForwardAddress,
 		Calls: func(call, outcome string) { d.metrics.storeCalls.WithLabelValues(call, outcome).Inc() },
 	}
 }
@@ -262,8 +263,8 @@
 // servePeer answers other daemons.
 func (d *Daemon) servePeer(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	if r.URL.Path == statePath && r.Header.Get(headerJob) == "" {
-		serveState(d.fleet, w, r)
+	if r.Header.Get(headerJob) == "" && isPeerCall(r.URL.Path) {
+		d.servePeerCall(w, r)
 		return
 	}
 	j, revision, ok := decodeJob(r, now)
@@ -296,6 +297,18 @@
 	writeResult(w, &res, d.fleet.View().Revision)
 }
 
+// servePeerCall answers what daemons ask each other besides jobs.
+func (d *Daemon) servePeerCall(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case statePath:
+		serveState(d.fleet, w, r)
+	case feedPath:
+		serveFeed(d.fleet, d.follower.Fresh, d.leaving, w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
 // serveReady answers the platform's probes.
 func (d *Daemon) serveReady(w http.ResponseWriter, r *http.Request) {
 	switch {
@@ -324,11 +337,12 @@
 	d.log.Info("settings_reloaded", zap.Int("seeds", len(s.Seeds)))
 }
 
-// Drain stops the daemon: it reports not ready, serves on until its callers have gone or the
+// Drain stops the daemon, once: it reports not ready, serves on until its callers have gone or the
 // grace period nears its end, finishes what runs and ends within the grace period.
 func (d *Daemon) Drain() {
 	began := time.Now()
 	d.stopping.Store(true)
+	close(d.leaving)
 	d.ingress.stopping.Store(true)
 	d.log.Info("daemon_stopping", zap.Int64("requests", d.ingress.active.Load()), zap.Int("jobs", d.guard.Active()))
 	end := began.Add(d.settings.Bounds.Grace - stopSlack)
--- a/pkg/mesh/fleet.go
+++ b/pkg/mesh/fleet.go
@@ -19,6 +19,8 @@
 	mu      sync.Mutex
 	catalog *catalog.Catalog
 	view    atomic.Pointer[catalog.View]
+	// changed is closed and replaced at each new view.
+	changed chan struct{}
 	// behind is closed and replaced when another daemon turns out to know more.
 	behind chan struct{}
 	// heardHigher is the time since which a higher revision is known to exist; zero if none is.
@@ -27,7 +29,7 @@
 
 // NewFleet returns a fleet without a view. onChange is called with each new view, one at a time.
 func NewFleet(log *zap.Logger, onChange func(now time.Time, v *catalog.View)) *Fleet {
-	f := &Fleet{log: log, onChange: onChange, catalog: catalog.New(), behind: make(chan struct{})}
+	f := &Fleet{log: log, onChange: onChange, catalog: catalog.New(), changed: make(chan struct{}), behind: make(chan struct{})}
 	f.view.Store(&catalog.View{})
 	return f
 }
@@ -42,6 +44,14 @@
 	return f.catalog.Revision()
 }
 
+// Follow returns the present view, the revision up to which the store is known, and a channel
+// that is closed at the next view.
+func (f *Fleet) Follow() (*catalog.View, uint64, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Load(), f.catalog.Revision(), f.changed
+}
+
 // Replace takes the whole state of the store or of another daemon.
 func (f *Fleet) Replace(s catalog.State, source string) {
 	f.take(s, source, (*catalog.Catalog).Replace)
@@ -82,6 +92,8 @@
 func (f *Fleet) publish(now time.Time, source string) {
 	old, v := f.view.Load(), f.catalog.View()
 	f.view.Store(v)
+	close(f.changed)
+	f.changed = make(chan struct{})
 	fields := []zap.Field{zap.Uint64("revision", v.Revision), zap.String("source", source), zap.Int("instances", len(v.Instances))}
 	if v.Table != nil && v.Table != old.Table {
 		f.log.Info("version_applied", append(fields, zap.Uint64("version", v.Table.Version), zap.Int("routes", len(v.Table.Routes)))...)
--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -47,7 +48,12 @@
 	Log   *zap.Logger
 	// Calls counts the calls to the store by outcome; it may be nil.
 	Calls func(call, outcome string)
+	// Region and Own are the region and the forward address of the daemon. If they are set, the
+	// daemon reads the store only as one of its region's readers, or while it is not fed.
+	Region, Own string
 
+	feeds    *feeds
+	fresh    atomic.Bool // the store is followed without failures
 	listed   bool
 	failedAt time.Time // of the first failure in a row
 	failures int
@@ -56,7 +62,11 @@
 
 // Run follows the store until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.feeds = &feeds{region: f.Region, own: f.Own, fleet: f.Fleet, lost: make(map[string]time.Time)}
 	for ctx.Err() == nil {
+		if f.followReader(ctx) {
+			continue
+		}
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -70,6 +80,28 @@
 	}
 }
 
+// Fresh reports whether the daemon follows the store itself and without failures.
+func (f *Follower) Fresh() bool { return f.fresh.Load() }
+
+// followReader follows a reader of the region until it is lost. It returns false if the daemon
+// is to read the store.
+func (f *Follower) followReader(ctx context.Context) bool {
+	if f.Own == "" || f.Fleet.View().Table == nil {
+		return false
+	}
+	address, ok := f.feeds.next(time.Now())
+	if !ok {
+		return false
+	}
+	f.fresh.Store(false)
+	err := f.feeds.follow(ctx, address, f.Log)
+	if ctx.Err() == nil {
+		f.feeds.lose(time.Now(), address)
+		f.Log.Info("feed_ended", zap.String("reader", address), zap.Uint64("revision", f.Fleet.Revision()), zap.Error(err))
+	}
+	return true
+}
+
 // step reads the whole state, or waits for the next change.
 func (f *Follower) step(ctx context.Context) error {
 	if !f.listed {
@@ -96,7 +128,7 @@
 		case <-watched:
 		}
 	}()
-	state, err := f.Store.Watch(ctx, f.Fleet.Revision(), holdTime)
+	state, err := f.Store.Watch(ctx, f.Fleet.Revision(), f.hold())
 	close(watched)
 	f.count("watch", err)
 	if errors.Is(err, ErrHistoryGone) {
@@ -111,6 +143,15 @@
 	return nil
 }
 
+// hold returns the hold time of the next watch: short while the daemon reads only because it
+// is not fed, so that it goes back to the readers soon.
+func (f *Follower) hold() time.Duration {
+	if _, fed := f.Fleet.View().Feeders(f.Region, f.Own); fed && f.Own != "" {
+		return feederRest
+	}
+	return holdTime
+}
+
 func (f *Follower) count(call string, err error) {
 	if f.Calls == nil {
 		return
@@ -134,10 +175,12 @@
 		f.Log.Info("store_regained", zap.Int("failures", f.failures), zap.Duration("away", time.Since(f.failedAt)), zap.Uint64("revision", f.Fleet.Revision()))
 	}
 	f.failures, f.pause = 0, 0
+	f.fresh.Store(true)
 }
 
 func (f *Follower) failed(ctx context.Context, err error) {
 	f.failures++
+	f.fresh.Store(false)
 	if f.failures == 1 {
 		f.failedAt = time.Now()
 		f.Log.Warn("store_lost", zap.Error(err), zap.Uint64("revision", f.Fleet.Revision()))
