Contain requests that crash upstreams on the platform's daemon

The guard judges the requests in flight when the upstream has crashed and passes suspicions and convictions on with the messages between daemons.

--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -176,6 +176,14 @@
 	return fresh, err
 }
 
+// Dial opens a connection that does not belong to the client, to see whether the peer accepts any.
+func (c *Client) Dial(ctx context.Context, address string) (net.Conn, error) {
+	if c.cfg.Dial != nil {
+		return c.cfg.Dial(ctx, "tcp4", address)
+	}
+	return c.dialer.DialContext(ctx, "tcp4", address)
+}
+
 // put keeps a connection for further requests.
 func (c *Client) put(now time.Time, address string, i *conn) {
 	c.mu.Lock()
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -267,12 +267,13 @@
 		d.servePeerCall(w, r)
 		return
 	}
-	j, revision, ok := decodeJob(r, now)
+	j, from, ok := decodeJob(r, now)
 	if !ok {
 		http.Error(w, "this address is for other daemons; send requests to "+d.settings.Listen.CallerAddress, http.StatusForbidden)
 		return
 	}
-	d.fleet.Heard(now, revision)
+	d.fleet.Heard(now, from.revision)
+	d.guard.suspects.hear(now, from.gossip)
 	j.ID = r.Header.Get(d.platform.Headers.RequestID)
 	j.HasBody = r.ContentLength != 0 || r.Header.Get("Content-Length") != ""
 	j.Load = func() ([]byte, error) {
@@ -294,7 +295,7 @@
 	if r.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
-	writeResult(w, &res, d.fleet.View().Revision)
+	writeResult(w, &res, sender{d.fleet.View().Revision, d.guard.suspects.gossip(time.Now())})
 }
 
 // servePeerCall answers what daemons ask each other besides jobs.
--- a/pkg/mesh/fleet_test.go
+++ b/pkg/mesh/fleet_test.go
@@ -299,6 +299,49 @@
 	eventually(t, "the upstream's connection is closed", func() bool { return backs[0].Upstream.Connections() == 0 })
 }
 
+// Guards against a request that crashes one upstream after the other: it comes again and again,
+// at any daemon.
+func TestRequestThatCrashesUpstreamsIsContained(t *testing.T) {
+	fleet, ingress, backs := newFleet(t, 4, "a1", "a1", "a2", "b1")
+	for _, m := range backs {
+		m.Upstream.SetFault(func(r *meshtest.Request) meshtest.Fault {
+			if r.Target == "/write/deadly" {
+				return meshtest.Crash
+			}
+			return meshtest.None
+		})
+	}
+	crashes := 0
+	for n := range 40 {
+		entry := fleet.Members[n%len(fleet.Members)]
+		if entry.Settings.Instance.Service != "front" {
+			entry = ingress // the caller is part of the request
+		}
+		_, got := send(entry, http.MethodPost, "/write/deadly", "a body")
+		require.NotEqual(t, http.StatusOK, got.status)
+		for _, m := range backs {
+			if !m.Upstream.Down() {
+				continue
+			}
+			crashes++
+			// An application takes seconds to start again; its daemon has noticed by then.
+			eventually(t, "the daemon has noticed", func() bool { return m.Daemon.Status().Suspects > 0 })
+			require.NoError(t, m.Upstream.Restart())
+		}
+		// Other requests carry what is known about the deadly one.
+		for range 8 {
+			send(ingress, http.MethodGet, "/read/x", "")
+		}
+	}
+	// The first crash makes it a suspect, the second one convicts it; a third one may come
+	// before the others have heard.
+	require.LessOrEqual(t, crashes, 3)
+	require.GreaterOrEqual(t, crashes, 2)
+	id, got := send(ingress, http.MethodPost, "/write/harmless", "a body")
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, 1, runs(backs, id))
+}
+
 // Guards against a request that outlasts its route's timeout.
 func TestTimeoutOfTheRoute(t *testing.T) {
 	fleet, ingress, backs := newFleet(t, 4, "a2")
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -14,6 +14,7 @@
 	"mangoshed.example/mangoshed/core/catalog"
 	"mangoshed.example/mangoshed/core/intake"
 	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/core/quarantine"
 	"mangoshed.example/mangoshed/core/refusal"
 	"mangoshed.example/mangoshed/pkg/exchange"
 )
@@ -28,6 +29,8 @@
 	instantFailure = 5 * time.Millisecond
 	// downTime is the time for which an upstream that refuses connections gets no requests.
 	downTime = 150 * time.Millisecond
+	// quarantinedRetry is the pause that callers of a request that crashes upstreams are asked for.
+	quarantinedRetry = 2 * time.Second
 	// upstreamDial bounds connecting to the upstream, which is on the same host.
 	upstreamDial = 400 * time.Millisecond
 	// maxLeft bounds the remembered instances that have left the upstream's address.
@@ -41,6 +44,8 @@
 	client  *exchange.Client
 	log     *decisions
 
+	suspects *suspects
+
 	mu        sync.Mutex
 	queue     *intake.Queue
 	own       *catalog.Instance // nil while the store lists none at the address
@@ -54,7 +59,7 @@
 // NewGuard returns the guard of the upstream at the address.
 func NewGuard(address string, headers Headers, log *decisions) *Guard {
 	g := &Guard{
-		address: address, headers: headers, log: log, queue: intake.New(0), left: make(map[model.InstanceID]bool),
+		suspects: newSuspects(log.log), address: address, headers: headers, log: log, queue: intake.New(0), left: make(map[model.InstanceID]bool),
 		client: exchange.NewClient(exchange.Config{RequestID: headers.RequestID, DialTimeout: upstreamDial}),
 	}
 	g.timer = time.AfterFunc(time.Hour, g.tick)
@@ -156,7 +161,7 @@
 		return Result{Refusal: refused}
 	}
 	started := time.Now()
-	res := g.send(ctx, j)
+	res := g.contained(ctx, j, started)
 	now := time.Now()
 	g.mu.Lock()
 	g.queue.Done(now, call, res.Answer != nil && res.Answer.Status < http.StatusInternalServerError)
@@ -168,6 +173,38 @@
 	return res
 }
 
+// contained runs an admitted job unless it is known to crash upstreams.
+func (g *Guard) contained(ctx context.Context, j *Job, now time.Time) Result {
+	if err := j.load(); err != nil {
+		return Result{Refusal: notRun(refusal.Cut, "the body did not arrive: "+err.Error(), 0)}
+	}
+	run, verdict := g.suspects.start(now, j.fingerprint())
+	switch verdict {
+	case quarantine.Refused:
+		return Result{Refusal: notRun(refusal.Quarantined, "the request crashes the upstreams that run it; change it", quarantinedRetry)}
+	case quarantine.Busy:
+		return Result{Refusal: notRun(refusal.Overloaded, "the request is suspected of crashing an upstream and runs alone", downTime)}
+	case quarantine.Allowed:
+	}
+	res := g.send(ctx, j)
+	broken := res.Arrived && res.Refusal != nil && res.Refusal.Kind == refusal.UpstreamFailed
+	g.suspects.end(time.Now(), run, !broken)
+	if broken {
+		g.checkCrash()
+	}
+	return res
+}
+
+// load reads the body of a job whose sender waits for a go-ahead.
+func (j *Job) load() error {
+	if j.Load == nil {
+		return nil
+	}
+	body, err := j.Load()
+	j.Body, j.Load = body, nil
+	return err
+}
+
 // admit waits for a slot. It returns a refusal (not run) or nil.
 func (g *Guard) admit(ctx context.Context, j *Job, call *intake.Call) *refusal.Refusal {
 	now := time.Now()
@@ -251,13 +288,6 @@
 func (g *Guard) send(ctx context.Context, j *Job) Result {
 	ctx, cancel := context.WithDeadline(ctx, j.Deadline)
 	defer cancel()
-	if j.Load != nil {
-		body, err := j.Load()
-		if err != nil {
-			return Result{Refusal: notRun(refusal.Cut, "the body did not arrive: "+err.Error(), 0)}
-		}
-		j.Body = body
-	}
 	request := g.request(j)
 	started := time.Now()
 	resp, err := g.client.Do(ctx, request)
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -69,14 +69,14 @@
 }
 
 // encode returns the request to the daemon beside the instance.
-func (j *Job) encode(now time.Time, address string, revision uint64) *exchange.Request {
+func (j *Job) encode(now time.Time, address string, revision uint64, gossip string) *exchange.Request {
 	h := make(http.Header, len(j.Header)+1)
 	for name, values := range j.Header {
 		h[name] = values
 	}
 	h[headerJob] = []string{joinFields(
 		string(j.Instance), j.Route, j.Caller, j.flags(), strconv.Itoa(j.Priority), millis(j.Deadline.Sub(now)), millis(j.Goal.Sub(now)),
-		millis(j.Objective), strconv.FormatUint(revision, 10),
+		millis(j.Objective), strconv.FormatUint(revision, 10), j.Service, gossip,
 	)}
 	return &exchange.Request{
 		Address: address, Method: j.Method, Target: j.Target, Host: j.Host, Header: h, Body: j.Body, HasBody: j.HasBody, ID: j.ID,
@@ -92,7 +92,7 @@
 }
 
 // jobFields is the number of fields of a job.
-const jobFields = 9
+const jobFields = 11
 
 // joinFields joins the fields of a header between daemons.
 func joinFields(fields ...string) string {
@@ -134,34 +134,41 @@
 
 func millis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
 
-// decodeJob reads a request of another daemon and the revision of that daemon's view. The body
-// is not read.
-func decodeJob(r *http.Request, now time.Time) (*Job, uint64, bool) {
+// sender is what a daemon says about itself with each message.
+type sender struct {
+	// revision is that of its view.
+	revision uint64
+	// gossip is what it knows about requests that crash upstreams.
+	gossip string
+}
+
+// decodeJob reads a request of another daemon. The body is not read.
+func decodeJob(r *http.Request, now time.Time) (*Job, sender, bool) {
 	fields, ok := splitFields(r.Header.Get(headerJob), jobFields)
 	if !ok || fields[0] == "" {
-		return nil, 0, false
+		return nil, sender{}, false
 	}
 	var numbers [4]int64 // priority, remaining, goal, objective
 	for i := range numbers {
 		n, err := strconv.ParseInt(fields[4+i], 10, 32)
 		if err != nil {
-			return nil, 0, false
+			return nil, sender{}, false
 		}
 		numbers[i] = n
 	}
 	revision, err := strconv.ParseUint(fields[8], 10, 64)
 	if err != nil {
-		return nil, 0, false
+		return nil, sender{}, false
 	}
 	after := func(ms int64) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
 	flags := fields[3]
 	return &Job{
-		Instance: model.InstanceID(fields[0]), Route: fields[1], Caller: fields[2],
+		Instance: model.InstanceID(fields[0]), Route: fields[1], Caller: fields[2], Service: fields[9],
 		MayWait: strings.IndexByte(flags, flagMayWait) >= 0, Returning: strings.IndexByte(flags, flagReturning) >= 0,
 		MayRepeat: strings.IndexByte(flags, flagRepeat) >= 0,
 		Priority:  int(numbers[0]), Deadline: after(numbers[1]), Goal: after(numbers[2]), Objective: time.Duration(numbers[3]) * time.Millisecond,
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: ownHeaders(r.Header),
-	}, revision, true
+	}, sender{revision, fields[10]}, true
 }
 
 // ownHeaders returns the end-to-end headers without those between daemons.
@@ -176,7 +183,7 @@
 }
 
 // writeResult answers another daemon.
-func writeResult(w http.ResponseWriter, res *Result, revision uint64) {
+func writeResult(w http.ResponseWriter, res *Result, from sender) {
 	h := w.Header()
 	h["Date"] = nil
 	arrived, kind, ran, retry := "", "", "", ""
@@ -190,7 +197,7 @@
 		}
 	}
 	h[headerResult] = []string{joinFields(
-		encodeLoad(res.Load), strconv.FormatUint(revision, 10), arrived, strconv.FormatInt(res.Run.Microseconds(), 10), kind, ran, retry,
+		encodeLoad(res.Load), strconv.FormatUint(from.revision, 10), arrived, strconv.FormatInt(res.Run.Microseconds(), 10), kind, ran, retry, from.gossip,
 	)}
 	if res.Refusal != nil {
 		h["Content-Type"] = nil
@@ -202,7 +209,7 @@
 
 const (
 	// resultFields is the number of fields of a result.
-	resultFields = 7
+	resultFields = 8
 	// notRunMark stands for a refusal of a request that has not run.
 	notRunMark = "n"
 )
@@ -225,15 +232,16 @@
 	_, _ = w.Write(a.Body) // a failed write means that the caller has gone
 }
 
-// decodeResult reads the answer of another daemon and the revision of that daemon's view. An
-// answer that no daemon wrote counts as a failure that may have run.
-func decodeResult(resp *exchange.Response) (Result, uint64) {
+// decodeResult reads the answer of another daemon. An answer that no daemon wrote counts as a
+// failure that may have run.
+func decodeResult(resp *exchange.Response) (Result, sender) {
 	fields, ok := splitFields(resp.Header.Get(headerResult), resultFields)
 	if !ok {
-		return Result{Arrived: true, Refusal: mayHaveRun(refusal.UpstreamFailed, "the answer was not written by a daemon")}, 0
+		return Result{Arrived: true, Refusal: mayHaveRun(refusal.UpstreamFailed, "the answer was not written by a daemon")}, sender{}
 	}
 	res := Result{Load: decodeLoad(fields[0]), Arrived: fields[2] != ""}
 	revision, _ := strconv.ParseUint(fields[1], 10, 64) // 0 tells nothing
+	from := sender{revision, fields[7]}
 	if us, err := strconv.ParseInt(fields[3], 10, 64); err == nil {
 		res.Run = time.Duration(us) * time.Microsecond
 	}
@@ -245,11 +253,11 @@
 		if ms, err := strconv.ParseInt(fields[6], 10, 32); err == nil {
 			res.Refusal.RetryAfter = time.Duration(ms) * time.Millisecond
 		}
-		return res, revision
+		return res, from
 	}
 	resp.Header = ownHeaders(resp.Header)
 	res.Answer = resp
-	return res, revision
+	return res, from
 }
 
 // encodeLoad writes a load as running/slots/queued/next/wait, the times in milliseconds.
--- a/pkg/mesh/meshtest/upstream.go
+++ b/pkg/mesh/meshtest/upstream.go
@@ -61,6 +61,8 @@
 	Fail
 	// Hang never answers.
 	Hang
+	// Crash ends the upstream while it runs the request; Restart starts it again.
+	Crash
 )
 
 // Upstream is a stand-in for an application that speaks HTTP/1.1 on a raw connection.
@@ -74,6 +76,7 @@
 	id       model.InstanceID
 	work     time.Duration
 	fault    func(r *Request) Fault
+	down     bool
 	seen     []Request
 	conns    map[net.Conn]bool
 	running  int
@@ -88,7 +91,7 @@
 		return nil, err
 	}
 	u := &Upstream{id: id, slots: slots, work: work, Size: 400, listener: listener, conns: make(map[net.Conn]bool)}
-	u.tasks.Go(u.accept)
+	u.tasks.Go(func() { u.accept(listener) })
 	return u, nil
 }
 
@@ -133,7 +136,11 @@
 }
 
 // Addr returns the address.
-func (u *Upstream) Addr() string { return u.listener.Addr().String() }
+func (u *Upstream) Addr() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.listener.Addr().String()
+}
 
 // Seen returns the requests that it began to run.
 func (u *Upstream) Seen() []Request {
@@ -149,10 +156,41 @@
 	return u.peak
 }
 
+// crash closes the listener and all connections.
+func (u *Upstream) crash() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_ = u.listener.Close()
+	u.down = true
+	for c := range u.conns {
+		_ = c.Close()
+	}
+}
+
+// Down reports whether the upstream has crashed.
+func (u *Upstream) Down() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.down
+}
+
+// Restart starts an upstream that has crashed at its old address.
+func (u *Upstream) Restart() error {
+	listener, err := net.Listen("tcp4", u.Addr())
+	if err != nil {
+		return err
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.listener, u.down = listener, false
+	u.tasks.Go(func() { u.accept(listener) })
+	return nil
+}
+
 // Close stops it and closes all connections.
 func (u *Upstream) Close() {
-	_ = u.listener.Close()
 	u.mu.Lock()
+	_ = u.listener.Close()
 	for c := range u.conns {
 		_ = c.Close()
 	}
@@ -160,9 +198,9 @@
 	u.tasks.Wait()
 }
 
-func (u *Upstream) accept() {
+func (u *Upstream) accept(listener net.Listener) {
 	for {
-		c, err := u.listener.Accept()
+		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -254,6 +292,9 @@
 		return true
 	case Reset:
 		return false
+	case Crash:
+		u.crash()
+		return false
 	case Hang:
 		_, _ = io.Copy(io.Discard, c) // until the other side closes
 		return false
--- a/pkg/mesh/sender.go
+++ b/pkg/mesh/sender.go
@@ -58,12 +58,15 @@
 	if inst.ForwardAddr == s.own {
 		return s.guard.Run(ctx, j)
 	}
-	resp, err := s.client.Do(ctx, j.encode(time.Now(), inst.ForwardAddr, s.fleet.View().Revision))
+	now := time.Now()
+	resp, err := s.client.Do(ctx, j.encode(now, inst.ForwardAddr, s.fleet.View().Revision, s.guard.suspects.gossip(now)))
 	if err != nil {
 		return unreachable(ctx, err)
 	}
-	res, revision := decodeResult(resp)
-	s.fleet.Heard(time.Now(), revision)
+	res, from := decodeResult(resp)
+	now = time.Now()
+	s.fleet.Heard(now, from.revision)
+	s.guard.suspects.hear(now, from.gossip)
 	return res
 }
 
--- a/pkg/mesh/status.go
+++ b/pkg/mesh/status.go
@@ -18,6 +18,8 @@
 	Running   int    `json:"running"`
 	Slots     int    `json:"slots"`
 	Queued    int    `json:"queued"`
+	// Suspects counts the requests known to crash upstreams, or suspected of it.
+	Suspects int `json:"suspects"`
 }
 
 // Status returns the daemon's present status.
@@ -25,7 +27,7 @@
 	v, load := d.fleet.View(), d.guard.Load()
 	s := Status{
 		Ready: d.Ready(), Revision: v.Revision, Instances: len(v.Instances),
-		Running: load.Running, Slots: load.Slots, Queued: load.Queued,
+		Running: load.Running, Slots: load.Slots, Queued: load.Queued, Suspects: d.guard.suspects.count(),
 	}
 	if v.Table != nil {
 		s.Version, s.Routes = v.Table.Version, len(v.Table.Routes)
