--- a/cmd/mangoshed/process_test.go
+++ b/cmd/mangoshed/process_test.go
@@ -146,7 +146,7 @@
 	}
 	data, err := os.ReadFile("../../contrib/prometheus-alerts.yaml")
 	require.NoError(t, err)
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	var file struct {
 		Groups []struct {
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -39,6 +39,8 @@
 	defaultRun = 100 * time.Millisecond
 	// estimateWeight is the weight of one sample: about the last 12 runs count.
 	estimateWeight = 1.0 / 12
+	// pruneTime is the time between two looks for late calls that will get no slot in time.
+	pruneTime = 20 * time.Millisecond
 	// leastRest is the part of an expected run that a call which has run for longer still needs.
 	leastRest = 6
 	// lateWorth is the worth of a late answer against one in time.
@@ -107,6 +109,7 @@
 	// those that wait.
 	lateShare   float64
 	lateWaiting int
+	prunedAt    time.Time
 	ends        []time.Duration // scratch of wait
 }
 
@@ -364,6 +367,10 @@
 
 func (q *Queue) advance(now time.Time) {
 	q.expel(now)
+	if now.Sub(q.prunedAt) >= pruneTime {
+		q.prunedAt = now
+		q.prune(now)
+	}
 	for len(q.running) < q.slots && len(q.waiting) > 0 {
 		best := 0
 		for i := range q.waiting {
@@ -395,6 +402,21 @@
 	}
 }
 
+// prune refuses late calls that the others ahead of them leave no time, so that their callers
+// need not wait until it has run out.
+func (q *Queue) prune(now time.Time) {
+	for i := 0; i < len(q.waiting); {
+		c := q.waiting[i]
+		if !q.late(now, c) || q.wait(now, q.ahead(now, c))+q.expected(c) <= c.Deadline.Sub(now) {
+			i++
+			continue
+		}
+		q.waiting = slices.Delete(q.waiting, i, i+1)
+		q.settle(c, false)
+		c.Decide(Overloaded)
+	}
+}
+
 // NextTick returns the time of the next expulsion; ok is false when nothing waits.
 func (q *Queue) NextTick() (next time.Time, ok bool) {
 	for _, c := range q.waiting {
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -181,6 +181,23 @@
 	require.Empty(t, q.running)
 }
 
+// Replays a late call that more urgent ones overtake. Guards against a caller that waits until
+// its whole time is over for a slot that it cannot get.
+func TestRefusesALateCallBeforeItsTimeIsOver(t *testing.T) {
+	q := New(1)
+	teach(q, "r", 100)
+	running := fill(t, q, start, "r")
+	late, o := call("r", 1, 0, 10, 900)
+	require.Equal(t, Waiting, q.Offer(start, late, true))
+	for range 8 {
+		c, _ := call("r", 0, 0, 5000, 5000)
+		c.Decide = func(Verdict) {}
+		require.Equal(t, Waiting, q.Offer(at(50), c, true))
+	}
+	q.Done(at(120), running[0], true)
+	require.Equal(t, []Verdict{Overloaded}, o.verdicts)
+}
+
 // Guards against an estimate of the wait that counts all running work: the next of nine slots
 // is free long before all nine are.
 func TestWaitIsThatOfTheNextSlot(t *testing.T) {
--- /dev/null
+++ b/core/route/csv.go
@@ -0,0 +1,167 @@
+package route
+
+import (
+	"encoding/csv"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// columns are the columns of a route table as a spreadsheet, in order.
+var columns = []string{"route", "host", "prefix", "kind", "timeout_ms", "goal_ms", "priority", "max_attempts", "services"}
+
+// maxFileBytes bounds a CSV file; a thousand routes take 0.1 MB.
+const maxFileBytes = 16 << 20
+
+// WriteCSV writes the routes as a spreadsheet. The column services lists SERVICE:WEIGHT,
+// separated by spaces.
+func (t *Table) WriteCSV(w io.Writer) error {
+	out := csv.NewWriter(w)
+	if err := out.Write(columns); err != nil {
+		return err
+	}
+	for i := range t.Routes {
+		if err := out.Write(t.Routes[i].cells()); err != nil {
+			return err
+		}
+	}
+	out.Flush()
+	return out.Error()
+}
+
+// cells returns the texts of the route in the order of the columns.
+func (r *Route) cells() []string {
+	shares := make([]string, len(r.Shares))
+	for i, s := range r.Shares {
+		shares[i] = s.Service + ":" + strconv.FormatUint(uint64(s.Weight), 10)
+	}
+	return []string{
+		r.Name, r.Host, r.Prefix, r.Kind.String(), strconv.FormatInt(r.Timeout.Milliseconds(), 10), strconv.FormatInt(r.Goal.Milliseconds(), 10),
+		strconv.Itoa(r.Priority), strconv.Itoa(r.MaxAttempts), strings.Join(shares, " "),
+	}
+}
+
+// ParseCSV reads the routes of a spreadsheet and validates them; the services are those that
+// the routes name. The error is a *Faults with all faults; their route is the line of the file
+// where the route has no name.
+func ParseCSV(r io.Reader) (*Table, error) {
+	reader := csv.NewReader(io.LimitReader(r, maxFileBytes))
+	reader.FieldsPerRecord = len(columns)
+	header, err := reader.Read()
+	if err != nil || !slices.Equal(header, columns) {
+		return nil, fault("header", "", strings.Join(header, ","), "the columns are not those of a route table", "use "+strings.Join(columns, ","))
+	}
+	c := &checker{}
+	var routes []Route
+	for {
+		record, err := reader.Read()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		line, _ := reader.FieldPos(0)
+		if err != nil {
+			c.add(fmt.Sprintf("line %d", line), "", "", err.Error(), "give each line "+strconv.Itoa(len(columns))+" cells")
+			break
+		}
+		routes = append(routes, c.parse(line, record))
+	}
+	if err := c.err(); err != nil {
+		return nil, err
+	}
+	return New(1, routes, namedServices(routes), Limits{})
+}
+
+func fault(route, column, value, problem, remedy string) error {
+	c := &checker{}
+	c.add(route, column, value, problem, remedy)
+	return c.err()
+}
+
+// parse reads one line.
+func (c *checker) parse(line int, cells []string) Route {
+	name := cells[0]
+	if name == "" {
+		name = fmt.Sprintf("line %d", line)
+	}
+	number := func(column int) int {
+		n, err := strconv.Atoi(cells[column])
+		if err != nil {
+			c.add(name, columns[column], cells[column], "value is not a whole number", "use digits only")
+		}
+		return n
+	}
+	r := Route{Name: name, Host: cells[1], Prefix: cells[2]}
+	kind := slices.Index(kindNames, cells[3])
+	if kind < 0 {
+		c.add(name, columns[3], cells[3], "unknown kind", "use safe, unsafe or upload")
+		kind = 0
+	}
+	r.Kind = Kind(kind)
+	r.Timeout = time.Duration(number(4)) * time.Millisecond
+	r.Goal = time.Duration(number(5)) * time.Millisecond
+	r.Priority, r.MaxAttempts = number(6), number(7)
+	for _, part := range strings.Fields(cells[8]) {
+		service, weight, _ := strings.Cut(part, ":")
+		n, err := strconv.ParseUint(weight, 10, 32)
+		if err != nil {
+			c.add(name, columns[8], part, "share is not SERVICE:WEIGHT", "write for example shifts:90 shifts-next:10")
+		}
+		r.Shares = append(r.Shares, Share{Service: service, Weight: uint32(n)})
+	}
+	return r
+}
+
+// namedServices returns the services that the routes name, sorted.
+func namedServices(routes []Route) []Service {
+	var services []Service
+	for _, r := range routes {
+		for _, s := range r.Shares {
+			if !slices.ContainsFunc(services, func(o Service) bool { return o.Name == s.Service }) {
+				services = append(services, Service{Name: s.Service})
+			}
+		}
+	}
+	slices.SortFunc(services, func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
+	return services
+}
+
+// Changes describes the difference of two tables, a line for each route.
+func Changes(from, to *Table) []string {
+	old := make(map[Key]*Route, len(from.Routes))
+	for i := range from.Routes {
+		old[from.Routes[i].key()] = &from.Routes[i]
+	}
+	lines := []string{}
+	for i := range to.Routes {
+		r := &to.Routes[i]
+		was := old[r.key()]
+		delete(old, r.key())
+		switch {
+		case was == nil:
+			lines = append(lines, "added "+r.Name+": "+r.Host+r.Prefix)
+		case !was.Equal(r):
+			lines = append(lines, "changed "+r.Name+": "+changedCells(was, r))
+		}
+	}
+	for _, r := range from.Routes {
+		if old[r.key()] != nil {
+			lines = append(lines, "removed "+r.Name+": "+r.Host+r.Prefix)
+		}
+	}
+	return lines
+}
+
+func changedCells(was, r *Route) string {
+	before, after := was.cells(), r.cells()
+	var parts []string
+	for i, column := range columns {
+		if before[i] != after[i] {
+			parts = append(parts, fmt.Sprintf("%s %s -> %s", column, before[i], after[i]))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -22,6 +22,7 @@
 		Version: buildinfo.Version(),
 		Commands: []*cli.Command{
 			tableCommand(),
+			routesCommand(),
 			keysCommand(),
 			demoCommand(),
 			statusCommand(),
--- /dev/null
+++ b/pkg/mesh/run_test.go
@@ -0,0 +1,72 @@
+package mesh
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"mangoshed.example/mangoshed/core/catalog"
+)
+
+// emptyStore is a store that never answers.
+type emptyStore struct{}
+
+func (emptyStore) List(ctx context.Context) (catalog.State, error) {
+	<-ctx.Done()
+	return catalog.State{}, ctx.Err()
+}
+
+func (emptyStore) Watch(ctx context.Context, _ uint64, _ time.Duration) (catalog.State, error) {
+	<-ctx.Done()
+	return catalog.State{}, ctx.Err()
+}
+
+// Guards against faulty settings that take the place of good ones, and against new ones that
+// have no effect.
+func TestReloadKeepsTheLastGoodSettings(t *testing.T) {
+	text := regexp.MustCompile(`127\.0\.0\.1:80\d\d`).ReplaceAllString(Example(), "127.0.0.1:0")
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	write := func(text string) { require.NoError(t, os.WriteFile(path, []byte(text), 0o600)) }
+	write(strings.Replace(text, "seeds: []", `seeds: ["127.0.0.1:1"]`, 1))
+	s, err := LoadSettings(path)
+	require.NoError(t, err)
+	d, err := New(s, Platform{Store: emptyStore{}}, zap.NewNop())
+	require.NoError(t, err)
+	defer d.closeListeners()
+	require.Equal(t, []string{"127.0.0.1:1"}, *d.seeds.Load())
+	write(strings.Replace(text, "seeds: []", `seeds: ["127.0.0.1:2"]`, 1))
+	reload(d, path)
+	require.Equal(t, []string{"127.0.0.1:2"}, *d.seeds.Load())
+	write("instance: [")
+	reload(d, path)
+	require.Equal(t, []string{"127.0.0.1:2"}, *d.seeds.Load())
+}
+
+// Guards against an example that is out of date, and against faults without a place or remedy.
+func TestSettings(t *testing.T) {
+	s, err := ParseSettings("example", []byte(Example()))
+	require.NoError(t, err)
+	defaults := DefaultSettings()
+	require.Equal(t, defaults.Bounds, s.Bounds)
+	require.Equal(t, defaults.Limits, s.Limits)
+	for name, test := range map[string]struct{ old, new, want string }{
+		"unknown key":     {"log_level", "loglevel", `unknown field "loglevel"`},
+		"missing":         {"service: shifts", "service: ''", "instance.service: value is missing; set it"},
+		"bad address":     {"127.0.0.1:8080", "localhost", `listen.caller_address: value "localhost": value has the wrong form; use IP:PORT`},
+		"own data centre": {"klang-a: klang", "klang-a: other", "data_centres: value \"klang-a\""},
+		"ratio":           {"retry_ratio: 0.1", "retry_ratio: -1", "bounds.retry_ratio"},
+		"grace":           {"grace: 10s", "grace: 0s", "a duration is not positive"},
+	} {
+		_, err := ParseSettings("example", []byte(strings.Replace(Example(), test.old, test.new, 1)))
+		require.ErrorContains(t, err, test.want, name)
+	}
+	_, err = LoadSettings("absent.yaml")
+	require.ErrorContains(t, err, "absent.yaml: file cannot be read")
+}
