Let a large answer of the store arrive; weak daemons do not read for others; compress the feed

Readers with 0.16 of a core or 9 Mbit/s encoded and sent the whole change once for each daemon.

The test of the large answer fails without the change.

--- a/core/catalog/readers.go
+++ b/core/catalog/readers.go
@@ -13,30 +13,42 @@
 // others: two, so that the loss of one costs the others no more than a connection.
 const ReadersPerRegion = 2
 
-// Readers returns the forward addresses of the daemons of a region that read the store, in
-// order. Every daemon with the same list finds the same ones; while lists differ, more or
-// fewer read for a moment. The rank depends on the address, which outlives the upstream's ID.
-func (v *View) Readers(region string) []string {
+// Ranking returns the forward addresses of the daemons of a region in the order in which they
+// read the store for the others. Every daemon with the same list finds the same order; while
+// lists differ, more or fewer read for a moment. The rank depends on the address, which
+// outlives the upstream's ID.
+func (v *View) Ranking(region string) []string {
 	var addresses []string
+	seen := make(map[string]bool)
 	for i := range v.Instances {
 		inst := &v.Instances[i]
-		if inst.Place.Region == region && inst.State == model.Live && !slices.Contains(addresses, inst.ForwardAddr) {
+		if inst.Place.Region == region && inst.State == model.Live && !seen[inst.ForwardAddr] {
+			seen[inst.ForwardAddr] = true
 			addresses = append(addresses, inst.ForwardAddr)
 		}
 	}
 	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
-	return addresses[:min(ReadersPerRegion, len(addresses))]
+	return addresses
 }
 
 // Feeders returns the readers that feed the daemon with the address, the preferred one first,
-// and false if the daemon is to read the store itself.
-func (v *View) Feeders(region, own string) ([]string, bool) {
-	readers := v.Readers(region)
-	if len(readers) == 0 || slices.Contains(readers, own) {
-		return nil, false
+// and false if the daemon is to read the store itself. declined names daemons that do not take
+// the role; a daemon that does not take it names itself.
+func (v *View) Feeders(region, own string, declined func(address string) bool) ([]string, bool) {
+	var readers []string
+	for _, address := range v.Ranking(region) {
+		if declined(address) {
+			continue
+		}
+		if address == own {
+			return nil, false
+		}
+		if readers = append(readers, address); len(readers) == ReadersPerRegion {
+			break
+		}
 	}
 	slices.SortFunc(readers, func(a, b string) int {
 		return cmp.Compare(xxhash.Sum64String(own+a), xxhash.Sum64String(own+b))
 	})
-	return readers, true
+	return readers, len(readers) > 0
 }
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -52,6 +52,8 @@
 	// Confirm sends the body only when the peer has asked for it, so that one that refuses the
 	// request does not cost its bytes, and one that breaks before cannot have run it.
 	Confirm bool
+	// Answering is called when the head of the answer has arrived; it may be nil.
+	Answering func()
 }
 
 // Response is a whole answer.
@@ -274,6 +276,9 @@
 			return nil, began, err
 		}
 		began = true
+		if x.request.Answering != nil {
+			x.request.Answering()
+		}
 		body, err := x.readBody(head)
 		if err != nil {
 			return nil, began, err
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -77,6 +77,7 @@
 	sender   *Sender
 	ingress  *Ingress
 	follower *Follower
+	feed     *feedServer
 
 	servers  []*server
 	ready    atomic.Bool
@@ -144,8 +145,10 @@
 	}
 	d.follower = &Follower{
 		Store: d.platform.Store, Fleet: d.fleet, Peers: d.sender, Log: d.log, Region: s.Instance.Region, Own: s.Listen.ForwardAddress,
-		Calls: func(call, outcome string) { d.metrics.storeCalls.WithLabelValues(call, outcome).Inc() },
+		Decline: s.Limits.weak(),
+		Calls:   func(call, outcome string) { d.metrics.storeCalls.WithLabelValues(call, outcome).Inc() },
 	}
+	d.feed = &feedServer{fleet: d.fleet, fresh: d.follower.Fresh, decline: s.Limits.weak(), stopped: d.leaving}
 }
 
 // onView gives a new view to the parts.
@@ -304,7 +307,7 @@
 	case statePath:
 		serveState(d.fleet, w, r)
 	case feedPath:
-		serveFeed(d.fleet, d.follower.Fresh, d.leaving, w, r)
+		d.feed.ServeHTTP(w, r)
 	default:
 		http.NotFound(w, r)
 	}
--- a/pkg/mesh/decisions.go
+++ b/pkg/mesh/decisions.go
@@ -16,18 +16,24 @@
 // decisions logs what was decided about single requests, within a bound of lines per second.
 // Lines beyond it are counted and reported with the next line.
 type decisions struct {
-	log        *zap.Logger
-	limiter    *rate.Limiter
-	suppressed atomic.Uint64
+	log *zap.Logger
+	// failures bounds the lines about requests that were not served, served those about the others.
+	failures, served *rate.Limiter
+	suppressed       atomic.Uint64
 }
 
+// servedShare is the part of the bound that lines about served requests may take besides, as
+// 1 in that many: a failure is what operators look for.
+const servedShare = 5
+
 func newDecisions(log *zap.Logger, linesPerSecond int) *decisions {
-	return &decisions{log: log, limiter: rate.NewLimiter(rate.Limit(linesPerSecond), 2*linesPerSecond)}
+	limiter := func(n int) *rate.Limiter { return rate.NewLimiter(rate.Limit(n), 2*n) }
+	return &decisions{log: log, failures: limiter(linesPerSecond), served: limiter(max(1, linesPerSecond/servedShare))}
 }
 
-// allow takes a line from the bound.
-func (d *decisions) allow() bool {
-	if d.limiter.Allow() {
+// allow takes a line from a bound.
+func (d *decisions) allow(limiter *rate.Limiter) bool {
+	if limiter.Allow() {
 		return true
 	}
 	d.suppressed.Add(1)
@@ -43,7 +49,7 @@
 
 // rejected logs a request that was refused before it was placed.
 func (d *decisions) rejected(id, host, path string, r *refusal.Refusal) {
-	if !d.allow() {
+	if !d.allow(d.failures) {
 		return
 	}
 	d.write("request_rejected", []zap.Field{
@@ -60,7 +66,11 @@
 	if res.Answer != nil && req.sent+req.refusals <= 1 && res.Answer.Status < 500 && took < time.Duration(slowShare*float64(req.route.Timeout)) {
 		return
 	}
-	if !d.allow() {
+	limiter := d.failures
+	if res.Answer != nil && res.Answer.Status < 500 {
+		limiter = d.served
+	}
+	if !d.allow(limiter) {
 		return
 	}
 	fields := []zap.Field{
@@ -85,7 +95,7 @@
 // other daemon look elsewhere.
 func (d *decisions) refused(j *Job, res *Result) {
 	r := res.Refusal
-	if (r.Kind == refusal.Overloaded && !j.MayWait && !res.Arrived) || !d.allow() {
+	if (r.Kind == refusal.Overloaded && !j.MayWait && !res.Arrived) || !d.allow(d.failures) {
 		return
 	}
 	d.write("upstream_refused", []zap.Field{
--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -2,14 +2,18 @@
 
 import (
 	"bufio"
+	"bytes"
+	"compress/flate"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -32,6 +36,10 @@
 	feedGrace = 400 * time.Millisecond
 	// feederRest is the time for which a reader that was lost is not asked again.
 	feederRest = 1500 * time.Millisecond
+	// declinedStatus answers a daemon that asks one which does not read for others; it is not
+	// asked again for declinedRest.
+	declinedStatus = http.StatusNotImplemented
+	declinedRest   = 5 * time.Minute
 	// feedWrite bounds the write of a frame.
 	feedWrite = 2 * time.Second
 )
@@ -41,77 +49,156 @@
 	Revision uint64 `cbor:"1,keyasint"`
 	// Fresh says that the sender follows the store itself and without failures.
 	Fresh bool `cbor:"2,keyasint,omitempty"`
+	// Change is a compressed change; empty without news.
+	Change []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// change is what a frame changes in the view.
+type change struct {
 	// Whole says that Put lists all instances.
-	Whole bool               `cbor:"3,keyasint,omitempty"`
-	Table *peerTable         `cbor:"4,keyasint,omitempty"`
-	Delta *route.Delta       `cbor:"5,keyasint,omitempty"`
-	Put   []catalog.Instance `cbor:"6,keyasint,omitempty"`
-	Gone  []model.InstanceID `cbor:"7,keyasint,omitempty"`
+	Whole bool               `cbor:"1,keyasint,omitempty"`
+	Table *peerTable         `cbor:"2,keyasint,omitempty"`
+	Delta *route.Delta       `cbor:"3,keyasint,omitempty"`
+	Put   []catalog.Instance `cbor:"4,keyasint,omitempty"`
+	Gone  []model.InstanceID `cbor:"5,keyasint,omitempty"`
+}
+
+// empty reports whether nothing changes.
+func (c *change) empty() bool {
+	return !c.Whole && c.Table == nil && c.Delta == nil && len(c.Put) == 0 && len(c.Gone) == 0
+}
+
+// pack encodes and compresses a change; nil for an empty one.
+func (c *change) pack() ([]byte, error) {
+	if c.empty() {
+		return nil, nil
+	}
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if err := cbor.NewEncoder(w).Encode(c); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
 }
 
-// state returns the change that a frame brings to a view.
-func (f *frame) state(held *catalog.View) (catalog.State, error) {
-	s := catalog.State{Revision: f.Revision}
+// unpack reverses pack.
+func unpack(data []byte) (change, error) {
+	var c change
+	if len(data) == 0 {
+		return c, nil
+	}
+	text, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxState))
+	if err != nil {
+		return c, err
+	}
+	return c, cbor.Unmarshal(text, &c)
+}
+
+// state returns what a change brings to a view.
+func (c *change) state(held *catalog.View, revision uint64) (catalog.State, error) {
+	s := catalog.State{Revision: revision}
 	var err error
 	switch {
-	case f.Table != nil:
-		s.Table, err = route.New(f.Table.Version, f.Table.Routes, f.Table.Services, f.Table.Limits)
-	case f.Delta != nil && held.Table == nil:
-		err = &route.BaseError{Want: f.Delta.From}
-	case f.Delta != nil && f.Delta.To > held.Table.Version:
-		s.Table, err = held.Table.Apply(*f.Delta)
+	case c.Table != nil:
+		s.Table, err = route.New(c.Table.Version, c.Table.Routes, c.Table.Services, c.Table.Limits)
+	case c.Delta != nil && held.Table == nil:
+		err = &route.BaseError{Want: c.Delta.From}
+	case c.Delta != nil && c.Delta.To > held.Table.Version:
+		s.Table, err = held.Table.Apply(*c.Delta)
 	}
-	for i := range f.Put {
-		s.Entries = append(s.Entries, catalog.Entry{ID: f.Put[i].ID, Instance: &f.Put[i], Revision: f.Revision})
+	for i := range c.Put {
+		s.Entries = append(s.Entries, catalog.Entry{ID: c.Put[i].ID, Instance: &c.Put[i], Revision: revision})
 	}
-	for _, id := range f.Gone {
-		s.Entries = append(s.Entries, catalog.Entry{ID: id, Revision: f.Revision})
+	for _, id := range c.Gone {
+		s.Entries = append(s.Entries, catalog.Entry{ID: id, Revision: revision})
 	}
 	return s, err
 }
 
-// nextFrame returns the frame that leads from what was sent to the present view.
-func nextFrame(sent, current *catalog.View, revision uint64, fresh bool) frame {
-	f := frame{Revision: revision, Fresh: fresh}
-	if current == sent {
-		return f
-	}
+// difference returns the change from one view to another.
+func difference(sent, current *catalog.View) change {
+	var c change
 	if current.Table != sent.Table && current.Table != nil {
 		if sent.Table == nil {
-			f.Table = encodeTable(current.Table)
+			c.Table = encodeTable(current.Table)
 		} else {
 			delta := route.Diff(sent.Table, current.Table)
-			f.Delta = &delta
+			c.Delta = &delta
 		}
 	}
 	for i := range current.Instances {
 		inst := &current.Instances[i]
 		if was, ok := sent.ByID(inst.ID); !ok || *was != *inst {
-			f.Put = append(f.Put, *inst)
+			c.Put = append(c.Put, *inst)
 		}
 	}
 	for i := range sent.Instances {
 		if _, ok := current.ByID(sent.Instances[i].ID); !ok {
-			f.Gone = append(f.Gone, sent.Instances[i].ID)
+			c.Gone = append(c.Gone, sent.Instances[i].ID)
 		}
 	}
-	return f
+	return c
+}
+
+// packer packs the changes for all daemons that are fed: mostly they are at the same view, so
+// that the last change is kept. It is safe for concurrent use.
+type packer struct {
+	mu       sync.Mutex
+	from, to *catalog.View
+	data     []byte
+}
+
+// pack returns the packed change from one view to another.
+func (p *packer) pack(from, to *catalog.View) ([]byte, error) {
+	if from == to {
+		return nil, nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.from == from && p.to == to {
+		return p.data, nil
+	}
+	c := difference(from, to)
+	data, err := c.pack()
+	if err != nil {
+		return nil, err
+	}
+	p.from, p.to, p.data = from, to, data
+	return data, nil
 }
 
-// firstFrame returns the frame for a daemon that holds a revision and a version.
-func firstFrame(current *catalog.View, revision, heldRevision, heldVersion uint64, fresh bool) frame {
-	f := frame{Revision: revision, Fresh: fresh}
+// firstChange returns the change for a daemon that holds a revision and a version.
+func firstChange(current *catalog.View, revision, heldRevision, heldVersion uint64) change {
+	var c change
 	if current.Table != nil && current.Table.Version > heldVersion {
-		f.Table = encodeTable(current.Table)
+		c.Table = encodeTable(current.Table)
 	}
 	if revision > heldRevision {
-		f.Whole, f.Put = true, current.Instances
+		c.Whole, c.Put = true, current.Instances
 	}
-	return f
+	return c
 }
 
-// serveFeed streams the changes of the view until the other daemon leaves or this one stops.
-func serveFeed(fleet *Fleet, fresh func() bool, stopped <-chan struct{}, w http.ResponseWriter, r *http.Request) {
+// feedServer streams the changes of the view to other daemons.
+type feedServer struct {
+	fleet  *Fleet
+	packer packer
+	// fresh reports whether the daemon follows the store itself.
+	fresh func() bool
+	// decline says that the daemon does not read for others.
+	decline bool
+	// stopped is closed when the daemon begins to stop.
+	stopped <-chan struct{}
+}
+
+// ServeHTTP streams until the other daemon leaves or this one stops.
+func (s *feedServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	revision, err1 := strconv.ParseUint(query.Get("revision"), 10, 64)
 	version, err2 := strconv.ParseUint(query.Get("version"), 10, 64)
@@ -119,27 +206,39 @@
 		http.Error(w, "name the revision and the version that are held", http.StatusBadRequest)
 		return
 	}
+	if s.decline {
+		http.Error(w, "this daemon does not read for others", declinedStatus)
+		return
+	}
+	sent, reached, changed := s.fleet.Follow()
+	first := firstChange(sent, reached, revision, version)
+	data, err := first.pack()
+	if err != nil {
+		http.Error(w, "the state cannot be encoded: "+err.Error(), http.StatusInternalServerError)
+		return
+	}
 	control := http.NewResponseController(w)
 	encoder := cbor.NewEncoder(w)
 	ticker := time.NewTicker(beaconTime)
 	defer ticker.Stop()
-	sent, reached, changed := fleet.Follow()
-	next := firstFrame(sent, reached, revision, version, fresh())
 	for {
+		next := frame{Revision: reached, Fresh: s.fresh(), Change: data}
 		if control.SetWriteDeadline(time.Now().Add(feedWrite)) != nil || encoder.Encode(next) != nil || control.Flush() != nil {
 			return // the other daemon has left, or reads no more
 		}
 		select {
 		case <-ticker.C:
 		case <-changed:
-		case <-stopped:
+		case <-s.stopped:
 			return
 		case <-r.Context().Done():
 			return
 		}
 		var current *catalog.View
-		current, reached, changed = fleet.Follow()
-		next = nextFrame(sent, current, reached, fresh())
+		current, reached, changed = s.fleet.Follow()
+		if data, err = s.packer.pack(sent, current); err != nil {
+			return // the other daemon asks again and gets the whole state
+		}
 		sent = current
 	}
 }
@@ -149,12 +248,32 @@
 	region, own string
 	fleet       *Fleet
 	lost        map[string]time.Time
+	declined    map[string]time.Time
+	// decline says that the daemon itself does not read for others.
+	decline bool
+}
+
+// feeders returns the readers that feed this daemon; false if it is one of them.
+func (f *feeds) feeders(now time.Time) ([]string, bool) {
+	return f.fleet.View().Feeders(f.region, f.own, func(address string) bool {
+		if address == f.own {
+			return f.decline
+		}
+		at, ok := f.declined[address]
+		return ok && now.Sub(at) < declinedRest
+	})
+}
+
+// fed reports whether others read for this daemon.
+func (f *feeds) fed(now time.Time) bool {
+	_, fed := f.feeders(now)
+	return fed
 }
 
 // next returns the reader to follow, false if the daemon is to read the store itself: as one
 // of the readers, or because all of them are lost.
 func (f *feeds) next(now time.Time) (string, bool) {
-	feeders, fed := f.fleet.View().Feeders(f.region, f.own)
+	feeders, fed := f.feeders(now)
 	if !fed {
 		return "", false
 	}
@@ -172,6 +291,7 @@
 	errBehind     = errors.New("other daemons know more than the reader")
 	errNotReader  = errors.New("the reader has left its role")
 	errFeedStatus = errors.New("the reader refused the feed")
+	errDeclined   = errors.New("the daemon does not read for others")
 )
 
 // follow takes the changes that a reader sends until it is lost or another one is preferred.
@@ -202,7 +322,11 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case declinedStatus:
+		return errDeclined
+	default:
 		return errFeedStatus
 	}
 	log.Info("feed_started", zap.String("reader", address), zap.Uint64("revision", f.fleet.Revision()))
@@ -221,11 +345,15 @@
 		if err := decoder.Decode(&next); err != nil {
 			return err
 		}
-		state, err := next.state(f.fleet.View())
+		news, err := unpack(next.Change)
 		if err != nil {
 			return err
 		}
-		if next.Whole {
+		state, err := news.state(f.fleet.View(), next.Revision)
+		if err != nil {
+			return err
+		}
+		if news.Whole {
 			f.fleet.Replace(state, address)
 		} else {
 			f.fleet.Apply(state, address)
@@ -242,14 +370,20 @@
 		if now.Sub(freshAt) > feedGrace {
 			return errNotFresh
 		}
-		if feeders, fed := f.fleet.View().Feeders(f.region, f.own); !fed || !slices.Contains(feeders, address) {
+		if feeders, fed := f.feeders(now); !fed || !slices.Contains(feeders, address) {
 			return errNotReader
 		}
 	}
 }
 
 // lose leaves out a reader for a time.
-func (f *feeds) lose(now time.Time, address string) { f.lost[address] = now }
+func (f *feeds) lose(now time.Time, address string, why error) {
+	if errors.Is(why, errDeclined) {
+		f.declined[address] = now
+		return
+	}
+	f.lost[address] = now
+}
 
 // isPeerCall reports whether a path belongs to the calls between daemons.
 func isPeerCall(path string) bool { return strings.HasPrefix(path, "/mangoshed-peer/") }
--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +52,8 @@
 	// Region and Own are the region and the forward address of the daemon. If they are set, the
 	// daemon reads the store only as one of its region's readers, or while it is not fed.
 	Region, Own string
+	// Decline says that the daemon does not read for others.
+	Decline bool
 
 	feeds    *feeds
 	fresh    atomic.Bool // the store is followed without failures
@@ -62,7 +65,7 @@
 
 // Run follows the store until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	f.feeds = &feeds{region: f.Region, own: f.Own, fleet: f.Fleet, lost: make(map[string]time.Time)}
+	f.feeds = &feeds{region: f.Region, own: f.Own, fleet: f.Fleet, lost: make(map[string]time.Time), declined: make(map[string]time.Time), decline: f.Decline}
 	for ctx.Err() == nil {
 		if f.followReader(ctx) {
 			continue
@@ -80,6 +83,21 @@
 	}
 }
 
+// cancelIfBehind ends a watch when other daemons know more, unless its answer is on the way:
+// a large one may take longer than theirs, and asking again would make it later still.
+func cancelIfBehind(cancel func(), behind, answering, done <-chan struct{}) {
+	select {
+	case <-behind:
+		select {
+		case <-answering:
+		default:
+			cancel()
+		}
+	case <-answering:
+	case <-done:
+	}
+}
+
 // Fresh reports whether the daemon follows the store itself and without failures.
 func (f *Follower) Fresh() bool { return f.fresh.Load() }
 
@@ -96,7 +114,7 @@
 	f.fresh.Store(false)
 	err := f.feeds.follow(ctx, address, f.Log)
 	if ctx.Err() == nil {
-		f.feeds.lose(time.Now(), address)
+		f.feeds.lose(time.Now(), address, err)
 		f.Log.Info("feed_ended", zap.String("reader", address), zap.Uint64("revision", f.Fleet.Revision()), zap.Error(err))
 	}
 	return true
@@ -119,17 +137,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, holdTime+holdSlack)
 	defer cancel()
-	watched := make(chan struct{})
-	behind := f.Fleet.Behind()
-	go func() {
-		select {
-		case <-behind:
-			cancel()
-		case <-watched:
-		}
-	}()
-	state, err := f.Store.Watch(ctx, f.Fleet.Revision(), f.hold())
-	close(watched)
+	answering, done := make(chan struct{}), make(chan struct{})
+	defer close(done)
+	go cancelIfBehind(cancel, f.Fleet.Behind(), answering, done)
+	state, err := f.Store.Watch(ctx, f.Fleet.Revision(), f.hold(), sync.OnceFunc(func() { close(answering) }))
 	f.count("watch", err)
 	if errors.Is(err, ErrHistoryGone) {
 		f.listed = false
@@ -146,7 +157,7 @@
 // hold returns the hold time of the next watch: short while the daemon reads only because it
 // is not fed, so that it goes back to the readers soon.
 func (f *Follower) hold() time.Duration {
-	if _, fed := f.Fleet.View().Feeders(f.Region, f.Own); fed && f.Own != "" {
+	if f.Own != "" && f.feeds.fed(time.Now()) {
 		return feederRest
 	}
 	return holdTime
--- a/pkg/mesh/follow_test.go
+++ b/pkg/mesh/follow_test.go
@@ -162,6 +162,26 @@
 	})
 }
 
+// Replays a change whose answer takes longer to arrive than it took others. Guards against
+// asking for it again and again, which keeps a daemon behind for good.
+func TestLargeAnswerIsNotCutShort(t *testing.T) {
+	follow(t, noPeers{}, func(store *meshtest.Store, fleet *mesh.Fleet) {
+		store.SetTable(meshtest.Table(1, "back"))
+		time.Sleep(inForce)
+		store.SetTransfer(1500 * time.Millisecond)
+		store.SetTable(meshtest.Table(2, "back"))
+		_, before := store.Calls()
+		for range 15 {
+			fleet.Heard(time.Now(), store.Revision())
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(500 * time.Millisecond)
+		require.Equal(t, uint64(2), version(fleet))
+		_, after := store.Calls()
+		require.LessOrEqual(t, after-before, 1)
+	})
+}
+
 // Guards against acting on an old view after a pause of the process.
 func TestWakeUpReadsAgain(t *testing.T) {
 	follow(t, noPeers{}, func(store *meshtest.Store, fleet *mesh.Fleet) {
--- a/pkg/mesh/meshtest/store.go
+++ b/pkg/mesh/meshtest/store.go
@@ -27,6 +27,7 @@
 	first    uint64          // lowest revision that a watch may start after
 	down     bool
 	silent   bool
+	transfer time.Duration
 	changed  chan struct{}
 	// lists and watches count the calls.
 	lists, watches int
@@ -100,6 +101,19 @@
 	s.silent = silent
 }
 
+// SetTransfer makes an answer to a watch take a time from its begin to its end.
+func (s *Store) SetTransfer(transfer time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.transfer = transfer
+}
+
+func (s *Store) transferTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.transfer
+}
+
 // Forget drops the history: watches have to read the whole state again.
 func (s *Store) Forget() {
 	s.mu.Lock()
@@ -138,7 +152,7 @@
 }
 
 // Watch implements mesh.Store.
-func (s *Store) Watch(ctx context.Context, after uint64, hold time.Duration) (catalog.State, error) {
+func (s *Store) Watch(ctx context.Context, after uint64, hold time.Duration, answering func()) (catalog.State, error) {
 	s.mu.Lock()
 	s.watches++
 	s.mu.Unlock()
@@ -146,7 +160,13 @@
 	defer timer.Stop()
 	for {
 		state, changed, err := s.since(after)
+		if transfer := s.transferTime(); transfer > 0 && err == nil && (len(state.Entries) > 0 || state.Table != nil) {
+			answering()
+			time.Sleep(transfer)
+			return state, ctx.Err()
+		}
 		if err != nil || len(state.Entries) > 0 || state.Table != nil {
+			answering()
 			return state, err
 		}
 		select {
--- a/pkg/mesh/platform.go
+++ b/pkg/mesh/platform.go
@@ -21,8 +21,8 @@
 	// while it is read are seen again by a watch.
 	List(ctx context.Context) (catalog.State, error)
 	// Watch returns the changes after a revision as soon as there are any, or an empty change
-	// after the hold time.
-	Watch(ctx context.Context, after uint64, hold time.Duration) (catalog.State, error)
+	// after the hold time. answering is called when the answer begins to arrive.
+	Watch(ctx context.Context, after uint64, hold time.Duration, answering func()) (catalog.State, error)
 }
 
 // Headers name the HTTP headers that callers and upstreams of the platform use, in canonical form.
--- a/pkg/mesh/run_test.go
+++ b/pkg/mesh/run_test.go
@@ -23,7 +23,7 @@
 	return catalog.State{}, ctx.Err()
 }
 
-func (emptyStore) Watch(ctx context.Context, _ uint64, _ time.Duration) (catalog.State, error) {
+func (emptyStore) Watch(ctx context.Context, _ uint64, _ time.Duration, _ func()) (catalog.State, error) {
 	<-ctx.Done()
 	return catalog.State{}, ctx.Err()
 }
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -64,10 +64,26 @@
 type Limits struct {
 	// MemoryMB is the memory that the process may use, in MB; 0 sets no limit.
 	MemoryMB int `yaml:"memory_mb"`
+	// Cores is the processor time that the process may use, in cores, and LinkMbps the rate of
+	// its link; 0 means plenty. A daemon with little of either does not read for others.
+	Cores    float64 `yaml:"cores"`
+	LinkMbps float64 `yaml:"link_mbps"`
 	// LogLinesPerSecond bounds the lines about single requests; default 40.
 	LogLinesPerSecond int `yaml:"log_lines_per_second"`
 }
 
+// A reader encodes each change once and sends it to all that it feeds: at 300 daemons in two
+// regions some 75, with 20 kB for a large change. With less than this it takes seconds.
+const (
+	minReaderCores = 0.2
+	minReaderMbps  = 20
+)
+
+// weak reports whether the daemon does not read the store for others.
+func (l *Limits) weak() bool {
+	return l.Cores > 0 && l.Cores < minReaderCores || l.LinkMbps > 0 && l.LinkMbps < minReaderMbps
+}
+
 // Bounds are what the platform promises and expects.
 type Bounds struct {
 	// RetryRatio and RetryAllowance bound repeated sends to a service over all daemons in
