--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -294,8 +295,9 @@
 	errDeclined   = errors.New("the daemon does not read for others")
 )
 
-// follow takes the changes that a reader sends until it is lost or another one is preferred.
-func (f *feeds) follow(ctx context.Context, address string, log *zap.Logger) error {
+// follow takes the changes that a reader sends until it is lost or has left its role. It sets
+// following when the reader has accepted.
+func (f *feeds) follow(ctx context.Context, address string, following *atomic.Bool, log *zap.Logger) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	dialer := net.Dialer{Timeout: peerDial, KeepAlive: -1}
@@ -329,6 +331,7 @@
 	default:
 		return errFeedStatus
 	}
+	following.Store(true)
 	log.Info("feed_started", zap.String("reader", address), zap.Uint64("revision", f.fleet.Revision()))
 	return f.receive(conn, cbor.NewDecoder(resp.Body), address)
 }
--- a/pkg/mesh/fleet_test.go
+++ b/pkg/mesh/fleet_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"mangoshed.example/mangoshed/core/catalog"
 	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/route"
 	"mangoshed.example/mangoshed/pkg/mesh/meshtest"
@@ -429,3 +430,54 @@
 	<-drained
 	require.Zero(t, failed.Load())
 }
+
+// Guards against daemons that miss changes because their readers are gone, and against every
+// daemon of a region reading the store.
+func TestFewReadersFeedTheOthers(t *testing.T) {
+	fleet, ingress, _ := newFleet(t, 4, "a1", "a1", "a2", "a2", "a2")
+	for v := uint64(2); v < 8; v++ {
+		fleet.Store.SetTable(meshtest.Table(v, "back"))
+		settled(t, fleet)
+	}
+	readers := map[string]bool{}
+	for _, address := range ingress.Daemon.View().Ranking("a")[:catalog.ReadersPerRegion] {
+		readers[address] = true
+	}
+	var others []*meshtest.Member
+	for _, m := range fleet.Members {
+		if !readers[m.Settings.Listen.ForwardAddress] {
+			others = append(others, m)
+			eventually(t, "the daemon is fed", m.Daemon.Fed)
+			continue
+		}
+		require.False(t, m.Daemon.Fed())
+	}
+	require.Len(t, others, 4)
+	for _, m := range fleet.Members {
+		if readers[m.Settings.Listen.ForwardAddress] {
+			m.Daemon.Close()
+			m.Upstream.Close()
+		}
+	}
+	fleet.Store.SetTable(meshtest.Table(9, "back"))
+	for _, m := range others {
+		eventually(t, "the daemon reads for itself", func() bool { return m.Daemon.Status().Version == 9 })
+	}
+}
+
+// Guards against a whole region of weak daemons that nobody feeds.
+func TestWeakDaemonsReadForThemselves(t *testing.T) {
+	fleet := meshtest.NewFleet(zap.NewNop())
+	defer fleet.Close()
+	for range 3 {
+		_, err := fleet.AddWeak("back", "a1")
+		require.NoError(t, err)
+	}
+	fleet.Store.SetTable(meshtest.Table(1, "back"))
+	settled(t, fleet)
+	fleet.Store.SetTable(meshtest.Table(2, "back"))
+	settled(t, fleet)
+	for _, m := range fleet.Members {
+		require.False(t, m.Daemon.Fed())
+	}
+}
--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -55,12 +55,13 @@
 	// Decline says that the daemon does not read for others.
 	Decline bool
 
-	feeds    *feeds
-	fresh    atomic.Bool // the store is followed without failures
-	listed   bool
-	failedAt time.Time // of the first failure in a row
-	failures int
-	pause    time.Duration
+	feeds     *feeds
+	fresh     atomic.Bool // the store is followed without failures
+	following atomic.Bool // a reader is followed
+	listed    bool
+	failedAt  time.Time // of the first failure in a row
+	failures  int
+	pause     time.Duration
 }
 
 // Run follows the store until the context ends.
@@ -112,7 +113,8 @@
 		return false
 	}
 	f.fresh.Store(false)
-	err := f.feeds.follow(ctx, address, f.Log)
+	err := f.feeds.follow(ctx, address, &f.following, f.Log)
+	f.following.Store(false)
 	if ctx.Err() == nil {
 		f.feeds.lose(time.Now(), address, err)
 		f.Log.Info("feed_ended", zap.String("reader", address), zap.Uint64("revision", f.Fleet.Revision()), zap.Error(err))
--- a/pkg/mesh/meshtest/fleet.go
+++ b/pkg/mesh/meshtest/fleet.go
@@ -39,6 +39,15 @@
 
 // Add starts an upstream and the daemon beside it, and lists the instance.
 func (f *Fleet) Add(service, dataCentre string, slots int, work time.Duration) (*Member, error) {
+	return f.add(service, dataCentre, slots, work, mesh.Limits{LogLinesPerSecond: 40})
+}
+
+// AddWeak adds a member whose daemon has little processor time.
+func (f *Fleet) AddWeak(service, dataCentre string) (*Member, error) {
+	return f.add(service, dataCentre, 4, 0, mesh.Limits{LogLinesPerSecond: 40, Cores: 0.1})
+}
+
+func (f *Fleet) add(service, dataCentre string, slots int, work time.Duration, limits mesh.Limits) (*Member, error) {
 	id := model.InstanceID(fmt.Sprintf("%s-%d", service, len(f.Members)+1))
 	u, err := NewUpstream(id, slots, work)
 	if err != nil {
@@ -46,7 +55,7 @@
 	}
 	s := mesh.DefaultSettings()
 	s.Instance = mesh.Instance{Service: service, Region: DataCentres[dataCentre], DataCentre: dataCentre}
-	s.DataCentres = DataCentres
+	s.DataCentres, s.Limits = DataCentres, limits
 	s.Upstream.Address = u.Addr()
 	s.Bounds.Grace = 4 * time.Second
 	s.Bounds.RetryAllowance = 10_000 // tests that need a small budget set their own
--- a/pkg/mesh/status.go
+++ b/pkg/mesh/status.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"go.uber.org/zap"
+
+	"mangoshed.example/mangoshed/core/catalog"
 )
 
 // Status is what a daemon tells operators about itself.
@@ -22,6 +24,12 @@
 	Suspects int `json:"suspects"`
 }
 
+// View returns the daemon's present view of the fleet.
+func (d *Daemon) View() *catalog.View { return d.fleet.View() }
+
+// Fed reports whether a reader of the region feeds the daemon.
+func (d *Daemon) Fed() bool { return d.follower.following.Load() }
+
 // Status returns the daemon's present status.
 func (d *Daemon) Status() Status {
 	v, load := d.fleet.View(), d.guard.Load()
