Leave the first read of the store to the seeds

Cause: after a loss of power of all machines the reads of the whole configuration by 30 daemons of the far region filled the link for 4 s, and their questions to others with it.

--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -145,8 +146,8 @@
 	}
 	d.follower = &Follower{
 		Store: d.platform.Store, Fleet: d.fleet, Peers: d.sender, Log: d.log, Region: s.Instance.Region, Own: s.Listen.ForwardAddress,
-		Decline: s.Limits.weak(),
-		Calls:   func(call, outcome string) { d.metrics.storeCalls.WithLabelValues(call, outcome).Inc() },
+		Decline: s.Limits.weak(), Seed: len(s.Seeds) == 0 || slices.Contains(s.Seeds, s.Listen.SeedAddress),
+		Calls: func(call, outcome string) { d.metrics.storeCalls.WithLabelValues(call, outcome).Inc() },
 	}
 	d.feed = &feedServer{fleet: d.fleet, fresh: d.follower.Fresh, decline: s.Limits.weak(), stopped: d.leaving}
 }
--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -24,7 +24,10 @@
 	// firstTimeout bounds the first read of the whole state, and askPause is the time between
 	// questions to other daemons meanwhile, which cost some 200 bytes.
 	firstTimeout = 4 * time.Second
-	askPause     = 200 * time.Millisecond
+	askPause     = 150 * time.Millisecond
+	// seedTime is the time, and again the scatter, for which a daemon that starts leaves the
+	// read of the store to the seeds: reading and passing on takes them some 300 ms.
+	seedTime = 500 * time.Millisecond
 	// pace is the time from an answer to the next watch. Each answer is a call that the
 	// platform bills, and changes that come together are read together. The bound for a change
 	// to be in force is 2 s or more.
@@ -58,6 +61,8 @@
 	Region, Own string
 	// Decline says that the daemon does not read for others.
 	Decline bool
+	// Seed says that daemons that start ask this one.
+	Seed bool
 
 	feeds     *feeds
 	fresh     atomic.Bool // the store is followed without failures
@@ -88,34 +93,32 @@
 	}
 }
 
-// first gets a first state: from the store, or from other daemons if that is quicker. When
-// many daemons start at once, the whole configuration for each of them fills the link between
-// regions for seconds, while a neighbour's answer is small and near.
+// first gets a first state from other daemons or from the store. When many daemons start at
+// once, the whole configuration for each of them fills the link between regions for seconds,
+// while the answer of another daemon is small. So a seed reads the store at once, and the
+// others ask the seeds first.
 func (f *Follower) first(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, firstTimeout)
 	defer cancel()
-	type answer struct {
-		state catalog.State
-		err   error
+	listed := make(chan listAnswer, 1)
+	var patience time.Duration
+	if !f.Seed {
+		patience = seedTime + time.Duration(rand.Int64N(int64(seedTime)))
+		if f.ask(ctx); f.listed {
+			return nil
+		}
 	}
-	listed := make(chan answer, 1)
-	go func() {
+	list := time.AfterFunc(patience, func() {
 		state, err := f.Store.List(ctx)
-		listed <- answer{state, err}
-	}()
+		listed <- listAnswer{state, err}
+	})
+	defer list.Stop()
 	ticker := time.NewTicker(askPause)
 	defer ticker.Stop()
 	for {
 		select {
 		case a := <-listed:
-			f.count("list", a.err)
-			if a.err != nil {
-				return a.err
-			}
-			f.cameBack()
-			f.listed = true
-			f.Fleet.Replace(a.state, "store")
-			return nil
+			return f.takeList(a)
 		case <-ticker.C:
 		}
 		if f.ask(ctx); f.listed {
@@ -124,6 +127,24 @@
 	}
 }
 
+// listAnswer is the answer to a read of the whole state.
+type listAnswer struct {
+	state catalog.State
+	err   error
+}
+
+// takeList takes the whole state of the store.
+func (f *Follower) takeList(a listAnswer) error {
+	f.count("list", a.err)
+	if a.err != nil {
+		return a.err
+	}
+	f.cameBack()
+	f.listed = true
+	f.Fleet.Replace(a.state, "store")
+	return nil
+}
+
 // cancelIfBehind ends a watch when other daemons know more, unless its answer is on the way:
 // a large one may take longer than theirs, and asking again would make it later still.
 func cancelIfBehind(cancel func(), behind, answering, done <-chan struct{}) {
@@ -171,14 +192,7 @@
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
 		state, err := f.Store.List(ctx)
-		f.count("list", err)
-		if err != nil {
-			return err
-		}
-		f.cameBack()
-		f.listed = true
-		f.Fleet.Replace(state, "store")
-		return nil
+		return f.takeList(listAnswer{state, err})
 	}
 	ctx, cancel := context.WithTimeout(ctx, holdTime+holdSlack)
 	defer cancel()
