--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"strconv"
 	"strings"
@@ -69,26 +70,40 @@
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer)}, nil
 }
 
-// quiet reports whether an idle connection is open and nothing unread has arrived on it.
-func (c *conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	tcp, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
+// Closed reports whether the peer has closed a connection or reset it, without reading from it.
+// It takes unread bytes for an open connection.
+func Closed(c net.Conn) bool {
+	n, err, ok := peek(c)
+	return ok && (err == nil && n == 0 || err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR))
+}
+
+// peek looks at the next byte that has arrived; ok is false for connections without a socket.
+func peek(c net.Conn) (n int, failed error, ok bool) {
+	tcp, isSocket := c.(syscall.Conn)
+	if !isSocket {
+		return 0, nil, false
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err, true
 	}
-	open := false
+	var one [1]byte
 	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = err == unix.EAGAIN || err == unix.EWOULDBLOCK
+		n, _, failed = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && open
+	if err != nil {
+		failed = err
+	}
+	return n, failed, true
+}
+
+// quiet reports whether an idle connection is open and nothing unread has arrived on it.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	_, err, ok := peek(c.Conn)
+	return !ok || errors.Is(err, unix.EAGAIN)
 }
 
 // parseKeepAlive returns the timeout of a Keep-Alive header, 0 without one.
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -297,6 +297,28 @@
 	require.False(t, x.fresh(now.Add(2500*time.Millisecond), c, time.Minute))
 }
 
+// Guards against work for a peer that closed its connection right behind its request, and
+// against taking one that only waits for gone.
+func TestClosed(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	near, err := net.Dial("tcp4", listener.Addr().String())
+	require.NoError(t, err)
+	far, err := listener.Accept()
+	require.NoError(t, err)
+	defer func() { _ = far.Close() }()
+	require.False(t, Closed(far))
+	_, err = near.Write([]byte("x"))
+	require.NoError(t, err)
+	one := make([]byte, 1)
+	_, err = io.ReadFull(far, one)
+	require.NoError(t, err)
+	require.False(t, Closed(far))
+	require.NoError(t, near.Close())
+	require.Eventually(t, func() bool { return Closed(far) }, 10*time.Second, time.Millisecond)
+}
+
 // Guards against headers of one connection that are passed on to another.
 func TestEndToEnd(t *testing.T) {
 	h := http.Header{"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=5"}, "X-Kept": {"2"}, "Expect": {"100-continue"}}
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -187,7 +187,7 @@
 		}
 		d.servers = append(d.servers, &server{name: s.key, listener: listener, http: &http.Server{
 			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: s.idle, MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.errorLog(s.key),
-			DisableGeneralOptionsHandler: true,
+			DisableGeneralOptionsHandler: true, ConnContext: withConn,
 		}})
 	}
 	return nil
@@ -295,6 +295,7 @@
 		}
 		j.Body, j.Load = body, nil
 	}
+	j.Left = func() bool { return left(r) }
 	res := d.guard.Run(r.Context(), j)
 	if r.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -178,6 +178,9 @@
 	if err := j.load(); err != nil {
 		return Result{Refusal: notRun(refusal.Cut, "the body did not arrive: "+err.Error(), 0)}
 	}
+	if j.Left != nil && j.Left() {
+		return Result{Refusal: notRun(refusal.Cut, "the caller has gone", 0)}
+	}
 	run, verdict := g.suspects.start(now, j.fingerprint())
 	switch verdict {
 	case quarantine.Refused:
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -105,8 +105,8 @@
 		i.refuse(w, r, nil, refused)
 		return
 	}
-	if req == nil {
-		// The caller broke off its body.
+	if req == nil || left(r) {
+		// The caller broke off its body, or has left.
 		panic(http.ErrAbortHandler)
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -52,6 +52,8 @@
 	HasBody                  bool
 	// Load reads the body once the job has a slot; nil if Body holds it.
 	Load func() ([]byte, error)
+	// Left reports whether the sender has gone; nil if the context tells.
+	Left func() bool
 }
 
 // Result is what became of a job. Exactly one of Answer and Refusal is set.
