--- a/pkg/mesh/meshtest/upstream.go
+++ b/pkg/mesh/meshtest/upstream.go
@@ -70,6 +70,7 @@
 	// Size is the length of the answer's body.
 	Size int
 
+	headers  mesh.Headers
 	slots    int
 	listener net.Listener
 	mu       sync.Mutex
@@ -86,11 +87,16 @@
 
 // NewUpstream starts an upstream on loopback that reports the slots as its own.
 func NewUpstream(id model.InstanceID, slots int, work time.Duration) (*Upstream, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	return NewUpstreamAt(Headers, "127.0.0.1:0", id, slots, work)
+}
+
+// NewUpstreamAt starts an upstream at an address that speaks with other header names.
+func NewUpstreamAt(headers mesh.Headers, address string, id model.InstanceID, slots int, work time.Duration) (*Upstream, error) {
+	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
-	u := &Upstream{id: id, slots: slots, work: work, Size: 400, listener: listener, conns: make(map[net.Conn]bool)}
+	u := &Upstream{headers: headers, id: id, slots: slots, work: work, Size: 400, listener: listener, conns: make(map[net.Conn]bool)}
 	u.tasks.Go(func() { u.accept(listener) })
 	return u, nil
 }
@@ -233,14 +239,14 @@
 
 // answer reports whether the connection can be used again.
 func (u *Upstream) answer(c net.Conn, r *http.Request) bool {
-	ms, _ := strconv.Atoi(r.Header.Get(Headers.Remaining)) // 0 shows a fault to the test
+	ms, _ := strconv.Atoi(r.Header.Get(u.headers.Remaining)) // 0 shows a fault to the test
 	seen := Request{
-		Expected: model.InstanceID(r.Header.Get(Headers.Expected)), Method: r.Method, Target: r.RequestURI, Host: r.Host, ID: r.Header.Get(Headers.RequestID), Caller: r.Header.Get(Headers.Caller),
+		Expected: model.InstanceID(r.Header.Get(u.headers.Expected)), Method: r.Method, Target: r.RequestURI, Host: r.Host, ID: r.Header.Get(u.headers.RequestID), Caller: r.Header.Get(u.headers.Caller),
 		Remaining: time.Duration(ms) * time.Millisecond, At: time.Now(),
 	}
 	id, fault := u.choose(&seen)
 	if fault == Early {
-		u.write(c, http.StatusOK, seen.ID, "early", Headers.Proof+": p")
+		u.write(c, http.StatusOK, seen.ID, "early", u.headers.Proof+": p")
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -248,10 +254,10 @@
 	}
 	switch {
 	case seen.Expected != "" && seen.Expected != id:
-		u.write(c, http.StatusMisdirectedRequest, seen.ID, "", Headers.Instance+": "+string(id))
+		u.write(c, http.StatusMisdirectedRequest, seen.ID, "", u.headers.Instance+": "+string(id))
 		return true
 	case fault == Shed:
-		u.write(c, http.StatusServiceUnavailable, seen.ID, "", Headers.NotRun+": 1")
+		u.write(c, http.StatusServiceUnavailable, seen.ID, "", u.headers.NotRun+": 1")
 		return true
 	}
 	seen.Body = body
@@ -285,7 +291,7 @@
 }
 
 func (u *Upstream) reply(c net.Conn, r *Request, fault Fault) bool {
-	proof := Headers.Proof + ": p"
+	proof := u.headers.Proof + ": p"
 	body := Body(r.ID, u.Size)
 	switch fault {
 	case Early:
@@ -299,13 +305,13 @@
 		_, _ = io.Copy(io.Discard, c) // until the other side closes
 		return false
 	case Truncate:
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\nContent-Length: %d\r\n\r\n%s", Headers.RequestID, r.ID, proof, len(body), body[:len(body)/2])
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\nContent-Length: %d\r\n\r\n%s", u.headers.RequestID, r.ID, proof, len(body), body[:len(body)/2])
 		return false
 	case Garbage:
 		_, _ = io.WriteString(c, "\x00\x01\x02 not an answer\r\n\r\n")
 		return false
 	case Unframed, UnframedReset:
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\nConnection: close\r\n\r\n", Headers.RequestID, r.ID, proof)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\nConnection: close\r\n\r\n", u.headers.RequestID, r.ID, proof)
 		return u.unframed(c, body, fault)
 	case Unproved:
 		u.write(c, http.StatusOK, r.ID, body)
@@ -316,7 +322,7 @@
 	case Foreign:
 		u.write(c, http.StatusOK, "other", Body("other", u.Size), proof)
 	}
-	u.write(c, http.StatusOK, r.ID, body, proof, fmt.Sprintf("%s: 1,0,%d", Headers.Load, u.slots))
+	u.write(c, http.StatusOK, r.ID, body, proof, fmt.Sprintf("%s: 1,0,%d", u.headers.Load, u.slots))
 	if fault == Double {
 		u.write(c, http.StatusOK, r.ID, body, proof)
 	}
@@ -337,7 +343,7 @@
 }
 
 func (u *Upstream) write(c net.Conn, status int, id, body string, headers ...string) {
-	text := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), Headers.RequestID, id, len(body))
+	text := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), u.headers.RequestID, id, len(body))
 	for _, h := range headers {
 		text += h + "\r\n"
 	}
