--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -29,6 +29,9 @@
 var (
 	// ErrTooMany says that all connections to the address are in use.
 	ErrTooMany = errors.New("all connections to the address are in use")
+	// ErrAbandoned says that Request.Abandoned was true before the request was sent.
+	ErrAbandoned = errors.New("the request was abandoned before it was sent")
+
 	errForeign = errors.New("the answers on the connection belong to other requests")
 	errInterim = errors.New("too many interim answers")
 	errTooLong = errors.New("the answer is longer than the bound")
@@ -52,6 +55,9 @@
 	// Confirm sends the body only when the peer has asked for it, so that one that refuses the
 	// request does not cost its bytes, and one that breaks before cannot have run it.
 	Confirm bool
+	// Abandoned reports whether the answer is of no use any more; it is asked right before the
+	// first byte is sent, and may be nil.
+	Abandoned func() bool
 	// Answering is called when the head of the answer has arrived; it may be nil.
 	Answering func()
 }
@@ -149,6 +155,9 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Err: err}
 	}
+	if x.request.Abandoned != nil && x.request.Abandoned() {
+		return nil, &Error{Err: ErrAbandoned}
+	}
 	if err := x.conn.SetDeadline(time.Time{}); err != nil {
 		return nil, &Error{Reused: x.conn.used, Err: err}
 	}
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -297,6 +297,24 @@
 	require.False(t, x.fresh(now.Add(2500*time.Millisecond), c, time.Minute))
 }
 
+// Guards against a request that is sent although its caller left while a connection was opened.
+func TestAbandonedRequestIsNotSent(t *testing.T) {
+	address := peer(t, func(_ net.Conn, r *bufio.Reader) {
+		rest, err := io.ReadAll(r)
+		require.NoError(t, err)
+		require.Empty(t, rest)
+	})
+	x := client()
+	defer x.Close()
+	r := get(address, "1")
+	r.Abandoned = func() bool { return x.Opened() == 1 } // true once there is a connection
+	_, err := x.Do(context.Background(), r)
+	require.ErrorIs(t, err, ErrAbandoned)
+	var failed *Error
+	require.ErrorAs(t, err, &failed)
+	require.False(t, failed.Sent)
+}
+
 // Guards against work for a peer that closed its connection right behind its request, and
 // against taking one that only waits for gone.
 func TestClosed(t *testing.T) {
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -178,9 +178,6 @@
 	if err := j.load(); err != nil {
 		return Result{Refusal: notRun(refusal.Cut, "the body did not arrive: "+err.Error(), 0)}
 	}
-	if j.Left != nil && j.Left() {
-		return Result{Refusal: notRun(refusal.Cut, "the caller has gone", 0)}
-	}
 	run, verdict := g.suspects.start(now, j.fingerprint())
 	switch verdict {
 	case quarantine.Refused:
@@ -318,6 +315,7 @@
 	h[g.headers.Caller] = []string{j.Caller}
 	r := &exchange.Request{
 		Address: g.address, Method: j.Method, Target: j.Target, Host: j.Host, Header: h, Body: j.Body, HasBody: j.HasBody, ID: j.ID,
+		Abandoned: j.Left,
 	}
 	if !j.MayRepeat {
 		r.MaxIdle = unsafeIdle
@@ -330,6 +328,8 @@
 	var failed *exchange.Error
 	sent := !errors.As(err, &failed) || failed.Sent
 	switch {
+	case errors.Is(err, exchange.ErrAbandoned):
+		return Result{Refusal: notRun(refusal.Cut, "the caller has gone", 0)}
 	case !sent && ctx.Err() != nil:
 		return Result{Refusal: notRun(refusal.Deadline, "allow more time", 0)}
 	case !sent:
