Show the state of daemons with mangoshedctl mesh status

One line for each daemon: version, revision, load and suspects; daemons that do not answer are named and make the command fail. No behaviour of the daemon changes in this commit.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -154,7 +154,7 @@
 	return changed
 }
 
-// put lists an instance. An unchanged one, as at each check-in, changes nothing.
+// put lists an instance. An unchanged one, as at each heartbeat, changes nothing.
 func (c *Catalog) put(e Entry, h *held) bool {
 	if h == nil {
 		c.instances[e.ID] = &held{Instance: *e.Instance, revision: e.Revision}
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -93,8 +93,8 @@
 	require.Empty(t, ids(c))
 }
 
-// Guards against new views, and the work that they cause, for check-ins that change nothing.
-func TestCheckInChangesNothing(t *testing.T) {
+// Guards against new views, and the work that they cause, for heartbeats that change nothing.
+func TestHeartbeatChangesNothing(t *testing.T) {
 	c := New()
 	require.True(t, c.Apply(now, State{Revision: 1, Entries: []Entry{listed("a", 1)}}))
 	require.False(t, c.Apply(now, State{Revision: 2, Entries: []Entry{listed("a", 2)}}))
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -23,6 +23,7 @@
 		Commands: []*cli.Command{
 			tableCommand(),
 			routesCommand(),
+			meshCommand(),
 			keysCommand(),
 			demoCommand(),
 			statusCommand(),
--- /dev/null
+++ b/pkg/ctl/mesh.go
@@ -0,0 +1,54 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"mangoshed.example/mangoshed/pkg/mesh"
+	"mangoshed.example/mangoshed/pkg/operator"
+	"mangoshed.example/mangoshed/pkg/usage"
+)
+
+// meshCommand asks daemons that run as "mangoshed mesh run".
+func meshCommand() *cli.Command {
+	return &cli.Command{
+		Name: "mesh", Usage: "ask daemons of a platform with its own store", Action: usage.Group,
+		Commands: []*cli.Command{{
+			Name: "status", Usage: "show versions, revisions and load", Flags: daemonFlags(),
+			Action: func(ctx context.Context, cmd *cli.Command) error {
+				if _, err := arguments(cmd); err != nil {
+					return err
+				}
+				answers, failed := ask(ctx, cmd, func(ctx context.Context, c *operator.Client) (mesh.Status, error) {
+					var s mesh.Status
+					err := c.Get(ctx, "/v1/status", &s)
+					return s, err
+				})
+				return showAnswers(cmd, answers, meshLines(answers), failed)
+			},
+		}},
+	}
+}
+
+// meshLines is the text form: one line for each daemon.
+func meshLines(answers []answer[mesh.Status]) []string {
+	rows := [][]string{{"ADDRESS", "READY", "VERSION", "REVISION", "ROUTES", "INSTANCES", "LOAD", "SUSPECTS"}}
+	for _, a := range answers {
+		s := a.Answer
+		if s == nil {
+			rows = append(rows, []string{a.Address, "no answer"})
+			continue
+		}
+		ready := "no"
+		if s.Ready {
+			ready = "yes"
+		}
+		rows = append(rows, []string{
+			a.Address, ready, fmt.Sprint(s.Version), fmt.Sprint(s.Revision), fmt.Sprint(s.Routes), fmt.Sprint(s.Instances),
+			fmt.Sprintf("%d/%d+%d", s.Running, s.Slots, s.Queued), fmt.Sprint(s.Suspects),
+		})
+	}
+	return columns(rows)
+}
--- /dev/null
+++ b/pkg/ctl/mesh_test.go
@@ -0,0 +1,33 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"mangoshed.example/mangoshed/pkg/mesh/meshtest"
+)
+
+// Guards against an operator who cannot see which daemon lags behind or does not answer.
+func TestMeshStatus(t *testing.T) {
+	fleet := meshtest.NewFleet(zap.NewNop())
+	defer fleet.Close()
+	m, err := fleet.Add("back", "a1", 4, 0)
+	require.NoError(t, err)
+	fleet.Store.SetTable(meshtest.Table(7, "back"))
+	require.Eventually(t, func() bool { return m.Daemon.Status().Version == 7 }, 20*time.Second, 5*time.Millisecond)
+	var out bytes.Buffer
+	cmd := New()
+	cmd.Writer = &out
+	address := m.Settings.Listen.AdminAddress
+	err = cmd.Run(context.Background(), []string{"mangoshedctl", "mesh", "status", "-a", address, "-a", "127.0.0.1:1"})
+	var failed *DaemonsError
+	require.ErrorAs(t, err, &failed)
+	require.Equal(t, 1, failed.Failed)
+	require.Regexp(t, `(?m)^`+address+` +yes +7 +3 +3 +1 +0/4\+0 +0$`, out.String())
+	require.Contains(t, out.String(), "127.0.0.1:1")
+}
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -139,7 +139,7 @@
 	d.budget = retry.NewFleetBudget(retry.FleetRules{
 		Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance, Window: s.Bounds.RetryWindow,
 	}, now)
-	d.sender = NewSender(s.Listen.ForwardAddress, d.guard, d.fleet, d.platform.Headers, func() []string { return *d.seeds.Load() })
+	d.sender = NewSender(s.Listen.ForwardAddress, d.guard, d.fleet, func() []string { return *d.seeds.Load() })
 	d.ingress = &Ingress{
 		service: s.Instance.Service, headers: d.platform.Headers, fleet: d.fleet, placer: d.placer, sender: d.sender,
 		budget: d.budget, metrics: d.metrics, log: log, random: random{src: rand.New(rand.NewPCG(seed, uint64(os.Getpid())))},
--- a/pkg/mesh/sender.go
+++ b/pkg/mesh/sender.go
@@ -42,7 +42,7 @@
 }
 
 // NewSender returns a sender that passes jobs for the daemon's own forward address to the guard.
-func NewSender(own string, guard *Guard, fleet *Fleet, headers Headers, seeds func() []string) *Sender {
+func NewSender(own string, guard *Guard, fleet *Fleet, seeds func() []string) *Sender {
 	return &Sender{
 		own: own, guard: guard, fleet: fleet, seeds: seeds,
 		client: exchange.NewClient(exchange.Config{
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -58,6 +58,11 @@
 	return s, err
 }
 
+// Get reads a JSON document of another kind of daemon into v.
+func (c *Client) Get(ctx context.Context, path string, v any) error {
+	return c.do(ctx, http.MethodGet, path, nil, v)
+}
+
 // Audit returns up to max entries of the trail, the newest first; 0 returns all.
 func (c *Client) Audit(ctx context.Context, max int) ([]audit.Entry, error) {
 	var entries []audit.Entry
