Let readers prove every second that they follow the store

Change: a watch is held for 0.7 s and counts as lost 0.4 s later, unless its answer is arriving; a reader is fresh only with an answer of the last 1.35 s; one that is not fresh is left at once.

Test: a silent store is noticed within the time that the fed daemons can spare (fails before).

--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -30,8 +30,8 @@
 	// feedSilence is the time without a frame after which a reader counts as lost. With the
 	// change to another one it stays well below the 2 s in which a change has to be in force.
 	feedSilence = 800 * time.Millisecond
-	// feedGrace is the time that a reader has until its first fresh frame.
-	feedGrace = 400 * time.Millisecond
+	// feedGrace is the time for which a reader may lose the store before it is left.
+	feedGrace = 200 * time.Millisecond
 	// feederRest is the time for which a reader that was lost is not asked again.
 	feederRest = 1500 * time.Millisecond
 	// declinedStatus answers a daemon that asks one which does not read for others; it is not
@@ -322,7 +322,7 @@
 // receive applies the frames of a feed.
 func (f *feeds) receive(conn net.Conn, decoder *cbor.Decoder, address string) error {
 	behind := f.fleet.Behind()
-	freshAt := time.Now()
+	var freshAt time.Time // a reader that is not fresh at first is left at once
 	for {
 		if err := conn.SetReadDeadline(time.Now().Add(feedSilence)); err != nil {
 			return err
--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -14,11 +14,17 @@
 )
 
 const (
-	// holdTime is the time after which a watch without news returns. A connection that has
-	// gone silent is found sooner, by probes and by the revisions of other daemons.
-	holdTime = 12 * time.Second
-	// holdSlack is the time beyond holdTime after which a watch counts as lost.
-	holdSlack = time.Second
+	// holdTime is the time after which a watch without news returns, and holdSlack the time
+	// beyond it after which a watch without an answer counts as lost. Together they bound the
+	// time for which a reader whose connection has gone silent still seems to follow the store;
+	// those that it feeds need the rest of the 2 s, in which a change has to be in force, to
+	// find another way.
+	holdTime  = 700 * time.Millisecond
+	holdSlack = 400 * time.Millisecond
+	// answerTime bounds the time in which an answer arrives once it has begun.
+	answerTime = 3 * time.Second
+	// freshTime is the age of the last answer up to which the store counts as followed.
+	freshTime = holdTime + holdSlack + pace
 	// listTimeout bounds the read of the whole state.
 	listTimeout = 1500 * time.Millisecond
 	// firstTimeout bounds the first read of the whole state, and askPause is the time between
@@ -65,8 +71,10 @@
 	Seed bool
 
 	feeds     *feeds
-	fresh     atomic.Bool // the store is followed without failures
-	following atomic.Bool // a reader is followed
+	fresh     atomic.Bool               // the store is followed without failures
+	answering atomic.Bool               // an answer of the store is arriving
+	heard     atomic.Pointer[time.Time] // of the last answer
+	following atomic.Bool               // a reader is followed
 	listed    bool
 	failedAt  time.Time // of the first failure in a row
 	failures  int
@@ -145,6 +153,24 @@
 	return nil
 }
 
+// watch waits for the next change.
+func (f *Follower) watch(ctx context.Context) (catalog.State, error) {
+	hold := f.hold()
+	ctx, cancel := context.WithTimeout(ctx, hold+holdSlack+answerTime)
+	defer cancel()
+	answering, done := make(chan struct{}), make(chan struct{})
+	defer close(done)
+	defer f.answering.Store(false)
+	lost := time.AfterFunc(hold+holdSlack, cancel)
+	defer lost.Stop()
+	go cancelIfBehind(cancel, f.Fleet.Behind(), answering, done)
+	return f.Store.Watch(ctx, f.Fleet.Revision(), hold, sync.OnceFunc(func() {
+		lost.Stop()
+		f.answering.Store(true)
+		close(answering)
+	}))
+}
+
 // cancelIfBehind ends a watch when other daemons know more, unless its answer is on the way:
 // a large one may take longer than theirs, and asking again would make it later still.
 func cancelIfBehind(cancel func(), behind, answering, done <-chan struct{}) {
@@ -161,7 +187,13 @@
 }
 
 // Fresh reports whether the daemon follows the store itself and without failures.
-func (f *Follower) Fresh() bool { return f.fresh.Load() }
+func (f *Follower) Fresh() bool {
+	if !f.fresh.Load() {
+		return false
+	}
+	heard := f.heard.Load()
+	return f.answering.Load() || heard != nil && time.Since(*heard) <= freshTime
+}
 
 // followReader follows a reader of the region until it is lost. It returns false if the daemon
 // is to read the store.
@@ -194,12 +226,7 @@
 		state, err := f.Store.List(ctx)
 		return f.takeList(listAnswer{state, err})
 	}
-	ctx, cancel := context.WithTimeout(ctx, holdTime+holdSlack)
-	defer cancel()
-	answering, done := make(chan struct{}), make(chan struct{})
-	defer close(done)
-	go cancelIfBehind(cancel, f.Fleet.Behind(), answering, done)
-	state, err := f.Store.Watch(ctx, f.Fleet.Revision(), f.hold(), sync.OnceFunc(func() { close(answering) }))
+	state, err := f.watch(ctx)
 	f.count("watch", err)
 	if errors.Is(err, ErrHistoryGone) {
 		f.listed = false
@@ -245,6 +272,8 @@
 		f.Log.Info("store_regained", zap.Int("failures", f.failures), zap.Duration("away", time.Since(f.failedAt)), zap.Uint64("revision", f.Fleet.Revision()))
 	}
 	f.failures, f.pause = 0, 0
+	now := time.Now()
+	f.heard.Store(&now)
 	f.fresh.Store(true)
 }
 
--- a/pkg/mesh/meshtest/store.go
+++ b/pkg/mesh/meshtest/store.go
@@ -137,6 +137,12 @@
 	return s.revision
 }
 
+func (s *Store) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
 // Calls returns the numbers of lists and watches so far.
 func (s *Store) Calls() (lists, watches int) {
 	s.mu.Lock()
@@ -192,6 +198,11 @@
 		select {
 		case <-changed:
 		case <-timer.C:
+			if s.isSilent() {
+				<-ctx.Done()
+				return catalog.State{}, ctx.Err()
+			}
+			answering()
 			return state, nil
 		case <-ctx.Done():
 			return catalog.State{}, ctx.Err()
