--- a/pkg/mesh/meshtest/fleet.go
+++ b/pkg/mesh/meshtest/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -49,7 +51,8 @@
 
 func (f *Fleet) add(service, dataCentre string, slots int, work time.Duration, limits mesh.Limits) (*Member, error) {
 	id := model.InstanceID(fmt.Sprintf("%s-%d", service, len(f.Members)+1))
-	u, err := NewUpstream(id, slots, work)
+	ip := ownIP()
+	u, err := NewUpstreamAt(Headers, net.JoinHostPort(ip, "0"), id, slots, work)
 	if err != nil {
 		return nil, err
 	}
@@ -60,7 +63,7 @@
 	s.Bounds.Grace = 4 * time.Second
 	s.Bounds.RetryAllowance = 10_000 // tests that need a small budget set their own
 	for _, address := range []*string{&s.Listen.CallerAddress, &s.Listen.ForwardAddress, &s.Listen.ReadyAddress, &s.Listen.AdminAddress} {
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = freeAddress(ip); err != nil {
 			return nil, err
 		}
 	}
@@ -90,9 +93,20 @@
 // Restart starts the daemon of a member again, after it was closed.
 func (f *Fleet) Restart(m *Member) error { return f.start(m) }
 
-// freeAddress returns a loopback address with a free port.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+// members counts the members of this process.
+var members atomic.Uint32
+
+// ownIP returns a loopback address that no other member of this process has. Outgoing
+// connections leave from 127.0.0.1, so that they cannot take a port that a member is about to
+// bind.
+func ownIP() string {
+	n := members.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 40+os.Getpid()%80, n/250, n%250+1)
+}
+
+// freeAddress returns a free port of the address.
+func freeAddress(ip string) (string, error) {
+	listener, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return "", err
 	}
