Start weak daemons from their neighbours, hold requests until the first table, leave ended instances out

A daemon sends to each of 36 instances once in seconds and learnt too late which are slow.

Change: a weak daemon reads only the list of instances and asks neighbours, who keep the compressed table; requests wait for the first table; an instance whose address a later one has taken is left out; the daemon beside an instance reports how long a run takes there, by the age of what runs as well.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -27,6 +27,8 @@
 	Upstream string
 	// Slots is the number of requests that the upstream runs at once.
 	Slots int
+	// Created is the store's revision at which the instance was listed first; 0 if unknown.
+	Created uint64
 	// Warm is the time until the upstream is as fast as a settled one, at the report.
 	Warm time.Duration
 }
@@ -198,11 +200,27 @@
 	return changed
 }
 
-// View returns the present view.
+// replaces reports whether an instance has taken over the address of another one. Clocks may
+// have been stepped between two births, and a late write may list an ended instance again, so
+// that both the birth and the listing have to be later.
+func (i *Instance) replaces(other *Instance) bool {
+	return i.Upstream == other.Upstream && i.Incarnation > other.Incarnation && i.Created >= other.Created
+}
+
+// View returns the present view. An instance whose address another one has taken over is left
+// out: it has ended, although the store lists it until it has been silent for long.
 func (c *Catalog) View() *View {
+	latest := make(map[string]*held, len(c.instances))
+	for _, h := range c.instances {
+		if other := latest[h.Upstream]; other == nil || h.Incarnation > other.Incarnation {
+			latest[h.Upstream] = h
+		}
+	}
 	v := &View{Revision: c.revision, Table: c.table, Instances: make([]Instance, 0, len(c.instances))}
 	for _, h := range c.instances {
-		v.Instances = append(v.Instances, h.Instance)
+		if !latest[h.Upstream].replaces(&h.Instance) {
+			v.Instances = append(v.Instances, h.Instance)
+		}
 	}
 	slices.SortFunc(v.Instances, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
 	return v
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -110,3 +111,45 @@
 	require.True(t, ok)
 	require.Equal(t, model.InstanceID("b"), inst.ID)
 }
+
+// Replays the return of all instances after a loss of power: they register under new IDs while
+// the store still lists the old ones. Guards against sending every other request to an
+// instance that has ended.
+func TestEndedInstanceIsReplacedByTheNextAtItsAddress(t *testing.T) {
+	c := New()
+	var old, fresh []Entry
+	for n := range 10 {
+		before, after := listed(fmt.Sprint("old-", n), 1), listed(fmt.Sprint("new-", n), 2)
+		before.Instance.Upstream = fmt.Sprintf("10.0.0.%d:1", n)
+		after.Instance.Upstream = before.Instance.Upstream
+		before.Instance.Incarnation, after.Instance.Incarnation = 100, 200
+		before.Instance.Created, after.Instance.Created = 1, 2
+		old, fresh = append(old, before), append(fresh, after)
+	}
+	c.Replace(now, State{Revision: 1, Entries: old})
+	require.Len(t, c.View().Instances, 10)
+	c.Apply(now, State{Revision: 2, Entries: fresh})
+	require.Len(t, c.View().Instances, 10)
+	for _, inst := range c.View().Instances {
+		require.Contains(t, string(inst.ID), "new-")
+	}
+	c.Apply(now, State{Revision: 3, Entries: []Entry{removed("new-3", 3)}})
+	require.Len(t, c.View().Instances, 10)
+	require.Equal(t, model.InstanceID("old-3"), c.View().Instances[9].ID)
+}
+
+// Guards against hiding a live instance whose clock was stepped back before it started, or
+// whose predecessor was listed again by a late write.
+func TestInstancesStayWhileItIsUnclearWhichHasEnded(t *testing.T) {
+	old, fresh := listed("a", 1), listed("b", 2)
+	old.Instance.Incarnation, fresh.Instance.Incarnation = 200, 100
+	old.Instance.Created, fresh.Instance.Created = 1, 2
+	c := New()
+	c.Apply(now, State{Revision: 2, Entries: []Entry{old, fresh}})
+	require.Equal(t, []string{"a", "b"}, ids(c), "stepped clock")
+
+	again := listed("a", 3)
+	again.Instance.Incarnation, again.Instance.Created = 50, 3
+	c.Apply(now, State{Revision: 3, Entries: []Entry{again}})
+	require.Equal(t, []string{"a", "b"}, ids(c), "late write")
+}
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -50,6 +50,14 @@
 	returningWorth = 1.4
 	// sameDensity is the ratio of earnings up to which two calls count as equal; run times are estimates.
 	sameDensity = 1.15
+	// overdueFactor is the part of its expected time from which on a running call counts as
+	// overdue: run times scatter by about half of their mean. paceSamples is the number of runs
+	// in time that one overdue call is weighed against.
+	overdueFactor = 1.5
+	paceSamples   = 9
+	// uncompletedFactor bounds what a call that ended without an answer teaches about run
+	// times: it may have been slow, or its answer may have been lost.
+	uncompletedFactor = 2
 	// expectedShare of a latency objective is the first guess of a run time.
 	expectedShare = 4
 )
@@ -110,7 +118,9 @@
 	lateShare   float64
 	lateWaiting int
 	prunedAt    time.Time
-	ends        []time.Duration // scratch of wait
+	// pace multiplies the estimates while running calls take longer than they say.
+	pace float64
+	ends []time.Duration // scratch of wait
 }
 
 // New returns a queue with the slots.
@@ -118,7 +128,7 @@
 	if slots <= 0 {
 		slots = DefaultSlots
 	}
-	return &Queue{slots: slots, estimate: make(map[string]float64), lateShare: 1}
+	return &Queue{slots: slots, estimate: make(map[string]float64), lateShare: 1, pace: 1}
 }
 
 // Resize sets the number of slots.
@@ -138,6 +148,7 @@
 
 // Load returns the present load.
 func (q *Queue) Load(now time.Time) Load {
+	q.measure(now)
 	l := Load{Running: len(q.running), Slots: q.slots, Queued: len(q.waiting)}
 	if len(q.running) >= q.slots || len(q.waiting) > 0 {
 		l.Next, l.Wait = q.wait(now, nil), q.wait(now, q.waiting)
@@ -147,6 +158,7 @@
 
 // Offer decides about a new call. Without mayWait a call that cannot start at once is refused.
 func (q *Queue) Offer(now time.Time, c *Call, mayWait bool) Verdict {
+	q.measure(now)
 	q.expel(now)
 	if q.closed {
 		return Closed
@@ -264,10 +276,26 @@
 	return now.Add(q.expected(c)).After(c.Goal)
 }
 
+// measure compares the running calls with their estimates. An upstream that has turned slow
+// shows it by the age of what runs long before the first of it ends.
+func (q *Queue) measure(now time.Time) {
+	sum, n := float64(paceSamples), float64(paceSamples)
+	for _, c := range q.running {
+		e, ok := q.estimate[c.Route]
+		if !ok || e <= 0 {
+			continue
+		}
+		if ratio := float64(now.Sub(c.started)) / e; ratio > overdueFactor {
+			sum, n = sum+ratio, n+1
+		}
+	}
+	q.pace = sum / n
+}
+
 // expected returns the expected run time of the call here.
 func (q *Queue) expected(c *Call) time.Duration {
 	if e, ok := q.estimate[c.Route]; ok {
-		return time.Duration(e)
+		return time.Duration(e * q.pace)
 	}
 	if c.Objective > 0 {
 		return c.Objective / expectedShare
@@ -276,22 +304,29 @@
 }
 
 // Expected returns the expected run time of a route, 0 if none has run.
-func (q *Queue) Expected(route string) time.Duration { return time.Duration(q.estimate[route]) }
+func (q *Queue) Expected(now time.Time, route string) time.Duration {
+	q.measure(now)
+	return time.Duration(q.estimate[route] * q.pace)
+}
 
 func (q *Queue) start(now time.Time, c *Call) {
 	c.started, c.running = now, true
 	q.running = append(q.running, c)
 }
 
-// Done frees the slot of a started call. A completed call teaches the queue its run time.
+// Done frees the slot of a started call. A completed call teaches the queue its run time, and
+// one that was broken off that it takes longer than it had.
 func (q *Queue) Done(now time.Time, c *Call, completed bool) {
 	if !c.running {
 		return
 	}
 	c.running = false
 	q.running = slices.DeleteFunc(q.running, func(o *Call) bool { return o == c })
-	if completed {
-		q.learn(c.Route, now.Sub(c.started))
+	took := now.Sub(c.started)
+	if known, ok := q.estimate[c.Route]; completed {
+		q.learn(c.Route, took)
+	} else if ok && float64(took) > known {
+		q.learn(c.Route, time.Duration(min(float64(took), uncompletedFactor*known)))
 	}
 	q.advance(now)
 }
@@ -366,6 +401,7 @@
 func (q *Queue) Advance(now time.Time) { q.advance(now) }
 
 func (q *Queue) advance(now time.Time) {
+	q.measure(now)
 	q.expel(now)
 	if now.Sub(q.prunedAt) >= pruneTime {
 		q.prunedAt = now
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -41,6 +41,29 @@
 	return calls
 }
 
+// Replays an upstream that turns twelve times slower while it is full. Guards against telling
+// others that it is fast until the first slow run has ended, seconds later.
+func TestOverdueRunsShowASlowUpstream(t *testing.T) {
+	q := New(9)
+	teach(q, "r", 200)
+	running := fill(t, q, at(0), "r")
+	require.Equal(t, 200*time.Millisecond, q.Expected(at(100), "r"))
+	require.Greater(t, q.Expected(at(1000), "r"), 500*time.Millisecond)
+	// Runs that are broken off before they end teach as well.
+	for _, c := range running {
+		q.Done(at(1500), c, false)
+	}
+	require.Greater(t, q.Expected(at(1500), "r"), 300*time.Millisecond)
+	c, _ := call("r", 1, 1500, 10_000, 20_000)
+	require.Equal(t, Started, q.Offer(at(1500), c, false))
+	for range 60 {
+		q.Done(at(1600), c, true)
+		c, _ = call("r", 1, 1600, 10_000, 20_000)
+		require.Equal(t, Started, q.Offer(at(1500), c, false))
+	}
+	require.Less(t, q.Expected(at(1600), "r"), 150*time.Millisecond, "it is fast again")
+}
+
 // Guards against handing an upstream more than its slots, whose answers some never send.
 func TestNeverExceedsSlots(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -33,9 +33,8 @@
 	reportLife = 500 * time.Millisecond
 	// defaultRun is the expected run time before an answer was seen.
 	defaultRun = 80 * time.Millisecond
-	// runWeight and slowWeight are the weights of one answer in the mean run time and slowness.
-	runWeight  = 1.0 / 32
-	slowWeight = 1.0 / 8
+	// runWeight is the weight of one answer in the mean run time of a route.
+	runWeight = 1.0 / 32
 	// maxSlow and minSlow bound the slowness of an instance against the mean of its service.
 	maxSlow, minSlow = 10, 0.3
 	// slowDecay returns the slowness of an instance that got no request to 1.
@@ -101,6 +100,9 @@
 	Load intake.Load
 	// Run is the time that the upstream took, 0 if unknown.
 	Run time.Duration
+	// Expected is the time that the daemon beside the instance expects a run of the route to
+	// take there, 0 if unknown. It sees every run of the instance.
+	Expected time.Duration
 	// Bytes is the size of the answer.
 	Bytes int
 }
@@ -396,11 +398,12 @@
 	if r.Load.Slots > 0 {
 		s.load, s.loadAt, s.sent = r.Load, now, 0
 	}
+	p.pace(now, s, route, r)
 	switch r.Outcome {
 	case Answered:
 		s.strikes, s.outUntil = 0, time.Time{}
 		p.fail(now, s, 0)
-		p.learn(now, s, c.Instance.Service, route, r)
+		p.learn(c.Instance.Service, route, r)
 	case Refused:
 		s.strikes = 0
 	case Leaving:
@@ -430,8 +433,18 @@
 	s.failures, s.failedAt = share+failureWeight*(outcome-share), now
 }
 
+// pace takes how fast an instance is: what its daemon expects of a run against the mean of all
+// instances.
+func (p *Placer) pace(now time.Time, s *stat, route string, r Report) {
+	known, ok := p.runs[route]
+	if !ok || r.Expected <= 0 {
+		return
+	}
+	s.slow, s.slowAt = min(max(float64(r.Expected)/known.run, minSlow), maxSlow), now
+}
+
 // learn takes the run time and the size of an answer.
-func (p *Placer) learn(now time.Time, s *stat, service, route string, r Report) {
+func (p *Placer) learn(service, route string, r Report) {
 	if r.Run <= 0 {
 		return
 	}
@@ -446,12 +459,9 @@
 	}
 	mean := p.meanRun(service)
 	p.means[service] = mean + runWeight*(min(took, 4*mean)-mean)
-	ratio := min(max(took/known.run, minSlow), maxSlow)
 	// One very slow answer moves the mean of the route by little.
 	known.run += runWeight * (min(took, 4*known.run) - known.run)
 	known.bytes += runWeight * (float64(r.Bytes) - known.bytes)
-	slow := 1 + (s.slow-1)*decay(now.Sub(s.slowAt), slowDecay)
-	s.slow, s.slowAt = slow+slowWeight*(ratio-slow), now
 }
 
 // maxRoutes bounds the routes with a mean run time.
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -39,7 +39,7 @@
 
 // answer ends a choice with an answer that reports a load.
 func answer(p *Placer, at time.Time, c Choice, load intake.Load, run time.Duration) {
-	p.Done(at, c, "r", Report{Outcome: Answered, Load: load, Run: run, Bytes: 1000})
+	p.Done(at, c, "r", Report{Outcome: Answered, Load: load, Run: run, Expected: run, Bytes: 1000})
 }
 
 func choose(t *testing.T, p *Placer, at time.Time, q Query) Choice {
@@ -149,6 +149,23 @@
 	require.Positive(t, count["i00"])
 }
 
+// Replays a fleet so large that a daemon sends to each instance once in seconds. Guards against
+// learning from its own answers alone which instances have become slow.
+func TestOneAnswerShowsASlowInstance(t *testing.T) {
+	p := placer(view(home, home, home))
+	for range 30 {
+		answer(p, now, choose(t, p, now, query()), intake.Load{Running: 4, Slots: 9}, 60*time.Millisecond)
+	}
+	c := choose(t, p, now, query())
+	// A refusal tells as well as an answer.
+	p.Done(now, c, "r", Report{Outcome: Refused, Load: intake.Load{Running: 4, Slots: 9}, Expected: 700 * time.Millisecond})
+	for range 30 {
+		next := choose(t, p, now, query())
+		require.NotEqual(t, c.Instance.ID, next.Instance.ID)
+		answer(p, now, next, intake.Load{Running: 4, Slots: 9}, 60*time.Millisecond)
+	}
+}
+
 // Replays an upstream that fails half of its requests. Guards against failing callers for the
 // sake of an instance that looks free.
 func TestFailingInstanceGetsLess(t *testing.T) {
--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -112,7 +112,7 @@
 	res := i.sender.Send(ctx, &job, choice.Instance)
 	i.count(req, &job, &res)
 	i.placer.Done(time.Now(), choice, req.route.Name, placement.Report{
-		Outcome: outcome(ctx, &res), Load: res.Load, Run: res.Run, Bytes: res.bytes(),
+		Outcome: outcome(ctx, &res), Load: res.Load, Run: res.Run, Expected: res.Expected, Bytes: res.bytes(),
 	})
 	return res, true
 }
@@ -160,7 +160,7 @@
 		return placement.Silent
 	case res.Unreachable:
 		return placement.Unreachable
-	case res.Refusal.Kind == refusal.Leaving:
+	case res.Refusal.Kind == refusal.Leaving, res.Refusal.Kind == refusal.NoInstance:
 		return placement.Leaving
 	case res.Refusal.Run == refusal.NotRun && !res.Arrived && res.Refusal.Kind == refusal.Overloaded:
 		return placement.Refused
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -307,7 +307,7 @@
 func (d *Daemon) servePeerCall(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case statePath:
-		serveState(d.fleet, w, r)
+		d.sender.serveState(w, r)
 	case feedPath:
 		d.feed.ServeHTTP(w, r)
 	default:
--- a/pkg/mesh/fleet.go
+++ b/pkg/mesh/fleet.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +53,22 @@
 	return f.view.Load(), f.catalog.Revision(), f.changed
 }
 
+// AwaitTable returns the present view, after waiting for the first table if there is none. Its
+// table is nil if the context has ended before.
+func (f *Fleet) AwaitTable(ctx context.Context) *catalog.View {
+	for {
+		view, _, changed := f.Follow()
+		if view.Table != nil {
+			return view
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return view
+		}
+	}
+}
+
 // Replace takes the whole state of the store or of another daemon.
 func (f *Fleet) Replace(s catalog.State, source string) {
 	f.take(s, source, (*catalog.Catalog).Replace)
--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -27,12 +27,13 @@
 	freshTime = holdTime + holdSlack + pace
 	// listTimeout bounds the read of the whole state.
 	listTimeout = 1500 * time.Millisecond
-	// firstTimeout bounds the first read of the whole state, and askPause is the time between
-	// questions to other daemons meanwhile, which cost some 200 bytes.
+	// firstTimeout bounds the first read of the whole state. Meanwhile askers questions to
+	// other daemons are under way, with askPause between them; one costs some 200 bytes.
 	firstTimeout = 4 * time.Second
-	askPause     = 150 * time.Millisecond
+	askers       = 2
+	askPause     = 30 * time.Millisecond
 	// seedTime is the time, and again the scatter, for which a daemon that starts leaves the
-	// read of the store to the seeds: reading and passing on takes them some 300 ms.
+	// read of the whole state to others: reading and passing on takes them some 300 ms.
 	seedTime = 500 * time.Millisecond
 	// pace is the time from an answer to the next watch. Each answer is a call that the
 	// platform bills, and changes that come together are read together. The bound for a change
@@ -52,6 +53,8 @@
 type Peers interface {
 	// AskState returns the state of another daemon that is newer than the revision, or an error.
 	AskState(ctx context.Context, newer uint64) (catalog.State, string, error)
+	// Introduce names daemons to ask until the own view does.
+	Introduce(addresses []string)
 }
 
 // Follower keeps a Fleet in step with the store.
@@ -103,38 +106,85 @@
 
 // first gets a first state from other daemons or from the store. When many daemons start at
 // once, the whole configuration for each of them fills the link between regions for seconds,
-// while the answer of another daemon is small. So a seed reads the store at once, and the
-// others ask the seeds first.
+// while the answer of another daemon is small. So seeds and daemons with plenty of bandwidth
+// and processor time read the store at once; the others read only the list of instances and
+// ask those for the rest, nearest first.
 func (f *Follower) first(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, firstTimeout)
 	defer cancel()
-	listed := make(chan listAnswer, 1)
 	var patience time.Duration
-	if !f.Seed {
+	if f.Decline && !f.Seed {
 		patience = seedTime + time.Duration(rand.Int64N(int64(seedTime)))
-		if f.ask(ctx); f.listed {
-			return nil
-		}
+		go f.introduce(ctx)
 	}
+	listed, told := make(chan listAnswer, 1), make(chan peerAnswer, askers)
 	list := time.AfterFunc(patience, func() {
 		state, err := f.Store.List(ctx)
 		listed <- listAnswer{state, err}
 	})
 	defer list.Stop()
-	ticker := time.NewTicker(askPause)
-	defer ticker.Stop()
-	for {
-		select {
-		case a := <-listed:
-			return f.takeList(a)
-		case <-ticker.C:
+	for range askers {
+		go f.askUntilTold(ctx, told)
+	}
+	select {
+	case a := <-listed:
+		return f.takeList(a)
+	case a := <-told:
+		f.take(a)
+		return nil
+	}
+}
+
+// introduce reads the list of instances and names those to ask: the ones of the own region if
+// there are any others, in random order.
+func (f *Follower) introduce(ctx context.Context) {
+	list, err := f.Store.Instances(ctx)
+	f.count("instances", err)
+	if err != nil {
+		f.Log.Warn("instances_not_read", zap.Error(err))
+		return
+	}
+	var near, far []string
+	for i := range list {
+		switch inst := &list[i]; {
+		case inst.ForwardAddr == f.Own:
+		case inst.Place.Region == f.Region:
+			near = append(near, inst.ForwardAddr)
+		default:
+			far = append(far, inst.ForwardAddr)
 		}
-		if f.ask(ctx); f.listed {
-			return nil
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	f.Peers.Introduce(near)
+}
+
+// peerAnswer is the state of another daemon.
+type peerAnswer struct {
+	state  catalog.State
+	source string
+}
+
+// askUntilTold asks one daemon after the other until one answers with its state.
+func (f *Follower) askUntilTold(ctx context.Context, told chan<- peerAnswer) {
+	for ctx.Err() == nil {
+		answer, err := f.askOne(ctx, 0)
+		if err == nil {
+			told <- answer
+			return
 		}
+		sleep(ctx, askPause)
 	}
 }
 
+// take takes the state of another daemon.
+func (f *Follower) take(a peerAnswer) {
+	f.listed = true
+	f.Fleet.Replace(a.state, a.source)
+}
+
 // listAnswer is the answer to a read of the whole state.
 type listAnswer struct {
 	state catalog.State
@@ -293,15 +343,20 @@
 
 // ask takes the state of another daemon that knows more.
 func (f *Follower) ask(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	state, source, err := f.Peers.AskState(ctx, f.Fleet.Revision())
+	answer, err := f.askOne(ctx, f.Fleet.Revision())
 	if err != nil {
 		f.Log.Debug("peer_state_not_read", zap.Error(err))
 		return
 	}
-	f.listed = true
-	f.Fleet.Replace(state, source)
+	f.take(answer)
+}
+
+// askOne asks one daemon for a state newer than a revision.
+func (f *Follower) askOne(ctx context.Context, newer uint64) (peerAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	state, source, err := f.Peers.AskState(ctx, newer)
+	return peerAnswer{state, source}, err
 }
 
 // askTimeout bounds the read of another daemon's state.
--- a/pkg/mesh/follow_test.go
+++ b/pkg/mesh/follow_test.go
@@ -28,6 +28,8 @@
 	return catalog.State{}, "", errors.New("no other daemon is known")
 }
 
+func (noPeers) Introduce([]string) {}
+
 // follow runs a follower in a bubble of virtual time.
 func follow(t *testing.T, peers mesh.Peers, test func(store *meshtest.Store, fleet *mesh.Fleet)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -238,6 +240,8 @@
 	return p.state, "10.0.0.2:1", nil
 }
 
+func (statePeers) Introduce([]string) {}
+
 // Replays a start of many daemons, whose reads of the store take seconds over a full link.
 // Guards against a daemon that is not ready although a neighbour has the state.
 func TestStartsFromANeighbourWhileTheStoreIsSlow(t *testing.T) {
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -33,6 +33,9 @@
 	quarantinedRetry = 2 * time.Second
 	// upstreamDial bounds connecting to the upstream, which is on the same host.
 	upstreamDial = 400 * time.Millisecond
+	// misdirectedTime is the time for which requests for an instance are refused after another
+	// one has answered: an upstream registers within a second of its start.
+	misdirectedTime = time.Second
 	// maxLeft bounds the remembered instances that have left the upstream's address.
 	maxLeft = 64
 )
@@ -46,10 +49,12 @@
 
 	suspects *suspects
 
-	mu        sync.Mutex
-	queue     *intake.Queue
-	own       *catalog.Instance // nil while the store lists none at the address
-	left      map[model.InstanceID]bool
+	mu    sync.Mutex
+	queue *intake.Queue
+	own   *catalog.Instance // nil while the store lists none at the address
+	// left holds the instances that are not at the address any more, and until when that is
+	// certain; zero if the store says so.
+	left      map[model.InstanceID]time.Time
 	downUntil time.Time
 	stopping  bool
 	active    int
@@ -59,7 +64,7 @@
 // NewGuard returns the guard of the upstream at the address.
 func NewGuard(address string, headers Headers, log *decisions) *Guard {
 	g := &Guard{
-		suspects: newSuspects(log.log), address: address, headers: headers, log: log, queue: intake.New(0), left: make(map[model.InstanceID]bool),
+		suspects: newSuspects(log.log), address: address, headers: headers, log: log, queue: intake.New(0), left: make(map[model.InstanceID]time.Time),
 		client: exchange.NewClient(exchange.Config{RequestID: headers.RequestID, DialTimeout: upstreamDial}),
 	}
 	g.timer = time.AfterFunc(time.Hour, g.tick)
@@ -72,13 +77,15 @@
 	defer g.mu.Unlock()
 	own, listed := v.At(g.address)
 	if g.own != nil && (!listed || own.ID != g.own.ID) {
-		g.forget(g.own.ID)
+		g.forget(g.own.ID, time.Time{})
 	}
 	g.own = nil
 	if listed {
 		copied := *own
 		g.own = &copied
-		delete(g.left, own.ID)
+		if g.left[own.ID].IsZero() {
+			delete(g.left, own.ID)
+		}
 		g.queue.Resize(now, own.Slots)
 	}
 	if g.stopping || g.leaving() {
@@ -89,11 +96,17 @@
 }
 
 // forget remembers that an instance has left. The caller holds the mutex.
-func (g *Guard) forget(id model.InstanceID) {
+func (g *Guard) forget(id model.InstanceID, until time.Time) {
 	if len(g.left) >= maxLeft {
 		clear(g.left)
 	}
-	g.left[id] = true
+	g.left[id] = until
+}
+
+// hasLeft reports whether an instance is not at the address any more. The caller holds the mutex.
+func (g *Guard) hasLeft(now time.Time, id model.InstanceID) bool {
+	until, ok := g.left[id]
+	return ok && (until.IsZero() || now.Before(until))
 }
 
 // leaving reports whether the upstream gets no new work. The caller holds the mutex.
@@ -145,7 +158,8 @@
 	res := g.run(ctx, j)
 	g.mu.Lock()
 	g.active--
-	res.Load = g.queue.Load(time.Now())
+	now := time.Now()
+	res.Load, res.Expected = g.queue.Load(now), g.queue.Expected(now, j.Route)
 	g.mu.Unlock()
 	if res.Refusal != nil {
 		g.log.refused(j, &res)
@@ -258,7 +272,7 @@
 	switch {
 	case !now.Before(j.Deadline):
 		return notRun(refusal.Deadline, "allow more time", 0)
-	case g.stopping, g.leaving(), g.left[j.Instance]:
+	case g.stopping, g.leaving(), g.hasLeft(now, j.Instance):
 		return notRun(refusal.Leaving, "the instance is leaving; send the request to another one", 0)
 	case now.Before(g.downUntil):
 		return notRun(refusal.UpstreamFailed, "the upstream does not accept connections; try another instance", downTime)
@@ -300,7 +314,7 @@
 	if err != nil {
 		return g.failure(ctx, err)
 	}
-	return g.judge(resp)
+	return g.judge(j, resp)
 }
 
 // request returns the request as the upstream gets it.
@@ -348,10 +362,11 @@
 }
 
 // judge accepts an answer of the upstream, or turns it into a refusal.
-func (g *Guard) judge(resp *exchange.Response) Result {
+func (g *Guard) judge(j *Job, resp *exchange.Response) Result {
 	g.learnSlots(resp.Header.Get(g.headers.Load))
 	switch {
 	case resp.Status == http.StatusMisdirectedRequest:
+		g.misdirected(j.Instance)
 		return Result{Arrived: true, Refusal: notRun(refusal.NoInstance, "another instance has the address: "+resp.Header.Get(g.headers.Instance), 0)}
 	case resp.Header.Get(g.headers.NotRun) != "":
 		return Result{Arrived: true, Refusal: notRun(refusal.Overloaded, "the upstream refused the request", 0)}
@@ -363,6 +378,14 @@
 	return Result{Arrived: true, Answer: resp}
 }
 
+// misdirected remembers that another instance has answered at the address, so that no further
+// request is sent there in vain. The store tells soon which one lives.
+func (g *Guard) misdirected(id model.InstanceID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.forget(id, time.Now().Add(misdirectedTime))
+}
+
 // learnSlots takes the slots from the load that the upstream reports, as running, waiting, slots.
 func (g *Guard) learnSlots(load string) {
 	parts := strings.Split(load, ",")
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"mangoshed.example/mangoshed/core/catalog"
 	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/placement"
 	"mangoshed.example/mangoshed/core/refusal"
@@ -32,6 +33,13 @@
 	defaultMaxBody = 64 << 20
 	// bodyBuffer is the first size in bytes of the buffer of a body without a length.
 	bodyBuffer = 8 << 10
+	// holdShare is the part of a caller's time, as 1 in that many, and maxHold the longest time
+	// for which a request waits for the first table. Callers give up a connection that is not
+	// read for a second or a third of their time.
+	holdShare = 4
+	maxHold   = 700 * time.Millisecond
+	// maxHeld bounds the requests that wait for the first table; each takes some 20 KB.
+	maxHeld = 1000
 	// noTableRetry is the time after which a daemon without a table should be asked again.
 	noTableRetry = 250 * time.Millisecond
 	// noInstanceRetry is the time after which a service without instances should be asked again.
@@ -50,6 +58,7 @@
 	log     *decisions
 
 	active   atomic.Int64
+	held     atomic.Int64              // requests that wait for the first table
 	last     atomic.Pointer[time.Time] // arrival of the last request
 	stopping atomic.Bool
 	closing  atomic.Bool
@@ -156,7 +165,7 @@
 	if i.closing.Load() {
 		return nil, notRun(refusal.Leaving, "the daemon stops; connect again", noTableRetry)
 	}
-	view := i.fleet.View()
+	view := i.view(r)
 	if view.Table == nil {
 		return nil, notRun(refusal.NoVersion, "the daemon has no route table yet; try again", noTableRetry)
 	}
@@ -178,6 +187,39 @@
 	return i.describe(r, arrived, matched, view.Table.Version, body), nil
 }
 
+// view returns the present view. A request that arrives before the first table waits for it
+// during a part of the caller's time: a daemon that has just started has one within a second,
+// and a caller that is sent away comes back at a guess.
+func (i *Ingress) view(r *http.Request) *catalog.View {
+	view := i.fleet.View()
+	if view.Table != nil {
+		return view
+	}
+	if i.held.Add(1) > maxHeld {
+		i.held.Add(-1)
+		return view
+	}
+	defer i.held.Add(-1)
+	ctx, cancel := context.WithTimeout(r.Context(), holdFor(remaining(r.Header.Get(i.headers.Remaining))))
+	defer cancel()
+	return i.fleet.AwaitTable(ctx)
+}
+
+// holdFor returns how long a request with the time left waits for the first table.
+func holdFor(left time.Duration) time.Duration { return min(left/holdShare, maxHold) }
+
+// remaining reads the time that a caller will still wait; noRemaining without a number.
+func remaining(text string) time.Duration {
+	ms, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || ms < 0 {
+		return noRemaining
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// noRemaining stands for a caller that does not say how long it waits: longer than any route's timeout.
+const noRemaining = time.Hour
+
 // headerBytes returns the size of the names and values of the header.
 func headerBytes(r *http.Request) int64 {
 	n := len(r.RequestURI) + len(r.Host)
@@ -220,14 +262,10 @@
 
 // describe fixes the times and the service of a request.
 func (i *Ingress) describe(r *http.Request, arrived time.Time, matched *route.Route, version uint64, body []byte) *request {
-	left := matched.Timeout
-	var spent time.Duration
-	if ms, err := strconv.ParseInt(r.Header.Get(i.headers.Remaining), 10, 32); err == nil && ms >= 0 {
-		asked := time.Duration(ms) * time.Millisecond
-		// A caller that comes again says what is left of its time.
-		spent = max(0, matched.Timeout-asked)
-		left = min(left, asked)
-	}
+	asked := remaining(r.Header.Get(i.headers.Remaining))
+	left := min(matched.Timeout, asked)
+	// A caller that comes again says what is left of its time.
+	spent := max(0, matched.Timeout-asked)
 	req := &request{
 		route: matched, version: version, service: matched.Choose(i.random.float()),
 		arrived: arrived, deadline: arrived.Add(left), goal: arrived.Add(matched.Goal - spent),
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -64,6 +64,8 @@
 	Load intake.Load
 	// Run is the time that the upstream took.
 	Run time.Duration
+	// Expected is the time that a run of the route is expected to take there now; 0 if unknown.
+	Expected time.Duration
 	// Arrived says that the upstream itself saw the request, also if it refused it.
 	Arrived bool
 	// Unreachable says that the daemon beside the instance gave no answer.
@@ -199,7 +201,7 @@
 		}
 	}
 	h[headerResult] = []string{joinFields(
-		encodeLoad(res.Load), strconv.FormatUint(from.revision, 10), arrived, strconv.FormatInt(res.Run.Microseconds(), 10), kind, ran, retry, from.gossip,
+		encodeLoad(res.Load), strconv.FormatUint(from.revision, 10), arrived, strconv.FormatInt(res.Run.Microseconds(), 10), kind, ran, retry, from.gossip, millis(res.Expected),
 	)}
 	if res.Refusal != nil {
 		h["Content-Type"] = nil
@@ -211,7 +213,7 @@
 
 const (
 	// resultFields is the number of fields of a result.
-	resultFields = 8
+	resultFields = 9
 	// notRunMark stands for a refusal of a request that has not run.
 	notRunMark = "n"
 )
@@ -247,6 +249,9 @@
 	if us, err := strconv.ParseInt(fields[3], 10, 64); err == nil {
 		res.Run = time.Duration(us) * time.Microsecond
 	}
+	if ms, err := strconv.ParseInt(fields[8], 10, 32); err == nil {
+		res.Expected = time.Duration(ms) * time.Millisecond
+	}
 	if kind := fields[4]; kind != "" {
 		res.Refusal = mayHaveRun(refusal.Kind(kind), "refused by the daemon beside the instance; see its log")
 		if fields[5] == notRunMark {
--- a/pkg/mesh/meshtest/fleet.go
+++ b/pkg/mesh/meshtest/fleet.go
@@ -62,10 +62,8 @@
 	s.Upstream.Address = u.Addr()
 	s.Bounds.Grace = 4 * time.Second
 	s.Bounds.RetryAllowance = 10_000 // tests that need a small budget set their own
-	for _, address := range []*string{&s.Listen.CallerAddress, &s.Listen.ForwardAddress, &s.Listen.ReadyAddress, &s.Listen.AdminAddress} {
-		if *address, err = freeAddress(ip); err != nil {
-			return nil, err
-		}
+	if err := chooseAddresses(ip, &s.Listen.CallerAddress, &s.Listen.ForwardAddress, &s.Listen.ReadyAddress, &s.Listen.AdminAddress); err != nil {
+		return nil, err
 	}
 	m := &Member{Upstream: u, Settings: &s, Instance: catalog.Instance{Upstream: u.Addr(), Slots: slots}}
 	m.Instance.ID, m.Instance.Service, m.Instance.ForwardAddr = id, service, s.Listen.ForwardAddress
@@ -104,14 +102,18 @@
 	return fmt.Sprintf("127.%d.%d.%d", 40+os.Getpid()%80, n/250, n%250+1)
 }
 
-// freeAddress returns a free port of the address.
-func freeAddress(ip string) (string, error) {
-	listener, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
+// chooseAddresses sets each of the addresses to a free port of the IP. All ports are bound at
+// the same time, so that none is chosen twice.
+func chooseAddresses(ip string, addresses ...*string) error {
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return err
+		}
+		defer func() { _ = listener.Close() }()
+		*address = listener.Addr().String()
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return nil
 }
 
 // Close stops all members.
--- a/pkg/mesh/meshtest/store.go
+++ b/pkg/mesh/meshtest/store.go
@@ -177,6 +177,20 @@
 	return state, nil
 }
 
+// Instances implements mesh.Store.
+func (s *Store) Instances(context.Context) ([]catalog.Instance, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, ErrDown
+	}
+	var list []catalog.Instance
+	for _, e := range s.entries {
+		list = append(list, *e.Instance)
+	}
+	return list, nil
+}
+
 // Watch implements mesh.Store.
 func (s *Store) Watch(ctx context.Context, after uint64, hold time.Duration, answering func()) (catalog.State, error) {
 	s.mu.Lock()
--- a/pkg/mesh/platform.go
+++ b/pkg/mesh/platform.go
@@ -20,6 +20,9 @@
 	// List reads the whole state. The revision is that of the first page, so that changes made
 	// while it is read are seen again by a watch.
 	List(ctx context.Context) (catalog.State, error)
+	// Instances reads the listed instances without the table, or a part of them if there are
+	// many. It tells a daemon that starts whom it can ask for the rest.
+	Instances(ctx context.Context) ([]catalog.Instance, error)
 	// Watch returns the changes after a revision as soon as there are any, or an empty change
 	// after the hold time. answering is called when the answer begins to arrive.
 	Watch(ctx context.Context, after uint64, hold time.Duration, answering func()) (catalog.State, error)
--- a/pkg/mesh/run_test.go
+++ b/pkg/mesh/run_test.go
@@ -23,6 +23,8 @@
 	return catalog.State{}, ctx.Err()
 }
 
+func (emptyStore) Instances(context.Context) ([]catalog.Instance, error) { return nil, nil }
+
 func (emptyStore) Watch(ctx context.Context, _ uint64, _ time.Duration, _ func()) (catalog.State, error) {
 	<-ctx.Done()
 	return catalog.State{}, ctx.Err()
--- a/pkg/mesh/sender.go
+++ b/pkg/mesh/sender.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,9 +37,12 @@
 	fleet  *Fleet
 	client *exchange.Client
 	seeds  func() []string
+	states stateEncoder
 
 	mu   sync.Mutex
 	turn int
+	// introduced are daemons to ask before a view names them.
+	introduced []string
 }
 
 // NewSender returns a sender that passes jobs for the daemon's own forward address to the guard.
@@ -104,33 +108,40 @@
 	return state, address, err
 }
 
+// Introduce implements Peers.
+func (s *Sender) Introduce(addresses []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.introduced = addresses
+}
+
 // next returns the address of the daemon to ask next.
 func (s *Sender) next() (string, bool) {
-	var addresses []string
-	for _, inst := range s.fleet.View().Instances {
-		if inst.ForwardAddr != s.own {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	addresses := slices.Concat(s.seeds(), s.introduced)
+	if view := s.fleet.View(); view.Table != nil {
+		for _, inst := range view.Instances {
 			addresses = append(addresses, inst.ForwardAddr)
 		}
 	}
-	addresses = append(addresses, s.seeds()...)
+	addresses = slices.DeleteFunc(addresses, func(address string) bool { return address == s.own })
 	if len(addresses) == 0 {
 		return "", false
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.turn++
 	return addresses[s.turn%len(addresses)], true
 }
 
 // serveState answers daemons that ask for the state.
-func serveState(fleet *Fleet, w http.ResponseWriter, r *http.Request) {
-	view := fleet.View()
+func (s *Sender) serveState(w http.ResponseWriter, r *http.Request) {
+	view := s.fleet.View()
 	var newer uint64
 	if _, err := fmt.Sscan(r.URL.Query().Get("newer"), &newer); err != nil || view.Table == nil || view.Revision <= newer {
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	data, err := encodeState(view)
+	data, err := s.states.encode(view)
 	if err != nil {
 		http.Error(w, "the state cannot be encoded: "+err.Error(), http.StatusInternalServerError)
 		return
--- a/pkg/mesh/state.go
+++ b/pkg/mesh/state.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -11,11 +12,12 @@
 	"mangoshed.example/mangoshed/core/route"
 )
 
-// peerState is the form in which daemons pass their state to each other.
+// peerState is the form in which daemons pass their state to each other. Both parts are
+// compressed by themselves, so that the table is compressed once for all that ask.
 type peerState struct {
 	Revision  uint64
-	Table     *peerTable
-	Instances []catalog.Instance
+	Table     []byte // a peerTable
+	Instances []byte // a list of catalog.Instance
 }
 
 // peerTable is a route table as daemons pass it to each other.
@@ -56,27 +58,63 @@
 	return cbor.Unmarshal(text, value)
 }
 
-// encodeState returns the state of a view that has a table.
-func encodeState(view *catalog.View) ([]byte, error) {
-	return compress(peerState{Revision: view.Revision, Table: encodeTable(view.Table), Instances: view.Instances})
+// stateEncoder encodes states and keeps the last table in its compressed form: when many
+// daemons start at once, all of them ask for the same one. It is safe for concurrent use.
+type stateEncoder struct {
+	mu     sync.Mutex
+	table  *route.Table
+	packed []byte
+}
+
+// encode returns the state of a view that has a table.
+func (e *stateEncoder) encode(view *catalog.View) ([]byte, error) {
+	table, err := e.pack(view.Table)
+	if err != nil {
+		return nil, err
+	}
+	instances, err := compress(view.Instances)
+	if err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(peerState{Revision: view.Revision, Table: table, Instances: instances})
+}
+
+// pack returns the compressed form of a table.
+func (e *stateEncoder) pack(table *route.Table) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.table == table {
+		return e.packed, nil
+	}
+	packed, err := compress(encodeTable(table))
+	if err != nil {
+		return nil, err
+	}
+	e.table, e.packed = table, packed
+	return packed, nil
 }
 
 // decodeState reads and validates the state of another daemon.
 func decodeState(data []byte) (catalog.State, error) {
 	var s peerState
-	if err := decompress(data, &s); err != nil {
+	if err := cbor.Unmarshal(data, &s); err != nil {
+		return catalog.State{}, err
+	}
+	var packed peerTable
+	if err := decompress(s.Table, &packed); err != nil {
+		return catalog.State{}, err
+	}
+	var instances []catalog.Instance
+	if err := decompress(s.Instances, &instances); err != nil {
 		return catalog.State{}, err
 	}
-	state := catalog.State{Revision: s.Revision}
-	if s.Table != nil {
-		table, err := route.New(s.Table.Version, s.Table.Routes, s.Table.Services, s.Table.Limits)
-		if err != nil {
-			return catalog.State{}, err
-		}
-		state.Table = table
+	table, err := route.New(packed.Version, packed.Routes, packed.Services, packed.Limits)
+	if err != nil {
+		return catalog.State{}, err
 	}
-	for i := range s.Instances {
-		inst := &s.Instances[i]
+	state := catalog.State{Revision: s.Revision, Table: table}
+	for i := range instances {
+		inst := &instances[i]
 		state.Entries = append(state.Entries, catalog.Entry{ID: inst.ID, Instance: inst, Revision: s.Revision})
 	}
 	return state, nil
