Put nested calls first, know which daemons answer, let feeds tell how old their proof is

Calls that a running request makes waited behind others and were taken for those of returning callers, because their time is short; the run that needs them failed after holding a slot. They are known by their source, the own upstream's host, and go first.

A partition of 22 of 64 daemons cost a request each time one of them was tried.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"mangoshed.example/mangoshed/core/model"
@@ -33,6 +34,12 @@
 	Warm time.Duration
 }
 
+// Host returns the IP of the daemon beside the instance.
+func (i *Instance) Host() string {
+	host, _, _ := strings.Cut(i.ForwardAddr, ":")
+	return host
+}
+
 // Entry is one instance in the store, or what is left of it.
 type Entry struct {
 	ID model.InstanceID
--- a/core/catalog/readers.go
+++ b/core/catalog/readers.go
@@ -32,23 +32,24 @@
 }
 
 // Feeders returns the readers that feed the daemon with the address, the preferred one first,
-// and false if the daemon is to read the store itself. declined names daemons that do not take
-// the role; a daemon that does not take it names itself.
+// and false if the daemon is to read the store itself; the list then names the other readers.
+// declined names daemons that do not take the role; a daemon that does not take it names itself.
 func (v *View) Feeders(region, own string, declined func(address string) bool) ([]string, bool) {
 	var readers []string
+	reader := false
 	for _, address := range v.Ranking(region) {
 		if declined(address) {
 			continue
 		}
-		if address == own {
-			return nil, false
-		}
-		if readers = append(readers, address); len(readers) == ReadersPerRegion {
+		readers = append(readers, address)
+		reader = reader || address == own
+		if len(readers) == ReadersPerRegion {
 			break
 		}
 	}
+	readers = slices.DeleteFunc(readers, func(address string) bool { return address == own })
 	slices.SortFunc(readers, func(a, b string) int {
 		return cmp.Compare(xxhash.Sum64String(own+a), xxhash.Sum64String(own+b))
 	})
-	return readers, len(readers) > 0
+	return readers, !reader && len(readers) > 0
 }
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -2,8 +2,9 @@
 // order, and when it refuses one.
 //
 // An upstream runs a fixed number of requests at once. The queue never hands it more, because
-// some upstreams do not answer what they cannot hold. Waiting requests go in the order of what
-// a slot earns in the time that they take it: urgent ones before less urgent ones, short ones
+// some upstreams do not answer what they cannot hold. Calls that a run of another upstream waits
+// for go first, because they hold a slot there. The others go in the order of what a slot earns
+// in the time that they take it: urgent ones before less urgent ones, short ones
 // before long ones, those that can still meet their latency objective before late ones, and
 // returning callers before new ones. A request that cannot be answered in its time is refused
 // as soon as that is known, so that its caller can go elsewhere or come back.
@@ -91,6 +92,8 @@
 	Priority int
 	// Returning says that the caller was refused before.
 	Returning bool
+	// Nested says that a run of another upstream waits for the answer.
+	Nested bool
 	// Goal is the time by which the answer meets its objective; Deadline that after which it
 	// is useless.
 	Goal, Deadline time.Time
@@ -193,6 +196,10 @@
 	if wait+run <= time.Duration(goalShare*float64(c.Goal.Sub(now))) {
 		return true
 	}
+	if c.Nested {
+		// Only other nested calls go before it.
+		return wait+run <= c.Deadline.Sub(now)
+	}
 	// The call will be late: more calls than now wait go before it. As long as such calls get
 	// no slot in the end, only one is let in at a time, to see when that changes.
 	if q.lateShare < minLateShare && q.lateWaiting > 0 {
@@ -249,6 +256,9 @@
 
 // before reports whether a goes before b.
 func (q *Queue) before(now time.Time, a, b *Call) bool {
+	if a.Nested != b.Nested {
+		return a.Nested
+	}
 	da, db := q.density(now, a), q.density(now, b)
 	if da > db*sameDensity || db > da*sameDensity {
 		return da > db
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -64,6 +64,26 @@
 	require.Less(t, q.Expected(at(1600), "r"), 150*time.Millisecond, "it is fast again")
 }
 
+// Replays an overloaded service that other upstreams call while their runs hold slots. Guards
+// against calls that wait behind more urgent or late ones until the run that needs them fails.
+func TestNestedCallsGoFirst(t *testing.T) {
+	q := New(2)
+	teach(q, "check", 30)
+	teach(q, "long", 300)
+	teach(q, "urgent", 20)
+	running := fill(t, q, at(0), "long")
+	urgent, urgentOutcome := call("urgent", 0, 10, 500, 2000)
+	require.Equal(t, Waiting, q.Offer(at(10), urgent, true))
+	q.lateShare = 0 // late calls have got no slots for a while
+	q.lateWaiting = 1
+	check, outcome := call("check", 2, 20, 60, 400)
+	check.Nested = true
+	require.Equal(t, Waiting, q.Offer(at(20), check, true))
+	q.Done(at(100), running[0], true)
+	require.Equal(t, []Verdict{Started}, outcome.verdicts)
+	require.Empty(t, urgentOutcome.verdicts)
+}
+
 // Guards against handing an upstream more than its slots, whose answers some never send.
 func TestNeverExceedsSlots(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -139,7 +139,9 @@
 	stats  map[model.InstanceID]*stat
 	runs   map[string]*routeStat
 	means  map[string]float64 // mean run time by service, nanoseconds
-	warm   map[model.InstanceID]time.Time
+	// unreachable holds the hosts whose daemons do not answer.
+	unreachable map[string]bool
+	warm        map[model.InstanceID]time.Time
 }
 
 // New returns a placer for requests that arrive at a place. Equal seeds make equal choices.
@@ -147,6 +149,7 @@
 	return &Placer{
 		self: self, costs: costs, random: rand.New(rand.NewPCG(seed, seed)), stats: make(map[model.InstanceID]*stat),
 		runs: make(map[string]*routeStat), means: make(map[string]float64), groups: make(map[string][]*catalog.Instance), warm: make(map[model.InstanceID]time.Time),
+		unreachable: make(map[string]bool),
 	}
 }
 
@@ -180,6 +183,27 @@
 	p.warm = warm
 }
 
+// SetReachable says whether the daemon of a host answers. Its instances are left out until it
+// does; one that does answer is given another chance at once.
+func (p *Placer) SetReachable(host string, reachable bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !reachable {
+		p.unreachable[host] = true
+		return
+	}
+	delete(p.unreachable, host)
+	if p.view == nil {
+		return
+	}
+	for i := range p.view.Instances {
+		if inst := &p.view.Instances[i]; inst.Host() == host {
+			s := p.stats[inst.ID]
+			s.strikes, s.outUntil = 0, time.Time{}
+		}
+	}
+}
+
 // Query asks for an instance.
 type Query struct {
 	Service string
@@ -275,7 +299,7 @@
 func (p *Placer) usable(now time.Time, q Query) []*catalog.Instance {
 	var in, out []*catalog.Instance
 	for _, inst := range p.groups[q.Service] {
-		if contains(q.Exclude, inst.ID) {
+		if contains(q.Exclude, inst.ID) || p.unreachable[inst.Host()] {
 			continue
 		}
 		if now.Before(p.stats[inst.ID].outUntil) {
--- /dev/null
+++ b/core/reach/reach_test.go
@@ -0,0 +1,108 @@
+package reach
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func monitor(n int) (*Monitor, []string) {
+	var hosts []string
+	for i := range n {
+		hosts = append(hosts, fmt.Sprint("h", i))
+	}
+	m := New(start, 1)
+	m.SetHosts(hosts)
+	return m, hosts
+}
+
+// Guards against leaving out a host for one lost packet.
+func TestProbeClearsASuspect(t *testing.T) {
+	m, _ := monitor(5)
+	m.Failed(at(0), "h1")
+	require.False(t, m.Unreachable("h1"), "a suspect is still used")
+	require.Equal(t, []string{"h1"}, m.Due(at(0)))
+	require.Empty(t, m.Due(at(1)), "one probe at a time")
+	require.False(t, m.Heard(at(2), "h1"))
+	require.Empty(t, m.Due(at(5000)))
+}
+
+// Guards against requests for hosts that are known to be cut off, and against staying away from
+// them for longer than a second after the partition has healed.
+func TestUnreachableHostIsProbedUntilItAnswers(t *testing.T) {
+	m, _ := monitor(5)
+	m.Failed(at(0), "h1")
+	probes := 0
+	for ms := 0; ms < 20_000; ms += 10 {
+		m.Heard(at(ms), "h2")
+		for _, name := range m.Due(at(ms)) {
+			probes++
+			m.Silent(at(ms), name)
+			require.True(t, m.Unreachable("h1"))
+		}
+	}
+	require.Greater(t, probes, 12)
+	require.Less(t, probes, 45)
+	require.False(t, m.Isolated(at(20_000)), "others answer")
+	answered := 0
+	for ms := 20_000; ms < 20_000+1500 && answered == 0; ms += 10 {
+		for _, name := range m.Due(at(ms)) {
+			require.True(t, m.Heard(at(ms), name))
+			answered++
+		}
+	}
+	require.Equal(t, 1, answered)
+	require.False(t, m.Unreachable("h1"))
+}
+
+// Replays a partition that cuts one daemon off from all others while its callers still reach
+// it. Guards against keeping those callers, and against sending them away for good.
+func TestDaemonThatIsCutOffKnowsIt(t *testing.T) {
+	m, hosts := monitor(20)
+	for i := range 6 {
+		m.Failed(at(100*i), hosts[i])
+	}
+	isolated := -1
+	for ms := 0; ms < 3000; ms += 10 {
+		for _, name := range m.Due(at(ms)) {
+			m.Silent(at(ms), name)
+		}
+		if isolated < 0 && m.Isolated(at(ms)) {
+			isolated = ms
+		}
+	}
+	require.GreaterOrEqual(t, isolated, int(isolatedAfter/time.Millisecond))
+	require.Less(t, isolated, 1000)
+	require.True(t, m.Heard(at(3000), hosts[3]))
+	require.False(t, m.Isolated(at(3000)))
+	require.NotEmpty(t, m.Due(at(3000)), "the others are probed at once")
+}
+
+// Guards against a daemon without neighbours, or without traffic, that takes itself for cut off.
+func TestQuietDaemonIsNotCutOff(t *testing.T) {
+	m, _ := monitor(0)
+	require.False(t, m.Isolated(at(60_000)))
+	m, _ = monitor(5)
+	require.False(t, m.Isolated(at(60_000)))
+	m.Failed(at(60_000), "h1")
+	m.Silent(at(60_100), "h1")
+	require.False(t, m.Isolated(at(60_200)), "one host of five")
+}
+
+// Guards against remembering hosts that have left the fleet.
+func TestHostsThatLeftAreForgotten(t *testing.T) {
+	m, hosts := monitor(5)
+	m.Failed(at(0), "h1")
+	m.Failed(at(0), "stranger")
+	m.Silent(at(100), "h1")
+	require.Equal(t, 1, m.Count())
+	m.SetHosts(hosts[2:])
+	require.Zero(t, m.Count())
+	require.Empty(t, m.Due(at(5000)))
+}
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -79,6 +79,7 @@
 	ingress  *Ingress
 	follower *Follower
 	feed     *feedServer
+	reach    *reachability
 
 	servers  []*server
 	ready    atomic.Bool
@@ -140,8 +141,10 @@
 		Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance, Window: s.Bounds.RetryWindow,
 	}, now)
 	d.sender = NewSender(s.Listen.ForwardAddress, d.guard, d.fleet, func() []string { return *d.seeds.Load() })
+	d.reach = newReachability(now, hostOf(s.Listen.ForwardAddress), seed, d.sender.client, d.placer, d.log)
+	d.sender.reach = d.reach
 	d.ingress = &Ingress{
-		service: s.Instance.Service, headers: d.platform.Headers, fleet: d.fleet, placer: d.placer, sender: d.sender,
+		service: s.Instance.Service, upstreamHost: hostOf(s.Upstream.Address), headers: d.platform.Headers, fleet: d.fleet, placer: d.placer, sender: d.sender,
 		budget: d.budget, metrics: d.metrics, log: log, random: random{src: rand.New(rand.NewPCG(seed, uint64(os.Getpid())))},
 	}
 	d.follower = &Follower{
@@ -149,13 +152,23 @@
 		Decline: s.Limits.weak(), Seed: len(s.Seeds) == 0 || slices.Contains(s.Seeds, s.Listen.SeedAddress),
 		Calls: func(call, outcome string) { d.metrics.storeCalls.WithLabelValues(call, outcome).Inc() },
 	}
-	d.feed = &feedServer{fleet: d.fleet, fresh: d.follower.Fresh, decline: s.Limits.weak(), stopped: d.leaving}
+	d.feed = &feedServer{fleet: d.fleet, age: d.follower.Age, decline: s.Limits.weak(), stopped: d.leaving}
+}
+
+// hostOf returns the IP of an address.
+func hostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return "" // checked with the settings; no request comes from there
+	}
+	return host
 }
 
 // onView gives a new view to the parts.
 func (d *Daemon) onView(now time.Time, v *catalog.View) {
 	d.guard.Update(now, v)
 	d.placer.Update(now, v)
+	d.reach.update(v)
 	d.budget.SetDaemons(len(v.Instances))
 	if v.Table != nil && !d.ready.Swap(true) {
 		d.log.Info("daemon_ready", zap.Uint64("version", v.Table.Version), zap.Uint64("revision", v.Revision))
@@ -225,6 +238,7 @@
 	}
 	d.tasks.Go(func() { d.follower.Run(ctx) })
 	d.tasks.Go(func() { d.housekeep(ctx) })
+	d.tasks.Go(func() { d.reach.run(ctx) })
 	d.log.Info("daemon_started", zap.String("service", d.settings.Instance.Service), zap.String("place", d.settings.Place().String()),
 		zap.String("caller_address", d.settings.Listen.CallerAddress), zap.String("forward_address", d.settings.Listen.ForwardAddress),
 		zap.String("upstream_address", d.settings.Upstream.Address))
@@ -277,6 +291,7 @@
 		return
 	}
 	d.fleet.Heard(now, from.revision)
+	d.reach.heard(now, hostOf(r.RemoteAddr))
 	d.guard.suspects.hear(now, from.gossip)
 	j.ID = r.Header.Get(d.platform.Headers.RequestID)
 	j.HasBody = r.ContentLength != 0 || r.Header.Get("Content-Length") != ""
@@ -323,12 +338,13 @@
 	case d.Ready():
 		w.WriteHeader(http.StatusOK)
 	default:
-		http.Error(w, "the daemon has no route table yet, or stops", http.StatusServiceUnavailable)
+		http.Error(w, "the daemon has no route table yet, stops, or is cut off from all other daemons", http.StatusServiceUnavailable)
 	}
 }
 
-// Ready reports whether callers may send new requests.
-func (d *Daemon) Ready() bool { return d.ready.Load() && !d.stopping.Load() }
+// Ready reports whether callers may send new requests. A daemon that is cut off from all others
+// could only run those for its own upstream; callers are better off elsewhere.
+func (d *Daemon) Ready() bool { return d.ready.Load() && !d.stopping.Load() && !d.reach.Isolated() }
 
 func (d *Daemon) adminHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -11,11 +11,9 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"go.uber.org/zap"
 
 	"mangoshed.example/mangoshed/core/catalog"
 	"mangoshed.example/mangoshed/core/model"
@@ -30,7 +28,7 @@
 	// feedSilence is the time without a frame after which a reader counts as lost. With the
 	// change to another one it stays well below the 2 s in which a change has to be in force.
 	feedSilence = 800 * time.Millisecond
-	// feedGrace is the time for which a reader may lose the store before it is left.
+	// feedGrace is the time by which a reader may exceed the age of a current view before it is left.
 	feedGrace = 200 * time.Millisecond
 	// feederRest is the time for which a reader that was lost is not asked again.
 	feederRest = 1500 * time.Millisecond
@@ -45,8 +43,9 @@
 // frame is one message of a feed.
 type frame struct {
 	Revision uint64 `cbor:"1,keyasint"`
-	// Fresh says that the sender follows the store itself and without failures.
-	Fresh bool `cbor:"2,keyasint,omitempty"`
+	// Age is the time in milliseconds since the store proved that the revision is current. It
+	// grows along a chain of readers, so that daemons that feed each other notice.
+	Age int64 `cbor:"2,keyasint,omitempty"`
 	// Change is a compressed change; empty without news.
 	Change []byte `cbor:"3,keyasint,omitempty"`
 }
@@ -173,8 +172,8 @@
 type feedServer struct {
 	fleet  *Fleet
 	packer packer
-	// fresh reports whether the daemon follows the store itself.
-	fresh func() bool
+	// age returns the age of the last proof that the view is current.
+	age func() time.Duration
 	// decline says that the daemon does not read for others.
 	decline bool
 	// stopped is closed when the daemon begins to stop.
@@ -206,7 +205,7 @@
 	ticker := time.NewTicker(beaconTime)
 	defer ticker.Stop()
 	for {
-		next := frame{Revision: reached, Fresh: s.fresh(), Change: data}
+		next := frame{Revision: reached, Age: s.age().Milliseconds(), Change: data}
 		if control.SetWriteDeadline(time.Now().Add(feedWrite)) != nil || encoder.Encode(next) != nil || control.Flush() != nil {
 			return // the other daemon has left, or reads no more
 		}
@@ -227,18 +226,27 @@
 	}
 }
 
-// feeds chooses the readers that feed this daemon.
+// feeds chooses the readers that feed this daemon. It is safe for concurrent use.
 type feeds struct {
 	region, own string
 	fleet       *Fleet
-	lost        map[string]time.Time
-	declined    map[string]time.Time
 	// decline says that the daemon itself does not read for others.
 	decline bool
+
+	mu       sync.Mutex
+	lost     map[string]time.Time
+	declined map[string]time.Time
+}
+
+func newFeeds(region, own string, fleet *Fleet, decline bool) *feeds {
+	return &feeds{region: region, own: own, fleet: fleet, decline: decline, lost: make(map[string]time.Time), declined: make(map[string]time.Time)}
 }
 
-// feeders returns the readers that feed this daemon; false if it is one of them.
+// feeders returns the readers that feed this daemon; false if it is one of them. The list then
+// names the others.
 func (f *feeds) feeders(now time.Time) ([]string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return f.fleet.View().Feeders(f.region, f.own, func(address string) bool {
 		if address == f.own {
 			return f.decline
@@ -254,13 +262,11 @@
 	return fed
 }
 
-// next returns the reader to follow, false if the daemon is to read the store itself: as one
-// of the readers, or because all of them are lost.
+// next returns the reader to follow, false if all of them are lost.
 func (f *feeds) next(now time.Time) (string, bool) {
-	feeders, fed := f.feeders(now)
-	if !fed {
-		return "", false
-	}
+	feeders, _ := f.feeders(now)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, address := range feeders {
 		if at, ok := f.lost[address]; !ok || now.Sub(at) >= feederRest {
 			return address, true
@@ -272,15 +278,23 @@
 // errFeed are the reasons to leave a reader.
 var (
 	errNotFresh   = errors.New("the reader does not follow the store")
+	errNotNeeded  = errors.New("the daemon reads the store itself")
 	errBehind     = errors.New("other daemons know more than the reader")
 	errNotReader  = errors.New("the reader has left its role")
 	errFeedStatus = errors.New("the reader refused the feed")
 	errDeclined   = errors.New("the daemon does not read for others")
 )
 
-// follow takes the changes that a reader sends until it is lost or has left its role. It sets
-// following when the reader has accepted.
-func (f *feeds) follow(ctx context.Context, address string, following *atomic.Bool, log *zap.Logger) error {
+// feedEvents are what the follower learns from a feed.
+type feedEvents struct {
+	// accepted is called when the reader has accepted.
+	accepted func()
+	// proved is called with the age of the reader's proof; its error ends the feed.
+	proved func(now time.Time, age time.Duration) error
+}
+
+// follow takes the changes that a reader sends until it is lost or has left its role.
+func (f *feeds) follow(ctx context.Context, address string, events feedEvents) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	dialer := net.Dialer{Timeout: peerDial, KeepAlive: -1}
@@ -314,15 +328,13 @@
 	default:
 		return errFeedStatus
 	}
-	following.Store(true)
-	log.Info("feed_started", zap.String("reader", address), zap.Uint64("revision", f.fleet.Revision()))
-	return f.receive(conn, cbor.NewDecoder(resp.Body), address)
+	events.accepted()
+	return f.receive(conn, cbor.NewDecoder(resp.Body), address, events)
 }
 
 // receive applies the frames of a feed.
-func (f *feeds) receive(conn net.Conn, decoder *cbor.Decoder, address string) error {
+func (f *feeds) receive(conn net.Conn, decoder *cbor.Decoder, address string, events feedEvents) error {
 	behind := f.fleet.Behind()
-	var freshAt time.Time // a reader that is not fresh at first is left at once
 	for {
 		if err := conn.SetReadDeadline(time.Now().Add(feedSilence)); err != nil {
 			return err
@@ -345,18 +357,15 @@
 			f.fleet.Apply(state, address)
 		}
 		now := time.Now()
-		if next.Fresh {
-			freshAt = now
+		if err := events.proved(now, time.Duration(next.Age)*time.Millisecond); err != nil {
+			return err
 		}
 		select {
 		case <-behind:
 			return errBehind
 		default:
 		}
-		if now.Sub(freshAt) > feedGrace {
-			return errNotFresh
-		}
-		if feeders, fed := f.feeders(now); !fed || !slices.Contains(feeders, address) {
+		if feeders, _ := f.feeders(now); !slices.Contains(feeders, address) {
 			return errNotReader
 		}
 	}
@@ -364,6 +373,11 @@
 
 // lose leaves out a reader for a time.
 func (f *feeds) lose(now time.Time, address string, why error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if errors.Is(why, errNotNeeded) {
+		return
+	}
 	if errors.Is(why, errDeclined) {
 		f.declined[address] = now
 		return
--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -23,8 +23,19 @@
 	holdSlack = 400 * time.Millisecond
 	// answerTime bounds the time in which an answer arrives once it has begun.
 	answerTime = 3 * time.Second
-	// freshTime is the age of the last answer up to which the store counts as followed.
+	// freshTime is the age of the last proof from the store up to which the view counts as
+	// current. Beyond it a daemon looks for another way.
 	freshTime = holdTime + holdSlack + pace
+	// weakPatience is the time for which a daemon with little bandwidth leaves the store to
+	// others after that: in a storm of changes its own reads would fill its link.
+	weakPatience = 200 * time.Millisecond
+	// roleTick is the period of looks at the own role while nothing is to be done.
+	roleTick = 50 * time.Millisecond
+	// stormTime is the time after a new table within which more of them are expected. A watch
+	// that has missed changes of a storm brings every table between, a list only the last one.
+	stormTime = 3 * time.Second
+	// missedTime is the age of the own state from which on a storm has brought several tables.
+	missedTime = 600 * time.Millisecond
 	// listTimeout bounds the read of the whole state.
 	listTimeout = 1500 * time.Millisecond
 	// firstTimeout bounds the first read of the whole state. Meanwhile askers questions to
@@ -74,36 +85,101 @@
 	Seed bool
 
 	feeds     *feeds
-	fresh     atomic.Bool               // the store is followed without failures
-	answering atomic.Bool               // an answer of the store is arriving
-	heard     atomic.Pointer[time.Time] // of the last answer
-	following atomic.Bool               // a reader is followed
+	proof     proof
+	answering atomic.Bool // an answer of the store is arriving
+	following atomic.Bool // a reader is followed
 	listed    bool
 	failedAt  time.Time // of the first failure in a row
 	failures  int
 	pause     time.Duration
+	tableAt   time.Time // of the last new table
+	version   uint64    // of that table
 }
 
-// Run follows the store until the context ends.
+// proof is the time at which the store was known to have nothing newer than the view: by an own
+// answer, or by the frame of a reader, which tells how old its own proof is. It is safe for
+// concurrent use.
+type proof struct {
+	mu sync.Mutex
+	// any is the time of the last proof, own that of the last answer to an own call.
+	any, own time.Time
+}
+
+// answered takes an answer to an own call.
+func (p *proof) answered(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.any, p.own = now, now
+}
+
+// told takes the proof of a reader.
+func (p *proof) told(at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if at.After(p.any) {
+		p.any = at
+	}
+}
+
+// ages returns the ages of the last proof and of the last own answer.
+func (p *proof) ages(now time.Time) (any, own time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.any), now.Sub(p.own)
+}
+
+// Run follows the store until the context ends. A daemon is fed by the readers of its region
+// and reads the store as one of them, or while none of them is current. Both go on at the same
+// time while one way takes over from the other.
 func (f *Follower) Run(ctx context.Context) {
-	f.feeds = &feeds{region: f.Region, own: f.Own, fleet: f.Fleet, lost: make(map[string]time.Time), declined: make(map[string]time.Time), decline: f.Decline}
+	f.feeds = newFeeds(f.Region, f.Own, f.Fleet, f.Decline)
+	var feeding sync.WaitGroup
+	if f.Own != "" {
+		feeding.Go(func() { f.followReaders(ctx) })
+	}
+	defer feeding.Wait()
 	for ctx.Err() == nil {
-		if f.followReader(ctx) {
+		if !f.reads(time.Now()) {
+			sleep(ctx, roleTick)
 			continue
 		}
 		err := f.step(ctx)
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return
-		}
-		if err == nil {
+		case errors.Is(err, errFromPeer):
+		case err != nil:
+			f.failed(ctx, err)
+		default:
 			f.succeeded()
 			sleep(ctx, pace)
-			continue
 		}
-		f.failed(ctx, err)
 	}
 }
 
+// reads reports whether the daemon is to read the store.
+func (f *Follower) reads(now time.Time) bool {
+	if f.Own == "" || f.Fleet.View().Table == nil || !f.feeds.fed(now) {
+		return true
+	}
+	limit := freshTime + feedGrace
+	if f.Decline {
+		limit += weakPatience
+	}
+	age, _ := f.proof.ages(now)
+	return age > limit
+}
+
+// fromOthers reports whether the daemon is to take changes from a reader: always, unless it is
+// one itself and the store answers.
+func (f *Follower) fromOthers(now time.Time) bool {
+	if f.feeds.fed(now) {
+		return true
+	}
+	_, own := f.proof.ages(now)
+	return own > freshTime && !f.answering.Load()
+}
+
 // first gets a first state from other daemons or from the store. When many daemons start at
 // once, the whole configuration for each of them fills the link between regions for seconds,
 // while the answer of another daemon is small. So seeds and daemons with plenty of bandwidth
@@ -131,10 +207,13 @@
 		return f.takeList(a)
 	case a := <-told:
 		f.take(a)
-		return nil
+		return errFromPeer
 	}
 }
 
+// errFromPeer says that the state came from another daemon, not from the store.
+var errFromPeer = errors.New("the state came from another daemon")
+
 // introduce reads the list of instances and names those to ask: the ones of the own region if
 // there are any others, in random order.
 func (f *Follower) introduce(ctx context.Context) {
@@ -179,10 +258,12 @@
 	}
 }
 
-// take takes the state of another daemon.
+// take takes the state of another daemon. It proves nothing about the store, but leaves some
+// time to find a reader.
 func (f *Follower) take(a peerAnswer) {
 	f.listed = true
 	f.Fleet.Replace(a.state, a.source)
+	f.proof.told(time.Now().Add(-freshTime / 2))
 }
 
 // listAnswer is the answer to a read of the whole state.
@@ -205,16 +286,15 @@
 
 // watch waits for the next change.
 func (f *Follower) watch(ctx context.Context) (catalog.State, error) {
-	hold := f.hold()
-	ctx, cancel := context.WithTimeout(ctx, hold+holdSlack+answerTime)
+	ctx, cancel := context.WithTimeout(ctx, holdTime+holdSlack+answerTime)
 	defer cancel()
 	answering, done := make(chan struct{}), make(chan struct{})
 	defer close(done)
 	defer f.answering.Store(false)
-	lost := time.AfterFunc(hold+holdSlack, cancel)
+	lost := time.AfterFunc(holdTime+holdSlack, cancel)
 	defer lost.Stop()
 	go cancelIfBehind(cancel, f.Fleet.Behind(), answering, done)
-	return f.Store.Watch(ctx, f.Fleet.Revision(), hold, sync.OnceFunc(func() {
+	return f.Store.Watch(ctx, f.Fleet.Revision(), holdTime, sync.OnceFunc(func() {
 		lost.Stop()
 		f.answering.Store(true)
 		close(answering)
@@ -236,33 +316,58 @@
 	}
 }
 
-// Fresh reports whether the daemon follows the store itself and without failures.
-func (f *Follower) Fresh() bool {
-	if !f.fresh.Load() {
-		return false
+// Fresh reports whether the view is known to be current.
+func (f *Follower) Fresh() bool { return f.Age() <= freshTime }
+
+// Age returns the age of the last proof that the view is current. A large answer that is
+// arriving counts as one.
+func (f *Follower) Age() time.Duration {
+	if f.answering.Load() {
+		return 0
 	}
-	heard := f.heard.Load()
-	return f.answering.Load() || heard != nil && time.Since(*heard) <= freshTime
+	age, _ := f.proof.ages(time.Now())
+	return age
 }
 
-// followReader follows a reader of the region until it is lost. It returns false if the daemon
-// is to read the store.
-func (f *Follower) followReader(ctx context.Context) bool {
-	if f.Own == "" || f.Fleet.View().Table == nil {
-		return false
-	}
-	address, ok := f.feeds.next(time.Now())
-	if !ok {
-		return false
-	}
-	f.fresh.Store(false)
-	err := f.feeds.follow(ctx, address, &f.following, f.Log)
-	f.following.Store(false)
-	if ctx.Err() == nil {
-		f.feeds.lose(time.Now(), address, err)
-		f.Log.Info("feed_ended", zap.String("reader", address), zap.Uint64("revision", f.Fleet.Revision()), zap.Error(err))
+// followReaders follows one reader after the other until the context ends.
+func (f *Follower) followReaders(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := time.Now()
+		address, ok := "", false
+		if f.Fleet.View().Table != nil && f.fromOthers(now) {
+			address, ok = f.feeds.next(now)
+		}
+		if !ok {
+			sleep(ctx, roleTick)
+			continue
+		}
+		err := f.followReader(ctx, address)
+		if ctx.Err() == nil {
+			f.feeds.lose(time.Now(), address, err)
+			f.Log.Info("feed_ended", zap.String("reader", address), zap.Uint64("revision", f.Fleet.Revision()), zap.Error(err))
+		}
 	}
-	return true
+}
+
+// followReader follows a reader until it is lost, has left its role, or is not needed.
+func (f *Follower) followReader(ctx context.Context, address string) error {
+	defer f.following.Store(false)
+	return f.feeds.follow(ctx, address, feedEvents{
+		accepted: func() {
+			f.following.Store(true)
+			f.Log.Info("feed_started", zap.String("reader", address), zap.Uint64("revision", f.Fleet.Revision()))
+		},
+		proved: func(now time.Time, age time.Duration) error {
+			f.proof.told(now.Add(-age))
+			switch {
+			case age > freshTime+feedGrace:
+				return errNotFresh
+			case !f.fromOthers(now):
+				return errNotNeeded
+			}
+			return nil
+		},
+	})
 }
 
 // step reads the whole state, or waits for the next change.
@@ -270,7 +375,7 @@
 	if !f.listed && f.Fleet.View().Table == nil && f.Peers != nil {
 		return f.first(ctx)
 	}
-	if !f.listed {
+	if !f.listed || f.missedTables(time.Now()) {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
 		state, err := f.Store.List(ctx)
@@ -290,13 +395,13 @@
 	return nil
 }
 
-// hold returns the hold time of the next watch: short while the daemon reads only because it
-// is not fed, so that it goes back to the readers soon.
-func (f *Follower) hold() time.Duration {
-	if f.Own != "" && f.feeds.fed(time.Now()) {
-		return feederRest
+// missedTables reports whether the store has probably had several tables since the own state.
+func (f *Follower) missedTables(now time.Time) bool {
+	if table := f.Fleet.View().Table; table != nil && table.Version != f.version {
+		f.version, f.tableAt = table.Version, now
 	}
-	return holdTime
+	age, _ := f.proof.ages(now)
+	return age > missedTime && now.Sub(f.tableAt) < stormTime
 }
 
 func (f *Follower) count(call string, err error) {
@@ -322,14 +427,11 @@
 		f.Log.Info("store_regained", zap.Int("failures", f.failures), zap.Duration("away", time.Since(f.failedAt)), zap.Uint64("revision", f.Fleet.Revision()))
 	}
 	f.failures, f.pause = 0, 0
-	now := time.Now()
-	f.heard.Store(&now)
-	f.fresh.Store(true)
+	f.proof.answered(time.Now())
 }
 
 func (f *Follower) failed(ctx context.Context, err error) {
 	f.failures++
-	f.fresh.Store(false)
 	if f.failures == 1 {
 		f.failedAt = time.Now()
 		f.Log.Warn("store_lost", zap.Error(err), zap.Uint64("revision", f.Fleet.Revision()))
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -22,9 +23,6 @@
 )
 
 const (
-	// returningAfter is the time that a caller has spent on earlier attempts from which on it
-	// counts as returning; less is the scatter of the way.
-	returningAfter = 25 * time.Millisecond
 	// wayBack is the time that an answer may take to its caller.
 	wayBack = 20 * time.Millisecond
 	// wayThere is the time that a caller may have spent on connecting and sending.
@@ -49,13 +47,15 @@
 // Ingress takes the requests of callers. It implements http.Handler.
 type Ingress struct {
 	service string // beside the daemon
-	headers Headers
-	fleet   *Fleet
-	placer  *placement.Placer
-	sender  *Sender
-	budget  *retry.FleetBudget
-	metrics *metrics
-	log     *decisions
+	// upstreamHost is the IP of the upstream beside the daemon.
+	upstreamHost string
+	headers      Headers
+	fleet        *Fleet
+	placer       *placement.Placer
+	sender       *Sender
+	budget       *retry.FleetBudget
+	metrics      *metrics
+	log          *decisions
 
 	active   atomic.Int64
 	held     atomic.Int64              // requests that wait for the first table
@@ -63,6 +63,7 @@
 	stopping atomic.Bool
 	closing  atomic.Bool
 	random   random
+	patience patience
 }
 
 // random is a source that is safe for concurrent use.
@@ -264,12 +265,15 @@
 func (i *Ingress) describe(r *http.Request, arrived time.Time, matched *route.Route, version uint64, body []byte) *request {
 	asked := remaining(r.Header.Get(i.headers.Remaining))
 	left := min(matched.Timeout, asked)
-	// A caller that comes again says what is left of its time.
-	spent := max(0, matched.Timeout-asked)
+	nested := i.nested(r)
+	var spent time.Duration
+	if !nested {
+		spent = i.patience.spent(matched.Name, asked)
+	}
 	req := &request{
 		route: matched, version: version, service: matched.Choose(i.random.float()),
 		arrived: arrived, deadline: arrived.Add(left), goal: arrived.Add(matched.Goal - spent),
-		returning: spent > returningAfter, id: r.Header.Get(i.headers.RequestID),
+		returning: spent > 0, id: r.Header.Get(i.headers.RequestID),
 	}
 	// The answer has to reach the caller before it gives up.
 	margin := min(wayBack, left/10)
@@ -280,13 +284,20 @@
 	delete(header, i.headers.Expected)
 	req.job = Job{
 		Service: req.service, Route: matched.Name, Caller: i.service, Priority: matched.Priority, Returning: req.returning,
-		MayRepeat: matched.Kind.MayRepeat(), Goal: req.goal, Deadline: req.deadline, Objective: matched.Goal,
+		MayRepeat: matched.Kind.MayRepeat(), Nested: nested, Goal: req.goal, Deadline: req.deadline, Objective: matched.Goal,
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, ID: req.id, Header: header, Body: body,
 		HasBody: r.ContentLength != 0 || r.Method == http.MethodPost || r.Method == http.MethodPut,
 	}
 	return req
 }
 
+// nested reports whether the daemon's own upstream has sent a request: it does so from its own
+// host while a request runs there.
+func (i *Ingress) nested(r *http.Request) bool {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	return err == nil && host == i.upstreamHost
+}
+
 // statusClass returns the class of a status as a metric label.
 func statusClass(status int) string {
 	switch {
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -25,6 +25,7 @@
 	flagMayWait   = 'w'
 	flagReturning = 'r'
 	flagRepeat    = 's'
+	flagNested    = 'n'
 )
 
 // confirmBytes is the size of a body from which on the other daemon is asked before the body
@@ -41,10 +42,11 @@
 	Caller   string
 	Priority int
 	// MayWait lets the request wait for a slot; Returning says that its caller was refused
-	// before; MayRepeat that it may run more than once.
-	MayWait, Returning, MayRepeat bool
-	Goal, Deadline                time.Time
-	Objective                     time.Duration
+	// before; MayRepeat that it may run more than once; Nested that the run of another upstream
+	// waits for it.
+	MayWait, Returning, MayRepeat, Nested bool
+	Goal, Deadline                        time.Time
+	Objective                             time.Duration
 
 	Method, Target, Host, ID string
 	Header                   http.Header
@@ -133,6 +135,9 @@
 	if j.MayRepeat {
 		flags = append(flags, flagRepeat)
 	}
+	if j.Nested {
+		flags = append(flags, flagNested)
+	}
 	return string(flags)
 }
 
@@ -169,8 +174,8 @@
 	return &Job{
 		Instance: model.InstanceID(fields[0]), Route: fields[1], Caller: fields[2], Service: fields[9],
 		MayWait: strings.IndexByte(flags, flagMayWait) >= 0, Returning: strings.IndexByte(flags, flagReturning) >= 0,
-		MayRepeat: strings.IndexByte(flags, flagRepeat) >= 0,
-		Priority:  int(numbers[0]), Deadline: after(numbers[1]), Goal: after(numbers[2]), Objective: time.Duration(numbers[3]) * time.Millisecond,
+		MayRepeat: strings.IndexByte(flags, flagRepeat) >= 0, Nested: strings.IndexByte(flags, flagNested) >= 0,
+		Priority: int(numbers[0]), Deadline: after(numbers[1]), Goal: after(numbers[2]), Objective: time.Duration(numbers[3]) * time.Millisecond,
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: ownHeaders(r.Header),
 	}, sender{revision, fields[10]}, true
 }
--- a/pkg/mesh/sender.go
+++ b/pkg/mesh/sender.go
@@ -23,7 +23,7 @@
 	// this allows for one lost packet.
 	peerDial = 400 * time.Millisecond
 	// peerUnacknowledged is the time after which a daemon that acknowledges nothing counts as gone.
-	peerUnacknowledged = 900 * time.Millisecond
+	peerUnacknowledged = 500 * time.Millisecond
 	// statePath is the path of the state that daemons ask each other for.
 	statePath = "/mangoshed-peer/state"
 	// maxState bounds the state of another daemon in bytes.
@@ -37,6 +37,7 @@
 	fleet  *Fleet
 	client *exchange.Client
 	seeds  func() []string
+	reach  *reachability
 	states stateEncoder
 
 	mu   sync.Mutex
@@ -63,10 +64,14 @@
 	now := time.Now()
 	resp, err := s.client.Do(ctx, j.encode(now, inst.ForwardAddr, s.fleet.View().Revision, s.guard.suspects.gossip(now)))
 	if err != nil {
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			s.reach.failed(time.Now(), inst.Host())
+		}
 		return unreachable(ctx, err)
 	}
 	res, from := decodeResult(resp)
 	now = time.Now()
+	s.reach.heard(now, inst.Host())
 	s.fleet.Heard(now, from.revision)
 	s.guard.suspects.hear(now, from.gossip)
 	return res
