Know nested calls by their parent and keep slots for them

Nested calls waited 30 to 60 ms each (p90 170 ms) behind long runs; the run that made them held its slot for 250 to 400 ms instead of 120. Change: the adapter names the parent of a request by its ID, and the guard checks that it runs here; a part of the slots that follows their load is kept for them. A platform whose IDs do not tell loses the order only.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -14,6 +14,7 @@
 package intake
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -56,6 +57,12 @@
 	// in time that one overdue call is weighed against.
 	overdueFactor = 1.5
 	paceSamples   = 9
+	// nestedMemory is the time over which the load of nested calls is averaged, minNestedLoad
+	// the load in slots from which on slots are kept for them, and nestedShare the largest part
+	// of all slots, as 1 in that many.
+	nestedMemory  = time.Second
+	minNestedLoad = 0.2
+	nestedShare   = 3
 	// uncompletedFactor bounds what a call that ended without an answer teaches about run
 	// times: it may have been slow, or its answer may have been lost.
 	uncompletedFactor = 2
@@ -123,7 +130,12 @@
 	prunedAt    time.Time
 	// pace multiplies the estimates while running calls take longer than they say.
 	pace float64
-	ends []time.Duration // scratch of wait
+	// nestedRunning counts the nested calls that run, nestedLoad is the number of slots that
+	// they need on average, decaying since nestedAt.
+	nestedRunning int
+	nestedLoad    float64
+	nestedAt      time.Time
+	ends          []time.Duration // scratch of wait
 }
 
 // New returns a queue with the slots.
@@ -152,8 +164,8 @@
 // Load returns the present load.
 func (q *Queue) Load(now time.Time) Load {
 	q.measure(now)
-	l := Load{Running: len(q.running), Slots: q.slots, Queued: len(q.waiting)}
-	if len(q.running) >= q.slots || len(q.waiting) > 0 {
+	l := Load{Running: len(q.running) + q.kept(now), Slots: q.slots, Queued: len(q.waiting)}
+	if l.Running >= q.slots || len(q.waiting) > 0 {
 		l.Next, l.Wait = q.wait(now, nil), q.wait(now, q.waiting)
 	}
 	return l
@@ -167,7 +179,10 @@
 		return Closed
 	}
 	c.queued = now
-	if len(q.running) < q.slots && len(q.waiting) == 0 {
+	if c.Nested {
+		q.countNested(now, c)
+	}
+	if q.free(now, c) && (len(q.waiting) == 0 || c.Nested) {
 		// An idle upstream also takes what will probably be late: the estimate may be wrong, and
 		// refusing everything would keep it from being corrected.
 		if now.Add(q.expected(c)/2).After(c.Deadline) && len(q.running) > 0 {
@@ -189,6 +204,36 @@
 	return Waiting
 }
 
+// countNested takes the arrival of a nested call into the load of such calls.
+func (q *Queue) countNested(now time.Time, c *Call) {
+	q.nestedLoad = q.offered(now) + q.expected(c).Seconds()/nestedMemory.Seconds()
+	q.nestedAt = now
+}
+
+// offered returns the number of slots that nested calls need on average.
+func (q *Queue) offered(now time.Time) float64 {
+	return q.nestedLoad * math.Exp(-now.Sub(q.nestedAt).Seconds()/nestedMemory.Seconds())
+}
+
+// kept returns the number of free slots that are kept for nested calls. Each of them holds a
+// slot elsewhere while it waits, and long runs here end too seldom for a steady stream of them.
+func (q *Queue) kept(now time.Time) int {
+	offered := q.offered(now)
+	if offered < minNestedLoad {
+		return 0
+	}
+	reserve := min(int(math.Ceil(offered)), q.slots/nestedShare)
+	return min(max(0, reserve-q.nestedRunning), max(0, q.slots-len(q.running)))
+}
+
+// free reports whether a slot is free for the call.
+func (q *Queue) free(now time.Time, c *Call) bool {
+	if c.Nested {
+		return len(q.running) < q.slots
+	}
+	return len(q.running)+q.kept(now) < q.slots
+}
+
 // worthWaiting reports whether the call will be answered in its time.
 func (q *Queue) worthWaiting(now time.Time, c *Call) bool {
 	run := q.expected(c)
@@ -322,6 +367,9 @@
 func (q *Queue) start(now time.Time, c *Call) {
 	c.started, c.running = now, true
 	q.running = append(q.running, c)
+	if c.Nested {
+		q.nestedRunning++
+	}
 }
 
 // Done frees the slot of a started call. A completed call teaches the queue its run time, and
@@ -331,6 +379,9 @@
 		return
 	}
 	c.running = false
+	if c.Nested {
+		q.nestedRunning--
+	}
 	q.running = slices.DeleteFunc(q.running, func(o *Call) bool { return o == c })
 	took := now.Sub(c.started)
 	if known, ok := q.estimate[c.Route]; completed {
@@ -425,6 +476,9 @@
 			}
 		}
 		c := q.waiting[best]
+		if !q.free(now, c) {
+			return
+		}
 		q.waiting = slices.Delete(q.waiting, best, best+1)
 		q.settle(c, true)
 		q.start(now, c)
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -84,6 +84,63 @@
 	require.Empty(t, urgentOutcome.verdicts)
 }
 
+// Replays an upstream whose long runs fill every slot while short nested calls arrive at a
+// steady rate. Guards against letting each of them wait for the end of a long run, and against
+// idle slots when there are no nested calls.
+func TestSlotsAreKeptForNestedCalls(t *testing.T) {
+	q := New(9)
+	teach(q, "long", 500)
+	teach(q, "check", 30)
+	var waits, served int
+	type ending struct {
+		call *Call
+		at   int
+	}
+	var running []ending
+	started := func(c *Call, ms, work int) { running = append(running, ending{c, ms + work}) }
+	offer := func(ms int, route string, work int, nested bool) {
+		c, _ := call(route, 1, ms, 2000, 3000)
+		c.Nested = nested
+		begun := ms
+		c.Decide = func(v Verdict) {
+			if v == Started {
+				started(c, begun, work)
+			}
+		}
+		switch q.Offer(at(ms), c, true) {
+		case Started:
+			started(c, ms, work)
+		case Waiting:
+			if nested && ms > 2000 {
+				waits++
+			}
+		}
+		if nested && ms > 2000 {
+			served++
+		}
+	}
+	for ms := 0; ms < 8000; ms++ {
+		left := running
+		running = nil
+		for _, e := range left {
+			if e.at <= ms {
+				q.Done(at(ms), e.call, true)
+			} else {
+				running = append(running, e)
+			}
+		}
+		if ms%20 == 0 {
+			offer(ms, "long", 500, false) // 25 slots' worth of work
+		}
+		if ms%16 == 0 {
+			offer(ms, "check", 30, true) // two slots' worth
+		}
+	}
+	require.Less(t, waits*4, served, "nested calls that had to wait")
+	require.LessOrEqual(t, q.kept(at(8000)), 3)
+	require.Zero(t, q.kept(at(20_000)), "no nested calls any more")
+}
+
 // Guards against handing an upstream more than its slots, whose answers some never send.
 func TestNeverExceedsSlots(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -144,7 +144,7 @@
 	d.reach = newReachability(now, hostOf(s.Listen.ForwardAddress), seed, d.sender.client, d.placer, d.log)
 	d.sender.reach = d.reach
 	d.ingress = &Ingress{
-		service: s.Instance.Service, upstreamHost: hostOf(s.Upstream.Address), headers: d.platform.Headers, fleet: d.fleet, placer: d.placer, sender: d.sender,
+		service: s.Instance.Service, parent: d.platform.Parent, headers: d.platform.Headers, fleet: d.fleet, placer: d.placer, sender: d.sender,
 		budget: d.budget, metrics: d.metrics, log: log, random: random{src: rand.New(rand.NewPCG(seed, uint64(os.Getpid())))},
 	}
 	d.follower = &Follower{
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -58,13 +58,14 @@
 	downUntil time.Time
 	stopping  bool
 	active    int
+	runs      map[string]int // requests at the upstream by ID
 	timer     *time.Timer
 }
 
 // NewGuard returns the guard of the upstream at the address.
 func NewGuard(address string, headers Headers, log *decisions) *Guard {
 	g := &Guard{
-		suspects: newSuspects(log.log), address: address, headers: headers, log: log, queue: intake.New(0), left: make(map[model.InstanceID]time.Time),
+		suspects: newSuspects(log.log), address: address, headers: headers, log: log, queue: intake.New(0), left: make(map[model.InstanceID]time.Time), runs: make(map[string]int),
 		client: exchange.NewClient(exchange.Config{RequestID: headers.RequestID, DialTimeout: upstreamDial}),
 	}
 	g.timer = time.AfterFunc(time.Hour, g.tick)
@@ -127,6 +128,22 @@
 	return g.active
 }
 
+// Runs reports whether a request with the ID is at the upstream.
+func (g *Guard) Runs(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.runs[id] > 0
+}
+
+// note counts a request that goes to the upstream, or comes back.
+func (g *Guard) note(id string, change int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.runs[id] += change; g.runs[id] <= 0 {
+		delete(g.runs, id)
+	}
+}
+
 // Load returns the load of the upstream.
 func (g *Guard) Load() intake.Load {
 	g.mu.Lock()
@@ -200,7 +217,9 @@
 		return Result{Refusal: notRun(refusal.Overloaded, "the request is suspected of crashing an upstream and runs alone", downTime)}
 	case quarantine.Allowed:
 	}
+	g.note(j.ID, 1)
 	res := g.send(ctx, j)
+	g.note(j.ID, -1)
 	broken := res.Arrived && res.Refusal != nil && res.Refusal.Kind == refusal.UpstreamFailed
 	g.suspects.end(time.Now(), run, !broken)
 	if broken {
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -47,15 +46,15 @@
 // Ingress takes the requests of callers. It implements http.Handler.
 type Ingress struct {
 	service string // beside the daemon
-	// upstreamHost is the IP of the upstream beside the daemon.
-	upstreamHost string
-	headers      Headers
-	fleet        *Fleet
-	placer       *placement.Placer
-	sender       *Sender
-	budget       *retry.FleetBudget
-	metrics      *metrics
-	log          *decisions
+	headers Headers
+	// parent returns the request whose run makes one with an ID; nil if IDs do not tell.
+	parent  func(id string) (string, bool)
+	fleet   *Fleet
+	placer  *placement.Placer
+	sender  *Sender
+	budget  *retry.FleetBudget
+	metrics *metrics
+	log     *decisions
 
 	active   atomic.Int64
 	held     atomic.Int64              // requests that wait for the first table
@@ -291,11 +290,13 @@
 	return req
 }
 
-// nested reports whether the daemon's own upstream has sent a request: it does so from its own
-// host while a request runs there.
+// nested reports whether a run of the daemon's own upstream makes a request.
 func (i *Ingress) nested(r *http.Request) bool {
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	return err == nil && host == i.upstreamHost
+	if i.parent == nil {
+		return false
+	}
+	parent, ok := i.parent(r.Header.Get(i.headers.RequestID))
+	return ok && i.sender.guard.Runs(parent)
 }
 
 // statusClass returns the class of a status as a metric label.
--- a/pkg/mesh/platform.go
+++ b/pkg/mesh/platform.go
@@ -54,4 +54,7 @@
 	Headers Headers
 	// ReadyPath is the path of readiness probes.
 	ReadyPath string
+	// Parent returns the ID of the request whose run makes a request, if the ID of that tells;
+	// it may be nil.
+	Parent func(id string) (parent string, ok bool)
 }
