Slow upstreams send looks elsewhere; daemons that decline name their reader

Change: such an upstream takes one request at a time from those that only look; a daemon that declines names the reader that it follows.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -188,6 +188,10 @@
 		if now.Add(q.expected(c)/2).After(c.Deadline) && len(q.running) > 0 {
 			return Overloaded
 		}
+		// A call that looks for a free slot finds a faster upstream for the price of a question.
+		if !mayWait && len(q.running) > 0 && now.Add(q.expected(c)).After(c.Goal) && now.Before(c.Goal) {
+			return Busy
+		}
 		q.start(now, c)
 		return Started
 	}
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -141,6 +141,20 @@
 	require.Zero(t, q.kept(at(20_000)), "no nested calls any more")
 }
 
+// Replays an upstream that has turned slow beside others with free slots. Guards against taking
+// calls that would be answered in time elsewhere, and against never trying it again.
+func TestSlowUpstreamSendsLooksElsewhere(t *testing.T) {
+	q := New(9)
+	teach(q, "r", 2600)
+	probe, _ := call("r", 1, 0, 700, 3000)
+	require.Equal(t, Started, q.Offer(at(0), probe, false), "an idle upstream shows whether it is still slow")
+	look, _ := call("r", 1, 10, 700, 3000)
+	require.Equal(t, Busy, q.Offer(at(10), look, false))
+	require.Equal(t, Started, q.Offer(at(20), look, true), "there is no better one")
+	late, _ := call("r", 1, 30, 0, 3000)
+	require.Equal(t, Started, q.Offer(at(30), late, false), "it is late everywhere")
+}
+
 // Guards against handing an upstream more than its slots, whose answers some never send.
 func TestNeverExceedsSlots(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -17,6 +17,7 @@
 
 	"mangoshed.example/mangoshed/core/catalog"
 	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/core/refusal"
 	"mangoshed.example/mangoshed/core/route"
 )
 
@@ -36,6 +37,10 @@
 	// asked again for declinedRest.
 	declinedStatus = http.StatusNotImplemented
 	declinedRest   = 5 * time.Minute
+	// headerReader names the reader that a daemon follows which does not read for others. Those
+	// before it in the order have probably declined as well, and are not asked for inferredRest.
+	headerReader = refusal.HeaderPrefix + "Reader"
+	inferredRest = 10 * time.Second
 	// feedWrite bounds the write of a frame.
 	feedWrite = 2 * time.Second
 )
@@ -174,8 +179,10 @@
 	packer packer
 	// age returns the age of the last proof that the view is current.
 	age func() time.Duration
-	// decline says that the daemon does not read for others.
+	// decline says that the daemon does not read for others; reader then names the one that
+	// it follows itself, if any.
 	decline bool
+	reader  func() string
 	// stopped is closed when the daemon begins to stop.
 	stopped <-chan struct{}
 }
@@ -190,6 +197,7 @@
 		return
 	}
 	if s.decline {
+		w.Header().Set(headerReader, s.reader())
 		http.Error(w, "this daemon does not read for others", declinedStatus)
 		return
 	}
@@ -233,9 +241,12 @@
 	// decline says that the daemon itself does not read for others.
 	decline bool
 
-	mu       sync.Mutex
-	lost     map[string]time.Time
+	mu   sync.Mutex
+	lost map[string]time.Time
+	// declined holds until when a daemon is not asked.
 	declined map[string]time.Time
+	// following is the reader that is followed, empty without one.
+	following string
 }
 
 func newFeeds(region, own string, fleet *Fleet, decline bool) *feeds {
@@ -251,8 +262,7 @@
 		if address == f.own {
 			return f.decline
 		}
-		at, ok := f.declined[address]
-		return ok && now.Sub(at) < declinedRest
+		return now.Before(f.declined[address])
 	})
 }
 
@@ -275,6 +285,37 @@
 	return "", false
 }
 
+// infer takes the reader that a daemon follows which has declined.
+func (f *feeds) infer(now time.Time, decliner, reader string) {
+	ranking := f.fleet.View().Ranking(f.region)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !slices.Contains(ranking, reader) || now.Before(f.declined[reader]) {
+		return
+	}
+	for _, address := range ranking {
+		if address == reader {
+			return
+		}
+		if address != decliner && address != f.own && now.After(f.declined[address]) {
+			f.declined[address] = now.Add(inferredRest)
+		}
+	}
+}
+
+// reader returns the address of the reader that is followed, empty without one.
+func (f *feeds) reader() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.following
+}
+
+func (f *feeds) setReader(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.following = address
+}
+
 // errFeed are the reasons to leave a reader.
 var (
 	errNotFresh   = errors.New("the reader does not follow the store")
@@ -324,10 +365,13 @@
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case declinedStatus:
+		f.infer(time.Now(), address, resp.Header.Get(headerReader))
 		return errDeclined
 	default:
 		return errFeedStatus
 	}
+	f.setReader(address)
+	defer f.setReader("")
 	events.accepted()
 	return f.receive(conn, cbor.NewDecoder(resp.Body), address, events)
 }
@@ -379,7 +423,7 @@
 		return
 	}
 	if errors.Is(why, errDeclined) {
-		f.declined[address] = now
+		f.declined[address] = now.Add(declinedRest)
 		return
 	}
 	f.lost[address] = now
--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -84,7 +84,7 @@
 	// Seed says that daemons that start ask this one.
 	Seed bool
 
-	feeds     *feeds
+	feeds     atomic.Pointer[feeds]
 	proof     proof
 	answering atomic.Bool // an answer of the store is arriving
 	following atomic.Bool // a reader is followed
@@ -132,7 +132,7 @@
 // and reads the store as one of them, or while none of them is current. Both go on at the same
 // time while one way takes over from the other.
 func (f *Follower) Run(ctx context.Context) {
-	f.feeds = newFeeds(f.Region, f.Own, f.Fleet, f.Decline)
+	f.feeds.Store(newFeeds(f.Region, f.Own, f.Fleet, f.Decline))
 	var feeding sync.WaitGroup
 	if f.Own != "" {
 		feeding.Go(func() { f.followReaders(ctx) })
@@ -159,7 +159,7 @@
 
 // reads reports whether the daemon is to read the store.
 func (f *Follower) reads(now time.Time) bool {
-	if f.Own == "" || f.Fleet.View().Table == nil || !f.feeds.fed(now) {
+	if f.Own == "" || f.Fleet.View().Table == nil || !f.feeds.Load().fed(now) {
 		return true
 	}
 	limit := freshTime + feedGrace
@@ -173,7 +173,7 @@
 // fromOthers reports whether the daemon is to take changes from a reader: always, unless it is
 // one itself and the store answers.
 func (f *Follower) fromOthers(now time.Time) bool {
-	if f.feeds.fed(now) {
+	if f.feeds.Load().fed(now) {
 		return true
 	}
 	_, own := f.proof.ages(now)
@@ -329,13 +329,21 @@
 	return age
 }
 
+// Reader returns the address of the reader that is followed, empty without one.
+func (f *Follower) Reader() string {
+	if feeds := f.feeds.Load(); feeds != nil {
+		return feeds.reader()
+	}
+	return ""
+}
+
 // followReaders follows one reader after the other until the context ends.
 func (f *Follower) followReaders(ctx context.Context) {
 	for ctx.Err() == nil {
 		now := time.Now()
 		address, ok := "", false
 		if f.Fleet.View().Table != nil && f.fromOthers(now) {
-			address, ok = f.feeds.next(now)
+			address, ok = f.feeds.Load().next(now)
 		}
 		if !ok {
 			sleep(ctx, roleTick)
@@ -343,7 +351,7 @@
 		}
 		err := f.followReader(ctx, address)
 		if ctx.Err() == nil {
-			f.feeds.lose(time.Now(), address, err)
+			f.feeds.Load().lose(time.Now(), address, err)
 			f.Log.Info("feed_ended", zap.String("reader", address), zap.Uint64("revision", f.Fleet.Revision()), zap.Error(err))
 		}
 	}
@@ -352,7 +360,7 @@
 // followReader follows a reader until it is lost, has left its role, or is not needed.
 func (f *Follower) followReader(ctx context.Context, address string) error {
 	defer f.following.Store(false)
-	return f.feeds.follow(ctx, address, feedEvents{
+	return f.feeds.Load().follow(ctx, address, feedEvents{
 		accepted: func() {
 			f.following.Store(true)
 			f.Log.Info("feed_started", zap.String("reader", address), zap.Uint64("revision", f.Fleet.Revision()))
