--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -139,6 +139,9 @@
 	stats  map[model.InstanceID]*stat
 	runs   map[string]*routeStat
 	means  map[string]float64 // mean run time by service, nanoseconds
+	// host is the own one, and byteTime the time that a byte takes over the link of a host.
+	host     string
+	byteTime float64 // nanoseconds
 	// unreachable holds the hosts whose daemons do not answer.
 	unreachable map[string]bool
 	warm        map[model.InstanceID]time.Time
@@ -183,6 +186,20 @@
 	p.warm = warm
 }
 
+// SetLink names the own host and the rate of its link in bits a second. The links of the other
+// hosts are taken to be alike: a request to another host takes its way over both.
+func (p *Placer) SetLink(host string, bitsPerSecond float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.host = host
+	if bitsPerSecond > 0 {
+		p.byteTime = bitsPerByte / bitsPerSecond * float64(time.Second)
+	}
+}
+
+// bitsPerByte converts the rate of a link.
+const bitsPerByte = 8
+
 // SetReachable says whether the daemon of a host answers. Its instances are left out until it
 // does; one that does answer is given another chance at once.
 func (p *Placer) SetReachable(host string, reachable bool) {
@@ -234,7 +251,7 @@
 	var best Choice
 	least := 0.0
 	for _, inst := range p.candidates(p.usable(now, q)) {
-		c := p.score(now, q.Route, inst)
+		c := p.score(now, q, inst)
 		if loss := p.loss(q, c); best.Instance == nil || loss < least {
 			best, least = c, loss
 		}
@@ -324,15 +341,16 @@
 }
 
 // score returns the expected times at an instance.
-func (p *Placer) score(now time.Time, route string, inst *catalog.Instance) Choice {
+func (p *Placer) score(now time.Time, q Query, inst *catalog.Instance) Choice {
 	s := p.stats[inst.ID]
-	run := p.stat(route).run
+	known := p.stat(q.Route)
+	run := known.run
 	slow := 1 + (s.slow-1)*decay(now.Sub(s.slowAt), slowDecay)
 	if at, ok := p.warm[inst.ID]; ok && now.Before(at) {
 		slow = max(slow, coldSlow)
 	}
 	wait, busy := p.wait(now, s, inst, run*slow)
-	expected := p.way(inst.Place) + wait + time.Duration(run*slow*(1+busyShare*busy*busy))
+	expected := p.way(inst.Place) + p.transfer(inst, float64(q.Bytes)+known.bytes) + wait + time.Duration(run*slow*(1+busyShare*busy*busy))
 	expected += time.Duration(s.failures * decay(now.Sub(s.failedAt), failureDecay) * float64(failurePenalty))
 	// A small random part keeps daemons with equal views from choosing alike.
 	expected += time.Duration(p.random.Float64() * run / 16)
@@ -410,6 +428,14 @@
 	return p.costs.Remote
 }
 
+// transfer returns the time that bytes take over the links to an instance.
+func (p *Placer) transfer(inst *catalog.Instance, bytes float64) time.Duration {
+	if inst.Host() == p.host {
+		return 0
+	}
+	return time.Duration(2 * bytes * p.byteTime)
+}
+
 // Done ends a choice with what became of the request.
 func (p *Placer) Done(now time.Time, c Choice, route string, r Report) {
 	p.mu.Lock()
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -24,6 +24,7 @@
 	for i, place := range places {
 		inst := catalog.Instance{Slots: 9}
 		inst.ID, inst.Service, inst.Place = model.InstanceID(fmt.Sprintf("i%02d", i)), "s", place
+		inst.ForwardAddr = fmt.Sprintf("10.0.0.%d:1", i)
 		v.Instances = append(v.Instances, inst)
 	}
 	return v
@@ -166,6 +167,23 @@
 	}
 }
 
+// Replays uploads that arrive beside one of the instances that can take them, over slow links.
+// Guards against sending them over two links while the own instance is about as good.
+func TestLargeBodiesStayOnTheirHost(t *testing.T) {
+	p := placer(view(home, home, home, home))
+	p.SetLink(p.view.Instances[2].Host(), 9e6)
+	q := query()
+	q.Bytes, q.Slack = 60_000, 600*time.Millisecond
+	for range 20 {
+		c := choose(t, p, now, q)
+		require.Equal(t, p.view.Instances[2].ID, c.Instance.ID)
+		answer(p, now, c, intake.Load{Running: 6, Slots: 9}, 150*time.Millisecond)
+	}
+	full := choose(t, p, now, q)
+	answer(p, now, full, intake.Load{Running: 9, Slots: 9, Queued: 12, Next: 40 * time.Millisecond, Wait: 400 * time.Millisecond}, 150*time.Millisecond)
+	require.NotEqual(t, p.view.Instances[2].ID, choose(t, p, now, q).Instance.ID, "the own instance is full")
+}
+
 // Replays an upstream that fails half of its requests. Guards against failing callers for the
 // sake of an instance that looks free.
 func TestFailingInstanceGetsLess(t *testing.T) {
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -137,6 +137,7 @@
 	d.fleet = NewFleet(d.log, d.onView)
 	d.guard = NewGuard(s.Upstream.Address, d.platform.Headers, log)
 	d.placer = placement.New(s.Place(), placement.DefaultCosts, seed)
+	d.placer.SetLink(hostOf(s.Listen.ForwardAddress), s.Limits.LinkMbps*1e6)
 	d.budget = retry.NewFleetBudget(retry.FleetRules{
 		Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance, Window: s.Bounds.RetryWindow,
 	}, now)
