Let only seeds read the store at once when all start; read storms as one state; default garbage collection

(2) A daemon whose reader was lost in a storm still began a watch, because storms were noticed only while it read for itself.

--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -424,15 +424,10 @@
 	return log, writer.Close, err
 }
 
-// gcPercent lets the heap grow further between collections: the live heap is a few megabytes,
-// and bodies of uploads would start a collection every few requests.
-const gcPercent = 400
-
-// tuneMemory sets the garbage collector unless the environment does.
+// tuneMemory bounds the heap by the memory of the process unless the environment does. How far
+// it grows between collections is left at the default: the live heap is a few megabytes, and a
+// daemon beside each upstream costs its memory all day.
 func tuneMemory(limitMB int) {
-	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gcPercent)
-	}
 	if limitMB > 0 && os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(int64(memoryShare * float64(limitMB<<20)))
 	}
--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -31,8 +31,8 @@
 	weakPatience = 200 * time.Millisecond
 	// roleTick is the period of looks at the own role while nothing is to be done.
 	roleTick = 50 * time.Millisecond
-	// stormTime is the time after a new table within which more of them are expected. A watch
-	// that has missed changes of a storm brings every table between, a list only the last one.
+	// stormTime is the time within which two new tables make a storm. A watch that has missed
+	// changes of a storm brings every table between, a list only the last one.
 	stormTime = 3 * time.Second
 	// missedTime is the age of the own state from which on a storm has brought several tables.
 	missedTime = 600 * time.Millisecond
@@ -46,6 +46,8 @@
 	// seedTime is the time, and again the scatter, for which a daemon that starts leaves the
 	// read of the whole state to others: reading and passing on takes them some 300 ms.
 	seedTime = 500 * time.Millisecond
+	// introduceAfter is the time for which a weak daemon that starts asks the seeds alone.
+	introduceAfter = 60 * time.Millisecond
 	// pace is the time from an answer to the next watch. Each answer is a call that the
 	// platform bills, and changes that come together are read together. The bound for a change
 	// to be in force is 2 s or more.
@@ -92,8 +94,31 @@
 	failedAt  time.Time // of the first failure in a row
 	failures  int
 	pause     time.Duration
-	tableAt   time.Time // of the last new table
-	version   uint64    // of that table
+	pulse     pulse
+}
+
+// pulse notices storms of new tables. It is safe for concurrent use.
+type pulse struct {
+	mu sync.Mutex
+	// tables holds the times of the last two new tables, the latest first, and version that of the latest.
+	tables  [2]time.Time
+	version uint64
+}
+
+// note takes the version in effect.
+func (p *pulse) note(now time.Time, v *catalog.View) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if v.Table != nil && v.Table.Version != p.version {
+		p.version, p.tables = v.Table.Version, [2]time.Time{now, p.tables[0]}
+	}
+}
+
+// storm reports whether two tables have come in a short time.
+func (p *pulse) storm(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.tables[1]) < stormTime
 }
 
 // proof is the time at which the store was known to have nothing newer than the view: by an own
@@ -182,16 +207,21 @@
 
 // first gets a first state from other daemons or from the store. When many daemons start at
 // once, the whole configuration for each of them fills the link between regions for seconds,
-// while the answer of another daemon is small. So seeds and daemons with plenty of bandwidth
-// and processor time read the store at once; the others read only the list of instances and
-// ask those for the rest, nearest first.
+// while the answer of another daemon is small. So only the seeds read the store at once; all
+// ask others, and those that get no answer read it at a random time: daemons with plenty of
+// bandwidth earlier, so that others can ask them. Weak ones read only the list of instances
+// meanwhile, which names neighbours to ask.
 func (f *Follower) first(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, firstTimeout)
 	defer cancel()
 	var patience time.Duration
-	if f.Decline && !f.Seed {
-		patience = seedTime + time.Duration(rand.Int64N(int64(seedTime)))
+	switch {
+	case f.Seed:
+	case f.Decline:
+		patience = seedTime + rand.N(seedTime)
 		go f.introduce(ctx)
+	default:
+		patience = rand.N(seedTime)
 	}
 	listed, told := make(chan listAnswer, 1), make(chan peerAnswer, askers)
 	list := time.AfterFunc(patience, func() {
@@ -217,7 +247,13 @@
 // introduce reads the list of instances and names those to ask: the ones of the own region if
 // there are any others, in random order.
 func (f *Follower) introduce(ctx context.Context) {
+	if sleep(ctx, introduceAfter); ctx.Err() != nil {
+		return // a seed has answered
+	}
 	list, err := f.Store.Instances(ctx)
+	if ctx.Err() != nil {
+		return
+	}
 	f.count("instances", err)
 	if err != nil {
 		f.Log.Warn("instances_not_read", zap.Error(err))
@@ -367,6 +403,7 @@
 		},
 		proved: func(now time.Time, age time.Duration) error {
 			f.proof.told(now.Add(-age))
+			f.pulse.note(now, f.Fleet.View())
 			switch {
 			case age > freshTime+feedGrace:
 				return errNotFresh
@@ -405,11 +442,9 @@
 
 // missedTables reports whether the store has probably had several tables since the own state.
 func (f *Follower) missedTables(now time.Time) bool {
-	if table := f.Fleet.View().Table; table != nil && table.Version != f.version {
-		f.version, f.tableAt = table.Version, now
-	}
+	f.pulse.note(now, f.Fleet.View())
 	age, _ := f.proof.ages(now)
-	return age > missedTime && now.Sub(f.tableAt) < stormTime
+	return age > missedTime && f.pulse.storm(now)
 }
 
 func (f *Follower) count(call string, err error) {
--- a/pkg/mesh/follow_test.go
+++ b/pkg/mesh/follow_test.go
@@ -156,6 +156,28 @@
 	})
 }
 
+// Replays the end of an outage in a storm of changes. Guards against a watch that brings every
+// table between over a narrow link, where the last one would do.
+func TestStormAfterAnOutageIsReadAtOnce(t *testing.T) {
+	follow(t, noPeers{}, func(store *meshtest.Store, fleet *mesh.Fleet) {
+		store.SetTable(meshtest.Table(1, "back"))
+		time.Sleep(inForce)
+		for v := uint64(2); v < 6; v++ {
+			store.SetTable(meshtest.Table(v, "back"))
+			time.Sleep(300 * time.Millisecond)
+		}
+		store.SetDown(true)
+		time.Sleep(time.Second)
+		for v := uint64(6); v < 30; v++ {
+			store.SetTable(meshtest.Table(v, "back"))
+		}
+		store.SetTransfer(5 * time.Second) // of an answer to a watch
+		store.SetDown(false)
+		time.Sleep(inForce)
+		require.Equal(t, uint64(29), version(fleet))
+	})
+}
+
 // Guards against changes that are missed when the store has dropped its history.
 func TestHistoryGone(t *testing.T) {
 	follow(t, noPeers{}, func(store *meshtest.Store, fleet *mesh.Fleet) {
