Let the next readers of the order take over when readers are lost

Change: lost readers are passed over in the order, so that the next two read and feed the others; a new reader gets 0.4 s to become current; the others read for themselves after a time that grows with the fleet.

--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -31,6 +31,9 @@
 	feedSilence = 800 * time.Millisecond
 	// feedGrace is the time by which a reader may exceed the age of a current view before it is left.
 	feedGrace = 200 * time.Millisecond
+	// takeOverTime is the time that a reader gets to become current after it has been chosen:
+	// it may have taken over just now.
+	takeOverTime = 400 * time.Millisecond
 	// feederRest is the time for which a reader that was lost is not asked again.
 	feederRest = 1500 * time.Millisecond
 	// declinedStatus answers a daemon that asks one which does not read for others; it is not
@@ -254,7 +257,8 @@
 }
 
 // feeders returns the readers that feed this daemon; false if it is one of them. The list then
-// names the others.
+// names the others. Those that were lost or have declined are passed over: the next ones in the
+// order take over, and only they read the store.
 func (f *feeds) feeders(now time.Time) ([]string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -262,7 +266,8 @@
 		if address == f.own {
 			return f.decline
 		}
-		return now.Before(f.declined[address])
+		at, lost := f.lost[address]
+		return lost && now.Sub(at) < feederRest || now.Before(f.declined[address])
 	})
 }
 
@@ -275,14 +280,10 @@
 // next returns the reader to follow, false if all of them are lost.
 func (f *feeds) next(now time.Time) (string, bool) {
 	feeders, _ := f.feeders(now)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, address := range feeders {
-		if at, ok := f.lost[address]; !ok || now.Sub(at) >= feederRest {
-			return address, true
-		}
+	if len(feeders) == 0 {
+		return "", false
 	}
-	return "", false
+	return feeders[0], true
 }
 
 // infer takes the reader that a daemon follows which has declined.
@@ -419,7 +420,7 @@
 func (f *feeds) lose(now time.Time, address string, why error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if errors.Is(why, errNotNeeded) {
+	if errors.Is(why, errNotNeeded) || errors.Is(why, errNotReader) {
 		return
 	}
 	if errors.Is(why, errDeclined) {
--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -26,9 +26,9 @@
 	// freshTime is the age of the last proof from the store up to which the view counts as
 	// current. Beyond it a daemon looks for another way.
 	freshTime = holdTime + holdSlack + pace
-	// weakPatience is the time for which a daemon with little bandwidth leaves the store to
-	// others after that: in a storm of changes its own reads would fill its link.
-	weakPatience = 200 * time.Millisecond
+	// patienceEach is what each instance adds to the longest time for which a daemon leaves the
+	// store to others: a read of some 100 kB takes as long on a link of 100 Mbit/s.
+	patienceEach = 8 * time.Millisecond
 	// roleTick is the period of looks at the own role while nothing is to be done.
 	roleTick = 50 * time.Millisecond
 	// stormTime is the time within which two new tables make a storm. A watch that has missed
@@ -94,6 +94,7 @@
 	failedAt  time.Time // of the first failure in a row
 	failures  int
 	pause     time.Duration
+	patience  time.Duration // see newPatience
 	pulse     pulse
 }
 
@@ -168,6 +169,7 @@
 			sleep(ctx, roleTick)
 			continue
 		}
+		f.patience = f.newPatience()
 		err := f.step(ctx)
 		switch {
 		case ctx.Err() != nil:
@@ -187,12 +189,15 @@
 	if f.Own == "" || f.Fleet.View().Table == nil || !f.feeds.Load().fed(now) {
 		return true
 	}
-	limit := freshTime + feedGrace
-	if f.Decline {
-		limit += weakPatience
-	}
 	age, _ := f.proof.ages(now)
-	return age > limit
+	return age > freshTime+feedGrace+f.patience
+}
+
+// newPatience returns the time for which the daemon leaves the store to the next readers in the
+// order when none is current. It grows with the fleet, so that the reads of many daemons do not
+// fill the link over which the readers read.
+func (f *Follower) newPatience() time.Duration {
+	return takeOverTime + rand.N(time.Duration(1+len(f.Fleet.View().Instances))*patienceEach)
 }
 
 // fromOthers reports whether the daemon is to take changes from a reader: always, unless it is
@@ -396,16 +401,18 @@
 // followReader follows a reader until it is lost, has left its role, or is not needed.
 func (f *Follower) followReader(ctx context.Context, address string) error {
 	defer f.following.Store(false)
+	var since time.Time
 	return f.feeds.Load().follow(ctx, address, feedEvents{
 		accepted: func() {
 			f.following.Store(true)
+			since = time.Now()
 			f.Log.Info("feed_started", zap.String("reader", address), zap.Uint64("revision", f.Fleet.Revision()))
 		},
 		proved: func(now time.Time, age time.Duration) error {
 			f.proof.told(now.Add(-age))
 			f.pulse.note(now, f.Fleet.View())
 			switch {
-			case age > freshTime+feedGrace:
+			case age > freshTime+feedGrace && now.Sub(since) > takeOverTime:
 				return errNotFresh
 			case !f.fromOthers(now):
 				return errNotNeeded
