--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -67,6 +67,9 @@
 		return false
 	}
 	refused := res.Refusal
+	if refused != nil && refused.Kind == refusal.Cut && req.job.Left != nil && req.job.Left() {
+		return false
+	}
 	if refused != nil && refused.Run == refusal.NotRun && !res.Arrived {
 		// No upstream saw the request.
 		return req.refusals < maxRefusals && req.turnedAway < maxTurnedAway && (!req.mayHaveRun || req.refusals < looks)
@@ -160,6 +163,8 @@
 		return placement.Silent
 	case res.Unreachable:
 		return placement.Unreachable
+	case res.Refusal.Kind == refusal.Cut && !res.Arrived:
+		return placement.Cancelled
 	case res.Refusal.Kind == refusal.Leaving, res.Refusal.Kind == refusal.NoInstance:
 		return placement.Leaving
 	case res.Refusal.Run == refusal.NotRun && !res.Arrived && res.Refusal.Kind == refusal.Overloaded:
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -120,9 +120,11 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
+	// On a busy machine the caller may leave between the look above and the first byte.
+	req.job.Left = func() bool { return left(r) }
 	res := i.send(ctx, req)
 	if res.Refusal != nil {
-		if r.Context().Err() != nil {
+		if r.Context().Err() != nil || res.Refusal.Kind == refusal.Cut && left(r) {
 			i.metrics.answered(req, "caller_left")
 			i.log.ended(req, "caller_left", &res)
 			panic(http.ErrAbortHandler)
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -86,7 +86,7 @@
 	)}
 	return &exchange.Request{
 		Address: address, Method: j.Method, Target: j.Target, Host: j.Host, Header: h, Body: j.Body, HasBody: j.HasBody, ID: j.ID,
-		MaxIdle: peerIdle, Confirm: j.confirm(),
+		MaxIdle: peerIdle, Confirm: j.confirm(), Abandoned: j.Left,
 	}
 }
 
--- a/pkg/mesh/sender.go
+++ b/pkg/mesh/sender.go
@@ -63,6 +63,9 @@
 	}
 	now := time.Now()
 	resp, err := s.client.Do(ctx, j.encode(now, inst.ForwardAddr, s.fleet.View().Revision, s.guard.suspects.gossip(now)))
+	if errors.Is(err, exchange.ErrAbandoned) {
+		return Result{Refusal: notRun(refusal.Cut, "the caller has gone", 0)}
+	}
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			s.reach.failed(time.Now(), inst.Host())
