--- /dev/null
+++ b/core/intake/estimate.go
@@ -0,0 +1,52 @@
+package intake
+
+import "time"
+
+// measure compares the running calls with their estimates. An upstream that has turned slow
+// shows it by the age of what runs long before the first of it ends.
+func (q *Queue) measure(now time.Time) {
+	sum, n := float64(paceSamples), float64(paceSamples)
+	for _, c := range q.running {
+		e, ok := q.estimate[c.Route]
+		if !ok || e <= 0 {
+			continue
+		}
+		if ratio := float64(now.Sub(c.started)) / e; ratio > overdueFactor {
+			sum, n = sum+ratio, n+1
+		}
+	}
+	q.pace = sum / n
+}
+
+// expected returns the expected run time of the call here.
+func (q *Queue) expected(c *Call) time.Duration {
+	if e, ok := q.estimate[c.Route]; ok {
+		return time.Duration(e * q.pace)
+	}
+	if c.Objective > 0 {
+		return c.Objective / expectedShare
+	}
+	return defaultRun
+}
+
+// Expected returns the expected run time of a route, 0 if none has run.
+func (q *Queue) Expected(now time.Time, route string) time.Duration {
+	q.measure(now)
+	return time.Duration(q.estimate[route] * q.pace)
+}
+
+func (q *Queue) learn(route string, took time.Duration) {
+	e, ok := q.estimate[route]
+	if !ok {
+		if len(q.estimate) >= maxEstimates {
+			clear(q.estimate)
+		}
+		q.estimate[route] = float64(took)
+		return
+	}
+	q.estimate[route] = e + estimateWeight*(float64(took)-e)
+}
+
+// maxEstimates bounds the routes with an estimate; a table that is renamed at every version
+// would fill the map otherwise.
+const maxEstimates = 4096
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -14,7 +14,6 @@
 package intake
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -208,36 +207,6 @@
 	return Waiting
 }
 
-// countNested takes the arrival of a nested call into the load of such calls.
-func (q *Queue) countNested(now time.Time, c *Call) {
-	q.nestedLoad = q.offered(now) + q.expected(c).Seconds()/nestedMemory.Seconds()
-	q.nestedAt = now
-}
-
-// offered returns the number of slots that nested calls need on average.
-func (q *Queue) offered(now time.Time) float64 {
-	return q.nestedLoad * math.Exp(-now.Sub(q.nestedAt).Seconds()/nestedMemory.Seconds())
-}
-
-// kept returns the number of free slots that are kept for nested calls. Each of them holds a
-// slot elsewhere while it waits, and long runs here end too seldom for a steady stream of them.
-func (q *Queue) kept(now time.Time) int {
-	offered := q.offered(now)
-	if offered < minNestedLoad {
-		return 0
-	}
-	reserve := min(int(math.Ceil(offered)), q.slots/nestedShare)
-	return min(max(0, reserve-q.nestedRunning), max(0, q.slots-len(q.running)))
-}
-
-// free reports whether a slot is free for the call.
-func (q *Queue) free(now time.Time, c *Call) bool {
-	if c.Nested {
-		return len(q.running) < q.slots
-	}
-	return len(q.running)+q.kept(now) < q.slots
-}
-
 // worthWaiting reports whether the call will be answered in its time.
 func (q *Queue) worthWaiting(now time.Time, c *Call) bool {
 	run := q.expected(c)
@@ -335,39 +304,6 @@
 	return now.Add(q.expected(c)).After(c.Goal)
 }
 
-// measure compares the running calls with their estimates. An upstream that has turned slow
-// shows it by the age of what runs long before the first of it ends.
-func (q *Queue) measure(now time.Time) {
-	sum, n := float64(paceSamples), float64(paceSamples)
-	for _, c := range q.running {
-		e, ok := q.estimate[c.Route]
-		if !ok || e <= 0 {
-			continue
-		}
-		if ratio := float64(now.Sub(c.started)) / e; ratio > overdueFactor {
-			sum, n = sum+ratio, n+1
-		}
-	}
-	q.pace = sum / n
-}
-
-// expected returns the expected run time of the call here.
-func (q *Queue) expected(c *Call) time.Duration {
-	if e, ok := q.estimate[c.Route]; ok {
-		return time.Duration(e * q.pace)
-	}
-	if c.Objective > 0 {
-		return c.Objective / expectedShare
-	}
-	return defaultRun
-}
-
-// Expected returns the expected run time of a route, 0 if none has run.
-func (q *Queue) Expected(now time.Time, route string) time.Duration {
-	q.measure(now)
-	return time.Duration(q.estimate[route] * q.pace)
-}
-
 func (q *Queue) start(now time.Time, c *Call) {
 	c.started, c.running = now, true
 	q.running = append(q.running, c)
@@ -396,22 +332,6 @@
 	q.advance(now)
 }
 
-func (q *Queue) learn(route string, took time.Duration) {
-	e, ok := q.estimate[route]
-	if !ok {
-		if len(q.estimate) >= maxEstimates {
-			clear(q.estimate)
-		}
-		q.estimate[route] = float64(took)
-		return
-	}
-	q.estimate[route] = e + estimateWeight*(float64(took)-e)
-}
-
-// maxEstimates bounds the routes with an estimate; a table that is renamed at every version
-// would fill the map otherwise.
-const maxEstimates = 4096
-
 // Cancel removes a waiting call whose caller has gone. It returns false if the call does not wait.
 func (q *Queue) Cancel(now time.Time, c *Call) bool {
 	i := slices.Index(q.waiting, c)
