--- a/pkg/mesh/decisions.go
+++ b/pkg/mesh/decisions.go
@@ -78,6 +78,9 @@
 		zap.String("service", req.service), zap.Duration("took", took), zap.Duration("left", req.deadline.Sub(now)),
 		zap.Bool("returning", req.returning), zap.Int("sent", req.sent), zap.Int("refusals", req.refusals),
 	}
+	if req.stoppedFor > 0 {
+		fields = append(fields, zap.Duration("arrived_after_stop", req.stoppedFor))
+	}
 	if req.last != "" {
 		fields = append(fields, zap.String("last_instance", string(req.last)))
 	}
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -59,8 +59,9 @@
 	active   atomic.Int64
 	held     atomic.Int64              // requests that wait for the first table
 	last     atomic.Pointer[time.Time] // arrival of the last request
-	stopping atomic.Bool
+	stopped  atomic.Pointer[time.Time] // when the daemon began to stop; nil before
 	closing  atomic.Bool
+	cutting  atomic.Bool // the daemon ends and cuts what still runs
 	random   random
 	patience patience
 }
@@ -88,6 +89,8 @@
 	returning bool
 	id        string
 	job       Job
+	// stoppedFor is how long the daemon had been stopping when the request arrived; 0 before.
+	stoppedFor time.Duration
 
 	// sent counts the upstreams that saw the request; mayHaveRun says that one may have run it.
 	sent       int
@@ -105,7 +108,7 @@
 	i.active.Add(1)
 	defer i.active.Add(-1)
 	arrived := time.Now()
-	if i.stopping.Load() {
+	if i.stopped.Load() != nil {
 		i.last.Store(&arrived)
 		w.Header().Set("Connection", "close")
 	}
@@ -125,8 +128,9 @@
 	res := i.send(ctx, req)
 	if res.Refusal != nil {
 		if r.Context().Err() != nil || res.Refusal.Kind == refusal.Cut && left(r) {
-			i.metrics.answered(req, "caller_left")
-			i.log.ended(req, "caller_left", &res)
+			outcome := i.unanswered()
+			i.metrics.answered(req, outcome)
+			i.log.ended(req, outcome, &res)
 			panic(http.ErrAbortHandler)
 		}
 		i.refuse(w, r, req, res.Refusal)
@@ -138,6 +142,28 @@
 	writeAnswer(w, res.Answer)
 }
 
+// Outcomes of requests that get no answer.
+const (
+	outcomeCallerLeft = "caller_left"
+	outcomeCutByStop  = "cut_by_stop"
+)
+
+// unanswered names the outcome of a request whose connection has ended.
+func (i *Ingress) unanswered() string {
+	if i.cutting.Load() {
+		return outcomeCutByStop
+	}
+	return outcomeCallerLeft
+}
+
+// stoppedFor returns how long the daemon had been stopping at a time, 0 before.
+func (i *Ingress) stoppedFor(now time.Time) time.Duration {
+	if began := i.stopped.Load(); began != nil {
+		return now.Sub(*began)
+	}
+	return 0
+}
+
 // lastRequest returns the time of the last request since the daemon began to stop, zero without one.
 func (i *Ingress) lastRequest() time.Time {
 	if last := i.last.Load(); last != nil {
@@ -274,7 +300,7 @@
 	req := &request{
 		route: matched, version: version, service: matched.Choose(i.random.float()),
 		arrived: arrived, deadline: arrived.Add(left), goal: arrived.Add(matched.Goal - spent),
-		returning: spent > 0, id: r.Header.Get(i.headers.RequestID),
+		returning: spent > 0, id: r.Header.Get(i.headers.RequestID), stoppedFor: i.stoppedFor(arrived),
 	}
 	// The answer has to reach the caller before it gives up.
 	margin := min(wayBack, left/10)
