Failing test: a stopping daemon ends without an answer to requests that it took

One request holds the only slot of the upstream, others wait for it, one of them since before the planned stop and the rest taken after it.

--- /dev/null
+++ b/pkg/mesh/drain_test.go
@@ -0,0 +1,71 @@
+package mesh_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoshed.example/mangoshed/core/refusal"
+	"mangoshed.example/mangoshed/core/route"
+	"mangoshed.example/mangoshed/pkg/mesh/meshtest"
+)
+
+// patientTable returns a table whose callers wait far longer than a daemon takes to stop.
+func patientTable(t *testing.T, version uint64) *route.Table {
+	table, err := route.New(version, []route.Route{{
+		Name: "read", Host: "app", Prefix: "/read/", Kind: route.Safe, Timeout: time.Minute, Goal: 2 * time.Second, Priority: 1, MaxAttempts: 3,
+		Shares: []route.Share{{Service: "back", Weight: 1}},
+	}}, []route.Service{{Name: "back"}}, route.Limits{})
+	require.NoError(t, err)
+	return table
+}
+
+// Guards against a stopping daemon that takes requests and ends, without an answer to them,
+// while they still wait for a slot or run.
+func TestStoppingDaemonAnswersAllRequestsThatItTook(t *testing.T) {
+	fleet, ingress, backs := newFleet(t, 1, "a2")
+	fleet.Store.SetTable(patientTable(t, 2))
+	settled(t, fleet)
+	backs[0].Upstream.SetFault(func(*meshtest.Request) meshtest.Fault { return meshtest.Hang })
+	var group sync.WaitGroup
+	var running reply
+	group.Go(func() { _, running = send(ingress, http.MethodGet, "/read/running", "") })
+	eventually(t, "a request holds the only slot", func() bool { return len(backs[0].Upstream.Seen()) == 1 })
+
+	var mu sync.Mutex
+	var waiting []reply
+	request := func() {
+		_, got := send(ingress, http.MethodGet, "/read/waiting", "")
+		mu.Lock()
+		defer mu.Unlock()
+		waiting = append(waiting, got)
+	}
+	group.Go(request)
+	eventually(t, "a request waits for a slot", func() bool { return backs[0].Daemon.Status().Queued == 1 })
+	drained := make(chan struct{})
+	group.Go(func() {
+		ingress.Daemon.Drain()
+		close(drained)
+	})
+	ticker := time.NewTicker(100 * time.Millisecond)
+	defer ticker.Stop()
+	for range 15 {
+		<-ticker.C
+		group.Go(request)
+	}
+	<-drained
+	group.Wait()
+
+	for _, got := range waiting {
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		require.Equal(t, refusal.NotRun.String(), got.header.Get(refusal.HeaderRun))
+	}
+	require.NoError(t, running.err)
+	require.Equal(t, http.StatusBadGateway, running.status)
+	require.Equal(t, refusal.MayHaveRun.String(), running.header.Get(refusal.HeaderRun))
+	require.Len(t, backs[0].Upstream.Seen(), 1)
+}
