--- a/pkg/mesh/drain.go
+++ b/pkg/mesh/drain.go
@@ -72,4 +72,3 @@
 	}
 	closers.Wait()
 }
-
