Answer every request that a stopping daemon has taken before its process ends

Cause: the end of the process bounded nothing that the daemon took. It accepted requests until 1.8 s before its end, each with its caller's deadline (10 s in the incident), and passed them on to instances where they waited for a slot without regard to that end. Class of fault: work is accepted without a guarantee that the one who accepted it lives to complete it.

Change: - core/drain holds the plan of a stop: requests are taken during the notice of 2.5 s (at most half of what the process lives), the rest is for finishing. A request whose body comes later than that is refused as well. - Each attempt has a time by which an upstream must begin to run it: half of what is left of the plan, and early enough for two usual runs. A daemon that was not told to stop counts from an order to stop that might come right now. The queue beside the instance gives back what has no slot by then as not run, at once if that is known when it arrives. - What still runs at the end gets an answer that says so in place of a closed connection; jobs of other daemons get a result. - A daemon ends as soon as nothing is left, instead of waiting for its callers to fall silent, so that it is back sooner.

Before: EOF for requests that wait when the process ends.

--- /dev/null
+++ b/core/drain/drain_test.go
@@ -0,0 +1,36 @@
+package drain
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a stop that leaves no time to finish what was taken, or that outlasts the
+// grace period.
+func TestPlanLeavesTimeToFinish(t *testing.T) {
+	began := time.Unix(0, 0)
+	for _, grace := range []time.Duration{time.Millisecond, 500 * time.Millisecond, 4 * time.Second, 6 * time.Second, 10 * time.Second, time.Minute} {
+		p := New(began, grace)
+		require.True(t, p.Takes(began), grace)
+		require.False(t, p.Takes(p.Closes), grace)
+		require.GreaterOrEqual(t, p.Ends.Sub(p.Closes), p.Closes.Sub(began), grace)
+		require.Less(t, p.Ends.Sub(began), grace, grace)
+		// What runs is cut in the last sixth of the grace period only.
+		require.GreaterOrEqual(t, p.Ends.Sub(began), grace*5/6, grace)
+	}
+}
+
+// Guards against a run that starts so late that the process ends before its answer.
+func TestStartByLeavesTimeForTheRun(t *testing.T) {
+	p := New(time.Unix(0, 0), 6*time.Second)
+	for now := p.Began; now.Before(p.Ends); now = now.Add(10 * time.Millisecond) {
+		for _, run := range []time.Duration{0, 50 * time.Millisecond, time.Second, time.Minute} {
+			by := p.StartBy(now, run)
+			require.GreaterOrEqual(t, p.Ends.Sub(by), 2*run)
+			require.GreaterOrEqual(t, p.Ends.Sub(by), p.Ends.Sub(now)/2)
+		}
+	}
+	require.Equal(t, p.Ends.Sub(p.Began)/2, StartWithin(6*time.Second))
+}
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -103,6 +103,9 @@
 	// Goal is the time by which the answer meets its objective; Deadline that after which it
 	// is useless.
 	Goal, Deadline time.Time
+	// StartBy is the time from which on the call must not start, because its sender may end
+	// before the answer; zero if there is none.
+	StartBy time.Time
 	// Objective is the latency objective of the route, for the first guess of its run time.
 	Objective time.Duration
 	// Decide receives the verdict of a call that waits. It is called once, from inside the
@@ -178,6 +181,9 @@
 		return Closed
 	}
 	c.queued = now
+	if c.tooLate(now) {
+		return Overloaded
+	}
 	if c.Nested {
 		q.countNested(now, c)
 	}
@@ -211,6 +217,9 @@
 func (q *Queue) worthWaiting(now time.Time, c *Call) bool {
 	run := q.expected(c)
 	wait := q.wait(now, q.ahead(now, c))
+	if c.tooLate(now.Add(wait)) {
+		return false
+	}
 	if wait+run <= time.Duration(goalShare*float64(c.Goal.Sub(now))) {
 		return true
 	}
@@ -304,6 +313,9 @@
 	return now.Add(q.expected(c)).After(c.Goal)
 }
 
+// tooLate reports whether the call must not start at a time any more.
+func (c *Call) tooLate(at time.Time) bool { return !c.StartBy.IsZero() && !at.Before(c.StartBy) }
+
 func (q *Queue) start(now time.Time, c *Call) {
 	c.started, c.running = now, true
 	q.running = append(q.running, c)
@@ -410,11 +422,12 @@
 	}
 }
 
-// expel refuses the waiting calls that would end after their deadline even if they started now.
+// expel refuses the waiting calls that would end after their deadline even if they started now,
+// and those that must not start any more.
 func (q *Queue) expel(now time.Time) {
 	var gone []*Call
 	q.waiting = slices.DeleteFunc(q.waiting, func(c *Call) bool {
-		hopeless := now.Add(q.expected(c)).After(c.Deadline)
+		hopeless := c.tooLate(now) || now.Add(q.expected(c)).After(c.Deadline)
 		if hopeless {
 			gone = append(gone, c)
 		}
@@ -431,7 +444,7 @@
 func (q *Queue) prune(now time.Time) {
 	for i := 0; i < len(q.waiting); {
 		c := q.waiting[i]
-		if !q.late(now, c) || q.wait(now, q.ahead(now, c))+q.expected(c) <= c.Deadline.Sub(now) {
+		if !q.late(now, c) || q.canBeAnswered(now, c) {
 			i++
 			continue
 		}
@@ -441,10 +454,20 @@
 	}
 }
 
+// canBeAnswered reports whether a waiting call gets a slot in time if no others come.
+func (q *Queue) canBeAnswered(now time.Time, c *Call) bool {
+	wait := q.wait(now, q.ahead(now, c))
+	return wait+q.expected(c) <= c.Deadline.Sub(now) && !c.tooLate(now.Add(wait))
+}
+
 // NextTick returns the time of the next expulsion; ok is false when nothing waits.
 func (q *Queue) NextTick() (next time.Time, ok bool) {
 	for _, c := range q.waiting {
-		if at := c.Deadline.Add(-q.expected(c)); !ok || at.Before(next) {
+		at := c.Deadline.Add(-q.expected(c))
+		if !c.StartBy.IsZero() && c.StartBy.Before(at) {
+			at = c.StartBy
+		}
+		if !ok || at.Before(next) {
 			next, ok = at, true
 		}
 	}
--- /dev/null
+++ b/core/intake/startby_test.go
@@ -0,0 +1,89 @@
+package intake
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against a call that waits on, or starts, when its sender may end before the answer.
+func TestCallOfASenderThatEndsIsGivenBack(t *testing.T) {
+	q := New(1)
+	teach(q, "r", 100)
+	running := fill(t, q, at(0), "r")
+	c, got := call("r", 1, 0, 5000, 10_000)
+	c.StartBy = at(300)
+	require.Equal(t, Waiting, q.Offer(at(0), c, true))
+	next, ok := q.NextTick()
+	require.True(t, ok)
+	require.Equal(t, at(300), next)
+	q.Advance(at(299))
+	require.Empty(t, got.verdicts)
+	q.Advance(at(300))
+	require.Equal(t, []Verdict{Overloaded}, got.verdicts)
+	q.Done(at(310), running[0], true)
+
+	late, _ := call("r", 1, 310, 5000, 10_000)
+	late.StartBy = at(310)
+	require.Equal(t, Overloaded, q.Offer(at(310), late, true), "a slot is free, and the time has passed")
+}
+
+// Guards against a call that waits although it is known that it gets no slot in its sender's time.
+func TestCallThatCannotStartInItsSendersTimeIsRefusedAtOnce(t *testing.T) {
+	q := New(1)
+	teach(q, "r", 1000)
+	fill(t, q, at(0), "r")
+	c, _ := call("r", 1, 0, 5000, 10_000)
+	c.StartBy = at(900)
+	require.Equal(t, Overloaded, q.Offer(at(0), c, true))
+	patient, _ := call("r", 1, 0, 5000, 10_000)
+	patient.StartBy = at(1100)
+	require.Equal(t, Waiting, q.Offer(at(0), patient, true))
+}
+
+// Guards, over random loads, against a call that starts too late for its sender or is never decided.
+func TestCallsStartInTheirSendersTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(rapid.IntRange(1, 3).Draw(t, "slots"))
+		now := start
+		var running []*Call
+		decided := make(map[*Call]bool)
+		began := func(c *Call) {
+			require.True(t, now.Before(c.StartBy))
+			running = append(running, c)
+		}
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "ms")) * time.Millisecond)
+			if next, ok := q.NextTick(); ok && !next.After(now) {
+				q.Advance(now)
+			}
+			for c, done := range decided {
+				require.True(t, done || now.Before(c.StartBy), "a call waits beyond its time")
+			}
+			if len(running) > 0 && rapid.Bool().Draw(t, "done") {
+				c := running[0]
+				running = running[1:]
+				q.Done(now, c, true)
+				continue
+			}
+			c := &Call{
+				Route: "r", Nested: rapid.Bool().Draw(t, "nested"), Goal: now.Add(time.Second), Deadline: now.Add(10 * time.Second),
+				StartBy: now.Add(time.Duration(rapid.IntRange(-10, 500).Draw(t, "start by")) * time.Millisecond), Objective: time.Second,
+			}
+			c.Decide = func(v Verdict) {
+				decided[c] = true
+				if v == Started {
+					began(c)
+				}
+			}
+			switch q.Offer(now, c, true) {
+			case Started:
+				began(c)
+			case Waiting:
+				decided[c] = false
+			}
+		}
+	})
+}
--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"mangoshed.example/mangoshed/core/drain"
 	"mangoshed.example/mangoshed/core/placement"
 	"mangoshed.example/mangoshed/core/refusal"
 )
@@ -100,6 +101,10 @@
 // attempt sends the request to one instance. It returns false when there is none.
 func (i *Ingress) attempt(ctx context.Context, req *request) (Result, bool) {
 	now := time.Now()
+	startBy := i.startBy(req, now)
+	if !now.Before(startBy) {
+		return Result{Refusal: notRun(refusal.Leaving, "the daemon stops before the request could be answered; connect again", stoppingRetry)}, false
+	}
 	choice, ok := i.placer.Choose(now, placement.Query{
 		Service: req.service, Route: req.route.Name, Exclude: req.exclude, Slack: req.goal.Sub(now), Bytes: len(req.job.Body) + headBytes,
 	})
@@ -107,7 +112,7 @@
 		return Result{Refusal: notRun(refusal.NoInstance, "no live instance of "+req.service+" can be reached; try again", noInstanceRetry)}, false
 	}
 	job := req.job
-	job.Instance = choice.Instance.ID
+	job.Instance, job.StartBy = choice.Instance.ID, startBy
 	// An instance that is known to be full and is the best choice all the same may let the
 	// request wait; one that seems to have a free slot is only asked for that. A request that
 	// has failed before is not worth a place in a queue: what failed it is mostly a lack of room.
@@ -120,6 +125,15 @@
 	return res, true
 }
 
+// startBy returns the time by which an upstream must begin to run an attempt, so that the daemon
+// lives to pass on the answer even if it is told to stop meanwhile.
+func (i *Ingress) startBy(req *request, now time.Time) time.Time {
+	if plan := i.plan.Load(); plan != nil {
+		return plan.StartBy(now, i.placer.Run(req.route.Name))
+	}
+	return now.Add(drain.StartWithin(i.grace))
+}
+
 // count keeps what an attempt says about further ones.
 func (i *Ingress) count(req *request, job *Job, res *Result) {
 	req.last = job.Instance
--- /dev/null
+++ b/pkg/mesh/closing_test.go
@@ -0,0 +1,74 @@
+package mesh
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"mangoshed.example/mangoshed/core/catalog"
+	"mangoshed.example/mangoshed/core/drain"
+	"mangoshed.example/mangoshed/core/refusal"
+	"mangoshed.example/mangoshed/core/route"
+)
+
+// closingIngress returns an ingress with one route.
+func closingIngress(t *testing.T) *Ingress {
+	table, err := route.New(1, []route.Route{{
+		Name: "write", Host: "app", Prefix: "/", Kind: route.Unsafe, Timeout: time.Second, Goal: time.Second, MaxAttempts: 1,
+		Shares: []route.Share{{Service: "back", Weight: 1}},
+	}}, []route.Service{{Name: "back"}}, route.Limits{})
+	require.NoError(t, err)
+	fleet := NewFleet(zap.NewNop(), func(time.Time, *catalog.View) {})
+	fleet.view.Store(&catalog.View{Table: table})
+	return &Ingress{
+		headers: Headers{RequestID: "Id"}, random: random{src: rand.New(rand.NewPCG(1, 1))}, fleet: fleet, grace: 6 * time.Second,
+	}
+}
+
+// closedPlan is the plan of a stop that takes no more requests.
+func closedPlan() *drain.Plan {
+	plan := drain.New(time.Now().Add(-3*time.Second), 6*time.Second)
+	return &plan
+}
+
+func accept(i *Ingress, id string, body io.Reader) (*request, *refusal.Refusal) {
+	r := httptest.NewRequest(http.MethodPost, "/x", body)
+	r.Host = "app"
+	r.Header.Set("Id", id)
+	return i.accept(httptest.NewRecorder(), r, time.Now())
+}
+
+// Guards against a request that is taken when the daemon is about to end.
+func TestRequestThatComesLateInAStopIsRefused(t *testing.T) {
+	i := closingIngress(t)
+	req, refused := accept(i, "new", nil)
+	require.Nil(t, refused)
+	require.NotNil(t, req)
+	i.plan.Store(closedPlan())
+	_, refused = accept(i, "new", nil)
+	require.Equal(t, refusal.Leaving, refused.Kind)
+	require.Equal(t, refusal.NotRun, refused.Run)
+	require.Equal(t, http.StatusServiceUnavailable, refused.StatusCode())
+}
+
+// slowBody is a body during whose arrival something happens.
+type slowBody struct{ meanwhile func() }
+
+func (b slowBody) Read([]byte) (int, error) {
+	b.meanwhile()
+	return 0, io.EOF
+}
+
+// Guards against a request that is taken late in a stop because its body took long to arrive.
+func TestRequestWhoseBodyComesLateInAStopIsRefused(t *testing.T) {
+	i := closingIngress(t)
+	_, refused := accept(i, "new", slowBody{func() { i.plan.Store(closedPlan()) }})
+	require.Equal(t, refusal.Leaving, refused.Kind)
+	require.Equal(t, refusal.NotRun, refused.Run)
+}
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -75,6 +75,9 @@
 	seeds    atomic.Pointer[[]string]
 	tasks    sync.WaitGroup
 	stop     context.CancelFunc
+	// requests is the context of all requests; end cancels it with the cause errEnded.
+	requests context.Context
+	end      context.CancelCauseFunc
 }
 
 // server is one HTTP server with its listener.
@@ -103,6 +106,7 @@
 func New(s *Settings, p Platform, log *zap.Logger) (*Daemon, error) {
 	d := &Daemon{settings: s, platform: p, log: log, registry: telemetry.NewRegistry(), leaving: make(chan struct{})}
 	d.seeds.Store(&s.Seeds)
+	d.requests, d.end = context.WithCancelCause(context.Background())
 	var err error
 	if d.metrics, err = newMetrics(d.registry); err != nil {
 		return nil, err
@@ -132,7 +136,7 @@
 	d.reach = newReachability(now, hostOf(s.Listen.ForwardAddress), seed, d.sender.client, d.placer, d.log)
 	d.sender.reach = d.reach
 	d.ingress = &Ingress{
-		service: s.Instance.Service, parent: d.platform.Parent, headers: d.platform.Headers, fleet: d.fleet, placer: d.placer, sender: d.sender,
+		service: s.Instance.Service, grace: s.Bounds.Grace, parent: d.platform.Parent, headers: d.platform.Headers, fleet: d.fleet, placer: d.placer, sender: d.sender,
 		budget: d.budget, metrics: d.metrics, log: log, random: random{src: rand.New(rand.NewPCG(seed, uint64(os.Getpid())))},
 	}
 	d.follower = &Follower{
@@ -188,7 +192,7 @@
 		}
 		d.servers = append(d.servers, &server{name: s.key, listener: listener, http: &http.Server{
 			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: s.idle, MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.errorLog(s.key),
-			DisableGeneralOptionsHandler: true, ConnContext: withConn,
+			DisableGeneralOptionsHandler: true, ConnContext: withConn, BaseContext: func(net.Listener) context.Context { return d.requests },
 		}})
 	}
 	return nil
@@ -300,7 +304,7 @@
 	}
 	j.Left = func() bool { return left(r) }
 	res := d.guard.Run(r.Context(), j)
-	if r.Context().Err() != nil {
+	if r.Context().Err() != nil && !ended(r.Context()) {
 		panic(http.ErrAbortHandler)
 	}
 	writeResult(w, &res, sender{d.fleet.View().Revision, d.guard.suspects.gossip(time.Now())})
@@ -350,6 +354,7 @@
 // Close stops the daemon without notice and cuts what runs.
 func (d *Daemon) Close() {
 	d.stop()
+	d.end(context.Canceled)
 	for _, s := range d.servers {
 		_ = s.http.Close()
 	}
--- a/pkg/mesh/drain.go
+++ b/pkg/mesh/drain.go
@@ -2,60 +2,58 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
+
+	"mangoshed.example/mangoshed/core/drain"
 )
 
 const (
-	// noticeTime is the time from SIGTERM in which callers learn to go elsewhere. Platforms
-	// probe once a second and act on two misses.
-	noticeTime = 2500 * time.Millisecond
-	// quietTime is the time without a new request after which all callers count as gone.
-	quietTime = 500 * time.Millisecond
-	// finishTime is the time before the end of the process at which new requests are refused,
-	// so that what runs can finish. Callers that are sent here all the same, because too few
-	// daemons of their data centre are ready, are served until then.
-	finishTime = 1800 * time.Millisecond
 	// drainPoll is the period of looks at what still runs.
 	drainPoll = 50 * time.Millisecond
-	// stopSlack is the time before the end of the grace period at which the process ends.
-	stopSlack = 700 * time.Millisecond
+	// lastAnswers is the time for the answers to what still runs when the process ends.
+	lastAnswers = 200 * time.Millisecond
+	// stoppingRetry is the time after which a stopping daemon should be asked again: callers that
+	// can go elsewhere have done so by then, and a restart takes about a second.
+	stoppingRetry = time.Second
 )
 
-// Drain stops the daemon, once: it reports not ready, serves on until its callers have gone or the
-// grace period nears its end, finishes what runs and ends within the grace period.
+// errEnded is the cause of the end of requests that the process does not live to answer.
+var errEnded = errors.New("the process ends")
+
+// ended reports whether the process ends before the answer to a request.
+func ended(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errEnded) }
+
+// Drain stops the daemon, once: it reports not ready, serves on until callers have had time to go
+// elsewhere, finishes what it took and ends within the grace period. What still runs at the end is
+// given up with an answer that says so.
 func (d *Daemon) Drain() {
-	began := time.Now()
+	plan := drain.New(time.Now(), d.settings.Bounds.Grace)
 	d.stopping.Store(true)
 	close(d.leaving)
-	d.ingress.stopped.Store(&began)
+	d.ingress.plan.Store(&plan)
 	d.log.Info("daemon_stopping", zap.Int64("requests", d.ingress.active.Load()), zap.Int("jobs", d.guard.Active()))
-	end := began.Add(d.settings.Bounds.Grace - stopSlack)
-	d.awaitCallers(began, end.Add(-finishTime))
+	time.Sleep(time.Until(plan.Closes))
 	d.guard.Stop()
-	d.ingress.closing.Store(true)
-	for time.Now().Before(end) && (d.guard.Active() > 0 || d.ingress.active.Load() > 0) {
+	for time.Now().Before(plan.Ends) && d.busy() {
 		time.Sleep(drainPoll)
 	}
-	d.shutdown(end)
+	if d.busy() {
+		d.log.Warn("requests_cut", zap.Int64("requests", d.ingress.active.Load()), zap.Int("jobs", d.guard.Active()))
+	}
+	d.end(errEnded)
+	d.shutdown(time.Now().Add(lastAnswers))
 	d.stop()
-	d.log.Info("daemon_stopped", zap.Duration("took", time.Since(began)))
+	d.log.Info("daemon_stopped", zap.Duration("took", time.Since(plan.Began)))
 }
 
-// awaitCallers waits until no caller sends requests any more, at most until the last time.
-func (d *Daemon) awaitCallers(began, last time.Time) {
-	for time.Now().Before(last) {
-		time.Sleep(drainPoll)
-		now := time.Now()
-		if now.Sub(began) >= noticeTime && now.Sub(d.ingress.lastRequest()) >= quietTime {
-			return
-		}
-	}
-}
+// busy reports whether a request of a caller or a job of another daemon is not answered yet.
+func (d *Daemon) busy() bool { return d.guard.Active() > 0 || d.ingress.active.Load() > 0 }
 
-// shutdown closes the servers; what still runs at the end is cut.
+// shutdown closes the servers. Connections that still carry a request at the end are cut.
 func (d *Daemon) shutdown(end time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
@@ -63,9 +61,7 @@
 	for _, s := range d.servers {
 		closers.Go(func() {
 			if err := s.http.Shutdown(ctx); err != nil {
-				d.ingress.cutting.Store(true)
-				d.log.Warn("requests_cut", zap.String("server", s.name), zap.Int64("requests", d.ingress.active.Load()),
-					zap.Int("jobs", d.guard.Active()), zap.Error(err))
+				d.log.Warn("connections_cut", zap.String("server", s.name), zap.Error(err))
 				_ = s.http.Close()
 			}
 		})
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -186,7 +186,8 @@
 
 func (g *Guard) run(ctx context.Context, j *Job) Result {
 	call := &intake.Call{
-		Route: j.Route, Priority: j.Priority, Returning: j.Returning, Nested: j.Nested, Goal: j.Goal, Deadline: j.Deadline, Objective: j.Objective,
+		Route: j.Route, Priority: j.Priority, Returning: j.Returning, Nested: j.Nested, Goal: j.Goal, Deadline: j.Deadline,
+		StartBy: j.StartBy, Objective: j.Objective,
 	}
 	if refused := g.admit(ctx, j, call); refused != nil {
 		return Result{Refusal: refused}
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"mangoshed.example/mangoshed/core/catalog"
+	"mangoshed.example/mangoshed/core/drain"
 	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/placement"
 	"mangoshed.example/mangoshed/core/refusal"
@@ -45,7 +46,8 @@
 
 // Ingress takes the requests of callers. It implements http.Handler.
 type Ingress struct {
-	service string // beside the daemon
+	service string        // beside the daemon
+	grace   time.Duration // from an order to stop to the end of the process
 	headers Headers
 	// parent returns the request whose run makes one with an ID; nil if IDs do not tell.
 	parent  func(id string) (string, bool)
@@ -57,11 +59,8 @@
 	log     *decisions
 
 	active   atomic.Int64
-	held     atomic.Int64              // requests that wait for the first table
-	last     atomic.Pointer[time.Time] // arrival of the last request
-	stopped  atomic.Pointer[time.Time] // when the daemon began to stop; nil before
-	closing  atomic.Bool
-	cutting  atomic.Bool // the daemon ends and cuts what still runs
+	held     atomic.Int64               // requests that wait for the first table
+	plan     atomic.Pointer[drain.Plan] // of the daemon's stop; nil before
 	random   random
 	patience patience
 }
@@ -108,8 +107,7 @@
 	i.active.Add(1)
 	defer i.active.Add(-1)
 	arrived := time.Now()
-	if i.stopped.Load() != nil {
-		i.last.Store(&arrived)
+	if i.plan.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	req, refused := i.accept(w, r, arrived)
@@ -125,51 +123,53 @@
 	defer cancel()
 	// On a busy machine the caller may leave between the look above and the first byte.
 	req.job.Left = func() bool { return left(r) }
-	res := i.send(ctx, req)
-	if res.Refusal != nil {
-		if r.Context().Err() != nil || res.Refusal.Kind == refusal.Cut && left(r) {
-			outcome := i.unanswered()
-			i.metrics.answered(req, outcome)
-			i.log.ended(req, outcome, &res)
-			panic(http.ErrAbortHandler)
-		}
-		i.refuse(w, r, req, res.Refusal)
-		i.log.ended(req, string(res.Refusal.Kind), &res)
+	i.finish(w, r, req, i.send(ctx, req))
+}
+
+// finish gives a request its final answer.
+func (i *Ingress) finish(w http.ResponseWriter, r *http.Request, req *request, res Result) {
+	if res.Refusal == nil {
+		i.metrics.answered(req, statusClass(res.Answer.Status))
+		i.log.ended(req, strconv.Itoa(res.Answer.Status), &res)
+		writeAnswer(w, res.Answer)
 		return
 	}
-	i.metrics.answered(req, statusClass(res.Answer.Status))
-	i.log.ended(req, strconv.Itoa(res.Answer.Status), &res)
-	writeAnswer(w, res.Answer)
+	outcome := string(res.Refusal.Kind)
+	switch {
+	case ended(r.Context()):
+		outcome = outcomeCutByStop
+		res.Refusal.Remedy = "the daemon stopped before the request was answered; send it to another one if it may run again"
+	case r.Context().Err() != nil || res.Refusal.Kind == refusal.Cut && left(r):
+		i.metrics.answered(req, outcomeCallerLeft)
+		i.log.ended(req, outcomeCallerLeft, &res)
+		panic(http.ErrAbortHandler)
+	}
+	i.metrics.answered(req, outcome)
+	i.log.ended(req, outcome, &res)
+	i.refuse(w, r, req, res.Refusal)
 }
 
-// Outcomes of requests that get no answer.
+// Outcomes of requests that neither an upstream nor a refusal ended.
 const (
 	outcomeCallerLeft = "caller_left"
 	outcomeCutByStop  = "cut_by_stop"
 )
 
-// unanswered names the outcome of a request whose connection has ended.
-func (i *Ingress) unanswered() string {
-	if i.cutting.Load() {
-		return outcomeCutByStop
-	}
-	return outcomeCallerLeft
-}
-
 // stoppedFor returns how long the daemon had been stopping at a time, 0 before.
 func (i *Ingress) stoppedFor(now time.Time) time.Duration {
-	if began := i.stopped.Load(); began != nil {
-		return now.Sub(*began)
+	if plan := i.plan.Load(); plan != nil {
+		return now.Sub(plan.Began)
 	}
 	return 0
 }
 
-// lastRequest returns the time of the last request since the daemon began to stop, zero without one.
-func (i *Ingress) lastRequest() time.Time {
-	if last := i.last.Load(); last != nil {
-		return *last
+// closed refuses a request that comes when the daemon stops and takes no more.
+func (i *Ingress) closed() *refusal.Refusal {
+	plan := i.plan.Load()
+	if plan == nil || plan.Takes(time.Now()) {
+		return nil
 	}
-	return time.Time{}
+	return notRun(refusal.Leaving, "the daemon stops; connect again", stoppingRetry)
 }
 
 // refuse answers with a refusal.
@@ -177,8 +177,6 @@
 	if req == nil {
 		i.metrics.rejected(refused)
 		i.log.rejected(r.Header.Get(i.headers.RequestID), r.Host, r.URL.Path, refused)
-	} else {
-		i.metrics.answered(req, string(refused.Kind))
 	}
 	h := w.Header()
 	h["Date"] = nil
@@ -190,8 +188,8 @@
 
 // accept reads a request. It returns a refusal, or nothing when the caller broke off.
 func (i *Ingress) accept(w http.ResponseWriter, r *http.Request, arrived time.Time) (*request, *refusal.Refusal) {
-	if i.closing.Load() {
-		return nil, notRun(refusal.Leaving, "the daemon stops; connect again", noTableRetry)
+	if refused := i.closed(); refused != nil {
+		return nil, refused
 	}
 	view := i.view(r)
 	if view.Table == nil {
@@ -212,6 +210,10 @@
 	if err != nil || refused != nil {
 		return nil, refused
 	}
+	// The body, or the first table, may have taken its time.
+	if refused := i.closed(); refused != nil {
+		return nil, refused
+	}
 	return i.describe(r, arrived, matched, view.Table.Version, body), nil
 }
 
--- a/pkg/mesh/left.go
+++ b/pkg/mesh/left.go
@@ -20,7 +20,7 @@
 // request may be read long after it was sent, with the end of its connection right behind it;
 // the server sees that end only after the handler has begun.
 func left(r *http.Request) bool {
-	if r.Context().Err() != nil {
+	if r.Context().Err() != nil && !ended(r.Context()) {
 		return true
 	}
 	conn, ok := r.Context().Value(connKey{}).(net.Conn)
