Take the calls of a run that goes on while its daemon stops

A request that runs at the upstream beside a stopping daemon may make calls, which leave through that daemon. Once it took no new requests it refused these too (503), so that the upstream failed a request that it could have answered.

Calls whose parent runs at the daemon's own upstream are taken as long as that lasts; they end with their parent. TestCallsOfARunAreTakenLateInAStop fails without the change ("leaving").

--- a/pkg/mesh/closing_test.go
+++ b/pkg/mesh/closing_test.go
@@ -17,7 +17,8 @@
 	"mangoshed.example/mangoshed/core/route"
 )
 
-// closingIngress returns an ingress with one route.
+// closingIngress returns an ingress with one route, in front of a guard whose upstream runs the
+// request "parent".
 func closingIngress(t *testing.T) *Ingress {
 	table, err := route.New(1, []route.Route{{
 		Name: "write", Host: "app", Prefix: "/", Kind: route.Unsafe, Timeout: time.Second, Goal: time.Second, MaxAttempts: 1,
@@ -26,8 +27,11 @@
 	require.NoError(t, err)
 	fleet := NewFleet(zap.NewNop(), func(time.Time, *catalog.View) {})
 	fleet.view.Store(&catalog.View{Table: table})
+	guard := NewGuard("127.0.0.1:1", Headers{RequestID: "Id"}, newDecisions(zap.NewNop(), 1))
+	guard.note("parent", 1)
 	return &Ingress{
-		headers: Headers{RequestID: "Id"}, random: random{src: rand.New(rand.NewPCG(1, 1))}, fleet: fleet, grace: 6 * time.Second,
+		headers: Headers{RequestID: "Id"}, random: random{src: rand.New(rand.NewPCG(1, 1))}, fleet: fleet, sender: &Sender{guard: guard}, grace: 6 * time.Second,
+		parent: func(id string) (string, bool) { return "parent", id == "nested" },
 	}
 }
 
@@ -72,3 +76,12 @@
 	require.Equal(t, refusal.Leaving, refused.Kind)
 	require.Equal(t, refusal.NotRun, refused.Run)
 }
+
+// Guards against a run that fails at the end of a stop because its own calls are refused.
+func TestCallsOfARunAreTakenLateInAStop(t *testing.T) {
+	i := closingIngress(t)
+	i.plan.Store(closedPlan())
+	req, refused := accept(i, "nested", nil)
+	require.Nil(t, refused)
+	require.True(t, req.job.Nested)
+}
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -163,10 +163,11 @@
 	return 0
 }
 
-// closed refuses a request that comes when the daemon stops and takes no more.
-func (i *Ingress) closed() *refusal.Refusal {
+// closed refuses a request that comes when the daemon stops and takes no more. Calls that a run
+// of its own upstream makes are taken as long as that lasts, because the run would fail.
+func (i *Ingress) closed(r *http.Request) *refusal.Refusal {
 	plan := i.plan.Load()
-	if plan == nil || plan.Takes(time.Now()) {
+	if plan == nil || plan.Takes(time.Now()) || i.nested(r) {
 		return nil
 	}
 	return notRun(refusal.Leaving, "the daemon stops; connect again", stoppingRetry)
@@ -188,7 +189,7 @@
 
 // accept reads a request. It returns a refusal, or nothing when the caller broke off.
 func (i *Ingress) accept(w http.ResponseWriter, r *http.Request, arrived time.Time) (*request, *refusal.Refusal) {
-	if refused := i.closed(); refused != nil {
+	if refused := i.closed(r); refused != nil {
 		return nil, refused
 	}
 	view := i.view(r)
@@ -211,7 +212,7 @@
 		return nil, refused
 	}
 	// The body, or the first table, may have taken its time.
-	if refused := i.closed(); refused != nil {
+	if refused := i.closed(r); refused != nil {
 		return nil, refused
 	}
 	return i.describe(r, arrived, matched, view.Table.Version, body), nil
