End the connection with each answer that is given during a stop

A request that had come before SIGTERM was answered without Connection: close, so that its caller sent the next one to the stopping daemon as well and was refused there. Whether the daemon stops is looked at when the answer is written, not when the request arrives. TestAnswersDuringAStopEndTheirConnection fails without it.

--- a/pkg/mesh/closing_test.go
+++ b/pkg/mesh/closing_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
@@ -15,6 +16,7 @@
 	"mangoshed.example/mangoshed/core/drain"
 	"mangoshed.example/mangoshed/core/refusal"
 	"mangoshed.example/mangoshed/core/route"
+	"mangoshed.example/mangoshed/pkg/exchange"
 )
 
 // closingIngress returns an ingress with one route, in front of a guard whose upstream runs the
@@ -85,3 +87,24 @@
 	require.Nil(t, refused)
 	require.True(t, req.job.Nested)
 }
+
+// Guards against an answer during a stop that lets its caller use the connection again, also if
+// the request had come before the stop.
+func TestAnswersDuringAStopEndTheirConnection(t *testing.T) {
+	i := closingIngress(t)
+	i.log = newDecisions(zap.NewNop(), 1)
+	var err error
+	i.metrics, err = newMetrics(prometheus.NewRegistry())
+	require.NoError(t, err)
+	req, refused := accept(i, "early", nil)
+	require.Nil(t, refused)
+	i.plan.Store(closedPlan())
+	for _, res := range []Result{
+		{Answer: &exchange.Response{Status: http.StatusOK, Header: http.Header{}}},
+		{Refusal: notRun(refusal.Overloaded, "come back", time.Second)},
+	} {
+		w := httptest.NewRecorder()
+		i.finish(w, httptest.NewRequest(http.MethodPost, "/x", nil), req, res)
+		require.Equal(t, "close", w.Header().Get("Connection"))
+	}
+}
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -107,9 +107,6 @@
 	i.active.Add(1)
 	defer i.active.Add(-1)
 	arrived := time.Now()
-	if i.plan.Load() != nil {
-		w.Header().Set("Connection", "close")
-	}
 	req, refused := i.accept(w, r, arrived)
 	if refused != nil {
 		i.refuse(w, r, nil, refused)
@@ -131,6 +128,7 @@
 	if res.Refusal == nil {
 		i.metrics.answered(req, statusClass(res.Answer.Status))
 		i.log.ended(req, strconv.Itoa(res.Answer.Status), &res)
+		i.announceStop(w)
 		writeAnswer(w, res.Answer)
 		return
 	}
@@ -163,6 +161,13 @@
 	return 0
 }
 
+// announceStop tells a caller to use another connection for its next request once the daemon stops.
+func (i *Ingress) announceStop(w http.ResponseWriter) {
+	if i.plan.Load() != nil {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // closed refuses a request that comes when the daemon stops and takes no more. Calls that a run
 // of its own upstream makes are taken as long as that lasts, because the run would fail.
 func (i *Ingress) closed(r *http.Request) *refusal.Refusal {
@@ -179,6 +184,7 @@
 		i.metrics.rejected(refused)
 		i.log.rejected(r.Header.Get(i.headers.RequestID), r.Host, r.URL.Path, refused)
 	}
+	i.announceStop(w)
 	h := w.Header()
 	h["Date"] = nil
 	if id := r.Header.Get(i.headers.RequestID); id != "" {
