Copy the seeds from the settings instead of pointing into them

TestStartsFromOtherDaemonsWhileTheStoreIsAway failed once under the race detector: a question to other daemons that is still under way when a daemon is closed reads the seeds through a pointer into its settings, which the test changes for the next start.

--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -105,7 +105,7 @@
 // New binds the daemon's sockets and builds its parts. Nothing is served before Start.
 func New(s *Settings, p Platform, log *zap.Logger) (*Daemon, error) {
 	d := &Daemon{settings: s, platform: p, log: log, registry: telemetry.NewRegistry(), leaving: make(chan struct{})}
-	d.seeds.Store(&s.Seeds)
+	d.setSeeds(s)
 	d.requests, d.end = context.WithCancelCause(context.Background())
 	var err error
 	if d.metrics, err = newMetrics(d.registry); err != nil {
@@ -347,10 +347,16 @@
 
 // Reload takes changed settings: the seeds and nothing else can change without a restart.
 func (d *Daemon) Reload(s *Settings) {
-	d.seeds.Store(&s.Seeds)
+	d.setSeeds(s)
 	d.log.Info("settings_reloaded", zap.Int("seeds", len(s.Seeds)))
 }
 
+// setSeeds takes the seeds of the settings.
+func (d *Daemon) setSeeds(s *Settings) {
+	seeds := slices.Clone(s.Seeds)
+	d.seeds.Store(&seeds)
+}
+
 // Close stops the daemon without notice and cuts what runs.
 func (d *Daemon) Close() {
 	d.stop()
