Give the last answers of a stop before the end of the grace period

Found in review: the answers to what is given up when the process ends had 200 ms, which is more than the rest of a grace period below 1.6 s (62 ms of 500 ms). The plan of a stop names the time of the exit, half of the rest after the end, and its test holds it below the grace period for periods from 1 ms to a minute.

--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -12,29 +12,36 @@
 	// notice is the time in which callers learn to go elsewhere. Platforms probe once a second
 	// and act on two misses.
 	notice = 2500 * time.Millisecond
-	// slack is the time before the end of the grace period at which the process ends, at most
-	// the slackShare-th part of the period.
+	// slack is the time before the end of the grace period at which what still runs is given
+	// up, at most the slackShare-th part of the period.
 	slack      = 700 * time.Millisecond
 	slackShare = 8
-	// runReserve is the number of usual runs that must fit between the start of a run and the
-	// end of the process: run times scatter by about half of their mean.
-	runReserve = 2
 )
 
+// RunReserve is the number of usual runs that must fit between the start of a run and the end of
+// the process: run times scatter by about half of their mean.
+const RunReserve = 2
+
 // Plan is the course of one planned stop.
 type Plan struct {
 	// Began is the time of the order to stop.
 	Began time.Time
 	// Closes is the time from which on new requests are refused.
 	Closes time.Time
-	// Ends is the time at which the process ends.
+	// Ends is the time at which what still runs is given up.
 	Ends time.Time
+	// Exits is the time by which the process has ended. The answers to what was given up leave
+	// before it.
+	Exits time.Time
 }
 
 // New returns the plan of a stop that begins at a time and must end within the grace period.
 func New(began time.Time, grace time.Duration) Plan {
-	lasts := grace - min(slack, grace/slackShare)
-	return Plan{Began: began, Closes: began.Add(min(notice, lasts/2)), Ends: began.Add(lasts)}
+	rest := min(slack, grace/slackShare)
+	lasts := grace - rest
+	return Plan{
+		Began: began, Closes: began.Add(min(notice, lasts/2)), Ends: began.Add(lasts), Exits: began.Add(lasts + rest/2),
+	}
 }
 
 // Takes reports whether new requests are taken at a time.
@@ -45,7 +52,7 @@
 // and early enough for twice the usual run, which is 0 if unknown.
 func (p Plan) StartBy(now time.Time, run time.Duration) time.Time {
 	left := p.Ends.Sub(now)
-	return now.Add(min(left/2, left-runReserve*run))
+	return now.Add(min(left/2, left-RunReserve*run))
 }
 
 // StartWithin returns the longest wait for a slot of a request that is sent by a daemon which
--- a/core/drain/drain_test.go
+++ b/core/drain/drain_test.go
@@ -16,7 +16,8 @@
 		require.True(t, p.Takes(began), grace)
 		require.False(t, p.Takes(p.Closes), grace)
 		require.GreaterOrEqual(t, p.Ends.Sub(p.Closes), p.Closes.Sub(began), grace)
-		require.Less(t, p.Ends.Sub(began), grace, grace)
+		require.True(t, p.Ends.Before(p.Exits), grace)
+		require.Less(t, p.Exits.Sub(began), grace, grace)
 		// What runs is cut in the last sixth of the grace period only.
 		require.GreaterOrEqual(t, p.Ends.Sub(began), grace*5/6, grace)
 	}
--- a/pkg/mesh/drain.go
+++ b/pkg/mesh/drain.go
@@ -14,8 +14,6 @@
 const (
 	// drainPoll is the period of looks at what still runs.
 	drainPoll = 50 * time.Millisecond
-	// lastAnswers is the time for the answers to what still runs when the process ends.
-	lastAnswers = 200 * time.Millisecond
 	// stoppingRetry is the time after which a stopping daemon should be asked again: callers that
 	// can go elsewhere have done so by then, and a restart takes about a second.
 	stoppingRetry = time.Second
@@ -45,7 +43,7 @@
 		d.log.Warn("requests_cut", zap.Int64("requests", d.ingress.active.Load()), zap.Int("jobs", d.guard.Active()))
 	}
 	d.end(errEnded)
-	d.shutdown(time.Now().Add(lastAnswers))
+	d.shutdown(plan.Exits)
 	d.stop()
 	d.log.Info("daemon_stopped", zap.Duration("took", time.Since(plan.Began)))
 }
