Take calls of a run late in a stop only if their time ends before the process

Found in review: a call of a run that goes on at the stopping daemon was taken until the very end, with any deadline, passed on, and given up when the process ended. It is taken if the time of its caller and its route ends before that, and refused as not run otherwise. TestCallsOfARunAreTakenLateInAStop fails without the bound.

--- a/pkg/mesh/closing_test.go
+++ b/pkg/mesh/closing_test.go
@@ -86,6 +86,12 @@
 	req, refused := accept(i, "nested", nil)
 	require.Nil(t, refused)
 	require.True(t, req.job.Nested)
+
+	// Its time is a second; 2.3 s are left to the process, then 0.8 s.
+	plan := drain.New(time.Now().Add(-4500*time.Millisecond), 6*time.Second)
+	i.plan.Store(&plan)
+	_, refused = accept(i, "nested", nil)
+	require.Equal(t, refusal.Leaving, refused.Kind, "it could be given up when the process ends")
 }
 
 // Guards against an answer during a stop that lets its caller use the connection again, also if
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -169,10 +169,16 @@
 }
 
 // closed refuses a request that comes when the daemon stops and takes no more. Calls that a run
-// of its own upstream makes are taken as long as that lasts, because the run would fail.
-func (i *Ingress) closed(r *http.Request) *refusal.Refusal {
+// of its own upstream makes are taken if their time ends before the process does, because the
+// run would fail without them.
+func (i *Ingress) closed(r *http.Request, timeout time.Duration) *refusal.Refusal {
+	now := time.Now()
 	plan := i.plan.Load()
-	if plan == nil || plan.Takes(time.Now()) || i.nested(r) {
+	if plan == nil || plan.Takes(now) {
+		return nil
+	}
+	left := min(timeout, remaining(r.Header.Get(i.headers.Remaining)))
+	if now.Add(left).Before(plan.Ends) && i.nested(r) {
 		return nil
 	}
 	return notRun(refusal.Leaving, "the daemon stops; connect again", stoppingRetry)
@@ -195,7 +201,7 @@
 
 // accept reads a request. It returns a refusal, or nothing when the caller broke off.
 func (i *Ingress) accept(w http.ResponseWriter, r *http.Request, arrived time.Time) (*request, *refusal.Refusal) {
-	if refused := i.closed(r); refused != nil {
+	if refused := i.closed(r, 0); refused != nil {
 		return nil, refused
 	}
 	view := i.view(r)
@@ -218,7 +224,7 @@
 		return nil, refused
 	}
 	// The body, or the first table, may have taken its time.
-	if refused := i.closed(r); refused != nil {
+	if refused := i.closed(r, matched.Timeout); refused != nil {
 		return nil, refused
 	}
 	return i.describe(r, arrived, matched, view.Table.Version, body), nil
