End the connections of other daemons with what a stopping daemon answers them

Found in review: a daemon that takes no more jobs kept the connections of others open until its end. A job that crossed that end counted as one that may have run, and its caller got 502 for what no upstream had seen. Once a daemon stops taking jobs, each answer ends its connection, so that none is left to be used at the end. TestStoppingDaemonEndsTheConnectionsOfOtherDaemons fails without the change.

--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -307,6 +307,10 @@
 	if r.Context().Err() != nil && !ended(r.Context()) {
 		panic(http.ErrAbortHandler)
 	}
+	if d.guard.Stopped() {
+		// The connection ends with the daemon: a job that crosses its end may have run.
+		w.Header().Set("Connection", "close")
+	}
 	writeResult(w, &res, sender{d.fleet.View().Revision, d.guard.suspects.gossip(time.Now())})
 }
 
--- a/pkg/mesh/drain_test.go
+++ b/pkg/mesh/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -69,3 +70,39 @@
 	require.Equal(t, refusal.MayHaveRun.String(), running.header.Get(refusal.HeaderRun))
 	require.Len(t, backs[0].Upstream.Seen(), 1)
 }
+
+// Guards against a job that is sent on a connection which its other end, a stopping daemon, is
+// about to close: it would count as one that may have run.
+func TestStoppingDaemonEndsTheConnectionsOfOtherDaemons(t *testing.T) {
+	_, _, backs := newFleet(t, 1, "a2")
+	back := backs[0]
+	back.Upstream.SetFault(func(*meshtest.Request) meshtest.Fault { return meshtest.Hang })
+	job := func(id string) *http.Response {
+		req, err := http.NewRequest(http.MethodGet, "http://"+back.Settings.Listen.ForwardAddress+"/read/x", nil)
+		if err != nil {
+			return nil
+		}
+		req.Host = "app"
+		req.Header.Set(meshtest.Headers.RequestID, id)
+		req.Header.Set("Mangoshed-Job", string(back.Instance.ID)+";read;front;-;1;9000;9000;1000;1;back;")
+		transport := &http.Transport{}
+		defer transport.CloseIdleConnections()
+		resp, err := transport.RoundTrip(req)
+		if err != nil {
+			return nil
+		}
+		_ = resp.Body.Close()
+		return resp
+	}
+	var group sync.WaitGroup
+	group.Go(func() { _ = job("held") })
+	eventually(t, "a job keeps the daemon from its end", func() bool { return len(back.Upstream.Seen()) == 1 })
+	group.Go(back.Daemon.Drain)
+	var refused *http.Response
+	eventually(t, "the daemon takes no more jobs", func() bool {
+		refused = job("refused")
+		return refused != nil && strings.Contains(refused.Header.Get("Mangoshed-Result"), string(refusal.Leaving))
+	})
+	group.Wait()
+	require.True(t, refused.Close)
+}
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -121,6 +121,13 @@
 	g.queue.Close()
 }
 
+// Stopped reports whether the guard refuses new work because the daemon stops.
+func (g *Guard) Stopped() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stopping
+}
+
 // Active returns the number of jobs in the guard.
 func (g *Guard) Active() int {
 	g.mu.Lock()
