Let a stopping daemon begin no run that would probably outlast it

Found in review: the bound by which a run must begin held for the daemon that took the request, not for the one whose upstream runs it. A stopping daemon let its upstream begin a run for another daemon's caller that was known to take longer than the process had left, and cut it. Its queue knows the end of the process now and gives back, as not run, what does not fit into the rest with two usual runs; others send it elsewhere. TestRunThatOutlastsTheProcessDoesNotBegin and TestCallsThatWaitAreGivenBackWhenTheProcessEnds replay it.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -138,6 +138,9 @@
 	nestedLoad    float64
 	nestedAt      time.Time
 	ends          []time.Duration // scratch of wait
+	// endAt is the time at which runs are given up because the process ends; zero before that is
+	// known.
+	endAt time.Time
 }
 
 // New returns a queue with the slots.
@@ -181,7 +184,7 @@
 		return Closed
 	}
 	c.queued = now
-	if c.tooLate(now) {
+	if q.tooLate(c, now) {
 		return Overloaded
 	}
 	if c.Nested {
@@ -217,7 +220,7 @@
 func (q *Queue) worthWaiting(now time.Time, c *Call) bool {
 	run := q.expected(c)
 	wait := q.wait(now, q.ahead(now, c))
-	if c.tooLate(now.Add(wait)) {
+	if q.tooLate(c, now.Add(wait)) {
 		return false
 	}
 	if wait+run <= time.Duration(goalShare*float64(c.Goal.Sub(now))) {
@@ -313,9 +316,6 @@
 	return now.Add(q.expected(c)).After(c.Goal)
 }
 
-// tooLate reports whether the call must not start at a time any more.
-func (c *Call) tooLate(at time.Time) bool { return !c.StartBy.IsZero() && !at.Before(c.StartBy) }
-
 func (q *Queue) start(now time.Time, c *Call) {
 	c.started, c.running = now, true
 	q.running = append(q.running, c)
@@ -427,15 +427,14 @@
 func (q *Queue) expel(now time.Time) {
 	var gone []*Call
 	q.waiting = slices.DeleteFunc(q.waiting, func(c *Call) bool {
-		hopeless := c.tooLate(now) || now.Add(q.expected(c)).After(c.Deadline)
+		hopeless := q.tooLate(c, now) || now.Add(q.expected(c)).After(c.Deadline)
 		if hopeless {
 			gone = append(gone, c)
 		}
 		return hopeless
 	})
 	for _, c := range gone {
-		q.settle(c, false)
-		c.Decide(Overloaded)
+		q.giveUp(c)
 	}
 }
 
@@ -449,23 +448,28 @@
 			continue
 		}
 		q.waiting = slices.Delete(q.waiting, i, i+1)
-		q.settle(c, false)
-		c.Decide(Overloaded)
+		q.giveUp(c)
 	}
 }
 
+// giveUp refuses a call that has waited.
+func (q *Queue) giveUp(c *Call) {
+	q.settle(c, false)
+	c.Decide(Overloaded)
+}
+
 // canBeAnswered reports whether a waiting call gets a slot in time if no others come.
 func (q *Queue) canBeAnswered(now time.Time, c *Call) bool {
 	wait := q.wait(now, q.ahead(now, c))
-	return wait+q.expected(c) <= c.Deadline.Sub(now) && !c.tooLate(now.Add(wait))
+	return wait+q.expected(c) <= c.Deadline.Sub(now) && !q.tooLate(c, now.Add(wait))
 }
 
 // NextTick returns the time of the next expulsion; ok is false when nothing waits.
 func (q *Queue) NextTick() (next time.Time, ok bool) {
 	for _, c := range q.waiting {
 		at := c.Deadline.Add(-q.expected(c))
-		if !c.StartBy.IsZero() && c.StartBy.Before(at) {
-			at = c.StartBy
+		if by := q.startBy(c); !by.IsZero() && by.Before(at) {
+			at = by
 		}
 		if !ok || at.Before(next) {
 			next, ok = at, true
--- a/core/intake/startby_test.go
+++ b/core/intake/startby_test.go
@@ -43,6 +43,33 @@
 	require.Equal(t, Waiting, q.Offer(at(0), patient, true))
 }
 
+// Guards against a run that a stopping daemon lets begin although it would probably outlast it.
+func TestRunThatOutlastsTheProcessDoesNotBegin(t *testing.T) {
+	q := New(2)
+	teach(q, "long", 800)
+	teach(q, "short", 100)
+	q.EndAt(at(0), at(2000))
+	early, _ := call("long", 1, 0, 5000, 10_000)
+	require.Equal(t, Started, q.Offer(at(399), early, true))
+	late, _ := call("long", 1, 0, 5000, 10_000)
+	require.Equal(t, Overloaded, q.Offer(at(400), late, true), "a slot is free")
+	short, _ := call("short", 1, 0, 5000, 10_000)
+	require.Equal(t, Started, q.Offer(at(1700), short, true))
+}
+
+// Guards against what waits at a stopping daemon until it is too late for its run.
+func TestCallsThatWaitAreGivenBackWhenTheProcessEnds(t *testing.T) {
+	q := New(1)
+	teach(q, "r", 500)
+	fill(t, q, at(0), "r")
+	c, got := call("r", 1, 0, 5000, 10_000)
+	require.Equal(t, Waiting, q.Offer(at(0), c, true))
+	q.EndAt(at(10), at(1200))
+	require.Empty(t, got.verdicts)
+	q.Advance(at(200))
+	require.Equal(t, []Verdict{Overloaded}, got.verdicts)
+}
+
 // Guards, over random loads, against a call that starts too late for its sender or is never decided.
 func TestCallsStartInTheirSendersTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/mesh/drain.go
+++ b/pkg/mesh/drain.go
@@ -33,6 +33,7 @@
 	d.stopping.Store(true)
 	close(d.leaving)
 	d.ingress.plan.Store(&plan)
+	d.guard.EndAt(plan.Ends)
 	d.log.Info("daemon_stopping", zap.Int64("requests", d.ingress.active.Load()), zap.Int("jobs", d.guard.Active()))
 	time.Sleep(time.Until(plan.Closes))
 	d.guard.Stop()
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -121,6 +121,15 @@
 	g.queue.Close()
 }
 
+// EndAt says when the process ends: no run begins that would probably outlast it.
+func (g *Guard) EndAt(end time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.queue.EndAt(now, end)
+	g.schedule(now)
+}
+
 // Stopped reports whether the guard refuses new work because the daemon stops.
 func (g *Guard) Stopped() bool {
 	g.mu.Lock()
