Leave calls of senders that end out of the share of late calls that get slots

Found in review: calls that are given back because their sender ends lowered the share that decides whether late calls are let in, so that one stopping daemon closed an upstream to the late calls of all others. They are left out of it. TestCallsOfStoppingSendersSayNothingAboutOthers fails without the change.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -434,7 +434,7 @@
 		return hopeless
 	})
 	for _, c := range gone {
-		q.giveUp(c)
+		q.giveUp(c, q.tooLate(c, now))
 	}
 }
 
@@ -448,13 +448,18 @@
 			continue
 		}
 		q.waiting = slices.Delete(q.waiting, i, i+1)
-		q.giveUp(c)
+		q.giveUp(c, q.tooLate(c, now.Add(q.wait(now, q.ahead(now, c)))))
 	}
 }
 
-// giveUp refuses a call that has waited.
-func (q *Queue) giveUp(c *Call) {
-	q.settle(c, false)
+// giveUp refuses a call that has waited. One that must not start any more because a process
+// ends says nothing about the slots that late calls get.
+func (q *Queue) giveUp(c *Call, tooLate bool) {
+	if tooLate {
+		q.left(c)
+	} else {
+		q.settle(c, false)
+	}
 	c.Decide(Overloaded)
 }
 
--- a/core/intake/startby_test.go
+++ b/core/intake/startby_test.go
@@ -70,6 +70,32 @@
 	require.Equal(t, []Verdict{Overloaded}, got.verdicts)
 }
 
+// Guards against late calls that are refused everywhere because the senders of others stopped.
+func TestCallsOfStoppingSendersSayNothingAboutOthers(t *testing.T) {
+	q := New(1)
+	teach(q, "r", 400)
+	running := fill(t, q, at(0), "r")[0]
+	now := 0
+	for range 10 {
+		c, got := call("r", 1, now, 100, 10_000) // late
+		c.StartBy = at(now + 450)
+		require.Equal(t, Waiting, q.Offer(at(now), c, true))
+		ahead, _ := call("r", 1, now, 5000, 10_000)
+		require.Equal(t, Waiting, q.Offer(at(now), ahead, true))
+		now += 400
+		q.Done(at(now), running, true)
+		require.True(t, ahead.running)
+		running = ahead
+		q.Advance(at(now + 50))
+		require.Equal(t, []Verdict{Overloaded}, got.verdicts)
+		now += 50
+	}
+	for range 2 {
+		c, _ := call("r", 1, now, 100, 10_000)
+		require.Equal(t, Waiting, q.Offer(at(now), c, true))
+	}
+}
+
 // Guards, over random loads, against a call that starts too late for its sender or is never decided.
 func TestCallsStartInTheirSendersTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
