Bound the head of an answer in bytes

An upstream, the store or another daemon that answered with a status line or header lines without end was read until the deadline, into memory: all that the daemon held was lost when the process was killed for it. An answer of garbage on a connection used before was also taken for a dropped idle connection, so that a safe request was sent to the same upstream again beside the retry budget.

Cause: http.ReadResponse on a plain bufio.Reader has no bound; only net/http's Transport sets one. exchange.Error.Began was set by a whole head only, not by the first byte of one.

Evidence: TestEndlessAnswerIsCutAtItsBound failed before: with "status line", "header line", "header lines", "interim header lines" and "bytes without lines" the client read sixteen times the bound, all that the peer had, and had not closed the connection; "large interims" read 161,816 bytes of eight interim answers, against 69,632; "interim answers" and "foreign answers" ended at their counts, but as if no byte had arrived. TestTrickleEndsWithTheDeadline passed before: the deadline ends slow bytes and the connection.

Change: the bytes that a connection may bring while a head is read are bounded by maxHead, 64 kB with interim answers; beyond, a *BoundError names the bound and the remedy and the connection is closed. Bytes of a spoiled head count as the begin of an answer.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -29,6 +29,7 @@
 // conn is one connection.
 type conn struct {
 	net.Conn
+	source *Source
 	reader *bufio.Reader
 	// idleFrom is the time of the last complete answer.
 	idleFrom time.Time
@@ -67,7 +68,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer)}, nil
+	return newConn(c), nil
+}
+
+func newConn(c net.Conn) *conn {
+	source := NewSource(c)
+	return &conn{Conn: c, source: source, reader: bufio.NewReaderSize(source, readBuffer)}
 }
 
 // Closed reports whether the peer has closed a connection or reset it, without reading from it.
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -1,12 +1,10 @@
 package exchange
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -32,8 +30,7 @@
 	// ErrAbandoned says that Request.Abandoned was true before the request was sent.
 	ErrAbandoned = errors.New("the request was abandoned before it was sent")
 
-	errForeign = errors.New("the answers on the connection belong to other requests")
-	errInterim = errors.New("too many interim answers")
+	errClosing = errors.New("the connection ends with the answer to another request")
 	errTooLong = errors.New("the answer is longer than the bound")
 )
 
@@ -133,7 +130,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer)}, nil
+	return newConn(c), nil
 }
 
 // transfer is one request on its connection.
@@ -223,6 +220,8 @@
 	if _, err := x.conn.Write(head); err != nil {
 		return err
 	}
+	x.conn.source.BoundHead()
+	defer x.conn.source.Unbound()
 	for range maxInterim {
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
 		if err != nil {
@@ -277,89 +276,6 @@
 	return 0
 }
 
-// read returns the answer to the request; began says that a part of it arrived.
-func (x *transfer) read() (resp *Response, began bool, err error) {
-	for range maxForeign {
-		head, err := x.readHead() //nolint:bodyclose // readBody closes it
-		if err != nil {
-			return nil, began, err
-		}
-		began = true
-		if x.request.Answering != nil {
-			x.request.Answering()
-		}
-		body, err := x.readBody(head)
-		if err != nil {
-			return nil, began, err
-		}
-		if x.foreign(head) {
-			if head.Close {
-				return nil, false, errForeign
-			}
-			began = false
-			continue
-		}
-		x.conn.lifetime = parseKeepAlive(head.Header.Get("Keep-Alive"))
-		x.reusable = !head.Close && framed(head) && x.conn.reader.Buffered() == 0
-		return &Response{Status: head.StatusCode, Header: head.Header, Body: body}, true, nil
-	}
-	return nil, false, errForeign
-}
-
-// framed reports whether the end of the answer is known without the end of the connection.
-func framed(head *http.Response) bool {
-	return head.ContentLength >= 0 || len(head.TransferEncoding) > 0
-}
-
-// foreign reports whether an answer names another request.
-func (x *transfer) foreign(head *http.Response) bool {
-	if x.client.cfg.RequestID == "" {
-		return false
-	}
-	id := head.Header.Get(x.client.cfg.RequestID)
-	return id != "" && id != x.request.ID
-}
-
-// readHead reads the header of the next final answer.
-func (x *transfer) readHead() (*http.Response, error) {
-	if resp := x.refused; resp != nil {
-		x.refused = nil
-		resp.Close = true
-		return resp, nil
-	}
-	for range maxInterim {
-		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
-		if err != nil {
-			if errors.Is(err, io.EOF) {
-				err = io.ErrUnexpectedEOF
-			}
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, nil
-		}
-	}
-	return nil, errInterim
-}
-
-func (x *transfer) readBody(head *http.Response) ([]byte, error) {
-	defer func() { _ = head.Body.Close() }()
-	limit := x.client.cfg.MaxAnswer
-	if head.ContentLength > limit {
-		return nil, errTooLong
-	}
-	if head.ContentLength > 0 {
-		body := make([]byte, head.ContentLength)
-		_, err := io.ReadFull(head.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(head.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = errTooLong
-	}
-	return body, err
-}
-
 // hopByHop are the headers that concern one connection only.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
