Close a connection at once when a body has passed its bound

Callers saw: a slot of the instance stayed taken, and a core busy, until the deadline of a request whose answer was chunked without end or announced an enormous length, though the answer had been given up long before; then 502 or 504.

Cause: Close of a body of http.ReadResponse reads the rest of it, unless the body ends with its connection.

Change: pending reads of the connection fail before a body that has failed is closed; a body that is too long is a *BoundError.

--- a/pkg/exchange/answer.go
+++ b/pkg/exchange/answer.go
@@ -74,20 +74,27 @@
 	return nil, true, errInterim
 }
 
-func (x *transfer) readBody(head *http.Response) ([]byte, error) {
-	defer func() { _ = head.Body.Close() }()
+// readBody reads the body of an answer.
+func (x *transfer) readBody(head *http.Response) (body []byte, err error) {
+	defer func() {
+		if err != nil {
+			// Close reads the rest of a body, which may have no end.
+			_ = x.conn.SetDeadline(past)
+		}
+		_ = head.Body.Close()
+	}()
 	limit := x.client.cfg.MaxAnswer
 	if head.ContentLength > limit {
-		return nil, errTooLong
+		return nil, bodyError(limit)
 	}
 	if head.ContentLength > 0 {
 		body := make([]byte, head.ContentLength)
 		_, err := io.ReadFull(head.Body, body)
 		return body, err
 	}
-	body, err := io.ReadAll(io.LimitReader(head.Body, limit+1))
+	body, err = io.ReadAll(io.LimitReader(head.Body, limit+1))
 	if err == nil && int64(len(body)) > limit {
-		err = errTooLong
+		err = bodyError(limit)
 	}
 	return body, err
 }
--- a/pkg/exchange/bound.go
+++ b/pkg/exchange/bound.go
@@ -35,6 +35,10 @@
 	}
 )
 
+func bodyError(limit int64) *BoundError {
+	return &BoundError{Limit: limit, What: "bytes of the body of an answer", Remedy: "let the peer answer in parts"}
+}
+
 // Source reads from a connection as many bytes as it is allowed to.
 type Source struct {
 	conn  net.Conn
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -31,7 +31,6 @@
 	ErrAbandoned = errors.New("the request was abandoned before it was sent")
 
 	errClosing = errors.New("the connection ends with the answer to another request")
-	errTooLong = errors.New("the answer is longer than the bound")
 )
 
 // Request is one request. The body is held in memory, so that it can be sent again.
