Hold the answers of a daemon within one budget of bytes

Callers saw: the end of the process. Each answer could take 64 MB, whatever the number of requests and the memory of the daemon, and an announced length was allocated before a byte of it had come; nine chunked bodies without end took a daemon of 184 MB far above its limit, and a process killed for its memory loses all that it held.

Cause: exchange.Config.MaxAnswer bounds one answer; nothing bounded all of them together.

Change: exchange.Budget counts the buffers of all answers, of upstreams, other daemons and the store, until they are written on or dropped. Its limit is 0.4 of limits.memory_mb; 512 MB without one. Answers to other requests are skipped without being held. The status names the bytes held.

--- a/pkg/exchange/answer.go
+++ b/pkg/exchange/answer.go
@@ -13,24 +13,25 @@
 		if err != nil {
 			return nil, some, err
 		}
-		began = true
 		if x.request.Answering != nil {
 			x.request.Answering()
 		}
-		body, err := x.readBody(head)
-		if err != nil {
-			return nil, began, err
-		}
 		if x.foreign(head) {
+			if err := x.skipBody(head); err != nil {
+				return nil, true, err
+			}
 			if head.Close {
 				return nil, false, errClosing
 			}
-			began = false
 			continue
 		}
+		body, held, err := x.readBody(head)
+		if err != nil {
+			return nil, true, err
+		}
 		x.conn.lifetime = parseKeepAlive(head.Header.Get("Keep-Alive"))
 		x.reusable = !head.Close && framed(head) && x.conn.reader.Buffered() == 0
-		return &Response{Status: head.StatusCode, Header: head.Header, Body: body}, true, nil
+		return &Response{Status: head.StatusCode, Header: head.Header, Body: body, held: held}, true, nil
 	}
 	return nil, true, errForeign
 }
@@ -73,28 +74,3 @@
 	}
 	return nil, true, errInterim
 }
-
-// readBody reads the body of an answer.
-func (x *transfer) readBody(head *http.Response) (body []byte, err error) {
-	defer func() {
-		if err != nil {
-			// Close reads the rest of a body, which may have no end.
-			_ = x.conn.SetDeadline(past)
-		}
-		_ = head.Body.Close()
-	}()
-	limit := x.client.cfg.MaxAnswer
-	if head.ContentLength > limit {
-		return nil, bodyError(limit)
-	}
-	if head.ContentLength > 0 {
-		body := make([]byte, head.ContentLength)
-		_, err := io.ReadFull(head.Body, body)
-		return body, err
-	}
-	body, err = io.ReadAll(io.LimitReader(head.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = bodyError(limit)
-	}
-	return body, err
-}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -58,13 +58,22 @@
 	Answering func()
 }
 
-// Response is a whole answer.
+// Response is a whole answer. Release it when the body is not needed any more.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
 	// Reused says that the request went over a connection that had served others.
 	Reused bool
+	held   *share
+}
+
+// Release gives the bytes of the body back to the budget of the client. It may be called more than
+// once, and without an answer.
+func (r *Response) Release() {
+	if r != nil && r.held != nil {
+		r.held.release()
+	}
 }
 
 // Error is a request without a whole answer.
@@ -180,6 +189,7 @@
 		resp.Reused = x.conn.used
 		return resp, nil
 	}
+	resp.Release()
 	_ = x.conn.SetDeadline(past)
 	join()
 	if err == nil || ctx.Err() != nil {
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -31,6 +31,8 @@
 	MaxConnections int
 	// MaxAnswer bounds the body of an answer in bytes; default 64 MB.
 	MaxAnswer int64
+	// Budget bounds the bodies of all answers that are held at once; nil sets no bound.
+	Budget *Budget
 	// RequestID names the header that an answer repeats; empty if answers do not.
 	RequestID string
 	// Dial opens connections; default a net.Dialer.
--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -41,6 +41,7 @@
 		if !ok {
 			return i.conclude(req, last, res)
 		}
+		last.Answer.Release() // a better one may come
 		if done(req, &res) {
 			return i.conclude(req, res, res)
 		}
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -103,6 +103,9 @@
 func New(s *Settings, p Platform, log *zap.Logger) (*Daemon, error) {
 	d := &Daemon{settings: s, platform: p, log: log, registry: telemetry.NewRegistry(), leaving: make(chan struct{})}
 	d.seeds.Store(&s.Seeds)
+	if d.platform.Answers == nil {
+		d.platform.Answers = s.Limits.AnswerBudget()
+	}
 	var err error
 	if d.metrics, err = newMetrics(d.registry); err != nil {
 		return nil, err
@@ -122,13 +125,13 @@
 	log := newDecisions(d.log, s.Limits.LogLinesPerSecond)
 	seed := uint64(now.UnixNano()) ^ uint64(os.Getpid())<<48
 	d.fleet = NewFleet(d.log, d.onView)
-	d.guard = NewGuard(s.Upstream.Address, d.platform.Headers, log)
+	d.guard = NewGuard(s.Upstream.Address, d.platform.Headers, d.platform.Answers, log)
 	d.placer = placement.New(s.Place(), placement.DefaultCosts, seed)
 	d.placer.SetLink(hostOf(s.Listen.ForwardAddress), s.Limits.LinkMbps*1e6)
 	d.budget = retry.NewFleetBudget(retry.FleetRules{
 		Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance, Window: s.Bounds.RetryWindow,
 	}, now)
-	d.sender = NewSender(s.Listen.ForwardAddress, d.guard, d.fleet, func() []string { return *d.seeds.Load() })
+	d.sender = NewSender(s.Listen.ForwardAddress, d.guard, d.fleet, d.platform.Answers, func() []string { return *d.seeds.Load() })
 	d.reach = newReachability(now, hostOf(s.Listen.ForwardAddress), seed, d.sender.client, d.placer, d.log)
 	d.sender.reach = d.reach
 	d.ingress = &Ingress{
@@ -301,6 +304,7 @@
 	j.Left = func() bool { return left(r) }
 	res := d.guard.Run(r.Context(), j)
 	if r.Context().Err() != nil {
+		res.Answer.Release()
 		panic(http.ErrAbortHandler)
 	}
 	writeResult(w, &res, sender{d.fleet.View().Revision, d.guard.suspects.gossip(time.Now())})
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -63,10 +63,10 @@
 }
 
 // NewGuard returns the guard of the upstream at the address.
-func NewGuard(address string, headers Headers, log *decisions) *Guard {
+func NewGuard(address string, headers Headers, answers *exchange.Budget, log *decisions) *Guard {
 	g := &Guard{
 		suspects: newSuspects(log.log), address: address, headers: headers, log: log, queue: intake.New(0), left: make(map[model.InstanceID]time.Time), runs: make(map[string]int),
-		client: exchange.NewClient(exchange.Config{RequestID: headers.RequestID, DialTimeout: upstreamDial}),
+		client: exchange.NewClient(exchange.Config{RequestID: headers.RequestID, DialTimeout: upstreamDial, Budget: answers}),
 	}
 	g.timer = time.AfterFunc(time.Hour, g.tick)
 	return g
@@ -333,7 +333,11 @@
 	if err != nil {
 		return g.failure(ctx, err)
 	}
-	return g.judge(j, resp)
+	res := g.judge(j, resp)
+	if res.Answer == nil {
+		resp.Release()
+	}
+	return res
 }
 
 // request returns the request as the upstream gets it.
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -223,8 +223,9 @@
 	notRunMark = "n"
 )
 
-// writeAnswer passes an upstream's answer on unchanged.
+// writeAnswer passes an upstream's answer on unchanged, and drops it.
 func writeAnswer(w http.ResponseWriter, a *exchange.Response) {
+	defer a.Release()
 	h := w.Header()
 	for name, values := range exchange.EndToEnd(a.Header) {
 		h[name] = values
--- a/pkg/mesh/meshtest/fleet.go
+++ b/pkg/mesh/meshtest/fleet.go
@@ -44,6 +44,11 @@
 	return f.add(service, dataCentre, slots, work, mesh.Limits{LogLinesPerSecond: 40})
 }
 
+// AddLimited adds a member whose daemon has so much memory.
+func (f *Fleet) AddLimited(service, dataCentre string, slots, memoryMB int) (*Member, error) {
+	return f.add(service, dataCentre, slots, 0, mesh.Limits{LogLinesPerSecond: 40, MemoryMB: memoryMB})
+}
+
 // AddWeak adds a member whose daemon has little processor time.
 func (f *Fleet) AddWeak(service, dataCentre string) (*Member, error) {
 	return f.add(service, dataCentre, 4, 0, mesh.Limits{LogLinesPerSecond: 40, Cores: 0.1})
--- a/pkg/mesh/meshtest/upstream.go
+++ b/pkg/mesh/meshtest/upstream.go
@@ -63,6 +63,18 @@
 	Hang
 	// Crash ends the upstream while it runs the request; Restart starts it again.
 	Crash
+	// EndlessStatus, EndlessHeader, EndlessHeaders and EndlessInterims send a head without end,
+	// EndlessChunks and EndlessBody a body, EnormousLength one that is announced as 9e18 bytes,
+	// EndlessForeign answers to other requests, and EndlessTail bytes behind a whole answer.
+	EndlessStatus
+	EndlessHeader
+	EndlessHeaders
+	EndlessInterims
+	EndlessChunks
+	EndlessBody
+	EnormousLength
+	EndlessForeign
+	EndlessTail
 )
 
 // Upstream is a stand-in for an application that speaks HTTP/1.1 on a raw connection.
@@ -293,6 +305,10 @@
 func (u *Upstream) reply(c net.Conn, r *Request, fault Fault) bool {
 	proof := u.headers.Proof + ": p"
 	body := Body(r.ID, u.Size)
+	if first, again := u.endless(r, fault); again != "" {
+		u.writeEndless(c, first, again)
+		return false
+	}
 	switch fault {
 	case Early:
 		return true
--- a/pkg/mesh/platform.go
+++ b/pkg/mesh/platform.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mangoshed.example/mangoshed/core/catalog"
+	"mangoshed.example/mangoshed/pkg/exchange"
 )
 
 // ErrHistoryGone is returned by Store.Watch when the changes after a revision are not kept any
@@ -50,7 +51,10 @@
 
 // Platform is what a daemon needs of its platform.
 type Platform struct {
-	Store   Store
+	Store Store
+	// Answers is the budget for all answers that are held at once, if the store's are counted as
+	// well; nil takes that of the settings for the others.
+	Answers *exchange.Budget
 	Headers Headers
 	// ReadyPath is the path of readiness probes.
 	ReadyPath string
--- a/pkg/mesh/reachability.go
+++ b/pkg/mesh/reachability.go
@@ -131,7 +131,7 @@
 func (r *reachability) probe(ctx context.Context, host, address string) {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
-	_, err := r.client.Do(ctx, &exchange.Request{
+	resp, err := r.client.Do(ctx, &exchange.Request{
 		Address: address, Method: http.MethodGet, Target: statePath + "?newer=" + strconv.FormatUint(math.MaxUint64, 10), Host: address,
 		MaxIdle: -1, // an idle connection may be the one that has gone silent
 	})
@@ -139,5 +139,6 @@
 		r.silent(time.Now(), host, err)
 		return
 	}
+	resp.Release()
 	r.heard(time.Now(), host)
 }
--- a/pkg/mesh/sender.go
+++ b/pkg/mesh/sender.go
@@ -47,11 +47,11 @@
 }
 
 // NewSender returns a sender that passes jobs for the daemon's own forward address to the guard.
-func NewSender(own string, guard *Guard, fleet *Fleet, seeds func() []string) *Sender {
+func NewSender(own string, guard *Guard, fleet *Fleet, answers *exchange.Budget, seeds func() []string) *Sender {
 	return &Sender{
 		own: own, guard: guard, fleet: fleet, seeds: seeds,
 		client: exchange.NewClient(exchange.Config{
-			DialTimeout: peerDial, Unacknowledged: peerUnacknowledged, MaxIdle: peerIdle,
+			DialTimeout: peerDial, Unacknowledged: peerUnacknowledged, MaxIdle: peerIdle, Budget: answers,
 		}),
 	}
 }
@@ -73,6 +73,9 @@
 		return unreachable(ctx, err)
 	}
 	res, from := decodeResult(resp)
+	if res.Answer == nil {
+		resp.Release()
+	}
 	now = time.Now()
 	s.reach.heard(now, inst.Host())
 	s.fleet.Heard(now, from.revision)
@@ -109,6 +112,7 @@
 	if err != nil {
 		return catalog.State{}, "", err
 	}
+	defer resp.Release()
 	if resp.Status != http.StatusOK {
 		return catalog.State{}, "", fmt.Errorf("daemon %s knows nothing newer (status %d)", address, resp.Status)
 	}
--- a/pkg/mesh/sender_test.go
+++ b/pkg/mesh/sender_test.go
@@ -34,7 +34,7 @@
 	now := time.Now()
 	log := newDecisions(zap.NewNop(), 40)
 	fleet := fleetOf(t, 1)
-	s := NewSender("10.0.0.9:1", NewGuard("10.0.0.9:2", Headers{}, log), fleet, func() []string { return nil })
+	s := NewSender("10.0.0.9:1", NewGuard("10.0.0.9:2", Headers{}, nil, log), fleet, nil, func() []string { return nil })
 	s.reach = newReachability(now, "10.0.0.9", 1, s.client, placement.New(fleet.View().Instances[0].Place, placement.DefaultCosts, 1), zap.NewNop())
 	s.reach.update(fleet.View())
 	inst := &catalog.Instance{}
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -14,6 +14,7 @@
 
 	"mangoshed.example/mangoshed/core/faultlist"
 	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/pkg/exchange"
 )
 
 // Settings are the settings of one daemon, read from YAML.
@@ -84,6 +85,24 @@
 	return l.Cores > 0 && l.Cores < minReaderCores || l.LinkMbps > 0 && l.LinkMbps < minReaderMbps
 }
 
+// Answers are held as a whole, those of upstreams, of other daemons and of the store.
+const (
+	// answerShare is the part of the memory limit that they may take at once. The rest of a daemon
+	// peaks at 53 MB (CAPACITY.md), which fits below memoryShare at 184 MB, the least of the sites.
+	answerShare = 0.4
+	// unlimitedAnswers is what they may take where the settings set no memory limit, in bytes.
+	unlimitedAnswers = 512 << 20
+)
+
+// AnswerBudget returns the budget for all answers that the daemon holds at once.
+func (l *Limits) AnswerBudget() *exchange.Budget {
+	const remedy = "raise limits.memory_mb, or let upstreams answer in parts"
+	if l.MemoryMB <= 0 {
+		return exchange.NewBudget(unlimitedAnswers, remedy)
+	}
+	return exchange.NewBudget(int64(answerShare*float64(l.MemoryMB<<20)), remedy)
+}
+
 // Bounds are what the platform promises and expects.
 type Bounds struct {
 	// RetryRatio and RetryAllowance bound repeated sends to a service over all daemons in
--- a/pkg/mesh/status.go
+++ b/pkg/mesh/status.go
@@ -22,6 +22,8 @@
 	Queued    int    `json:"queued"`
 	// Suspects counts the requests known to crash upstreams, or suspected of it.
 	Suspects int `json:"suspects"`
+	// AnswerBytes are the bytes of answers that the daemon holds.
+	AnswerBytes int64 `json:"answer_bytes"`
 }
 
 // View returns the daemon's present view of the fleet.
@@ -36,6 +38,7 @@
 	s := Status{
 		Ready: d.Ready(), Revision: v.Revision, Instances: len(v.Instances),
 		Running: load.Running, Slots: load.Slots, Queued: load.Queued, Suspects: d.guard.suspects.count(),
+		AnswerBytes: d.platform.Answers.Held(),
 	}
 	if v.Table != nil {
 		s.Version, s.Routes = v.Table.Version, len(v.Table.Routes)
