Close idle connections on which bytes arrive unasked

Callers saw: nothing by itself. An upstream that goes on sending after a whole answer filled the receive buffer of the idle connection until a request looked at it or it had been idle for 8 s; what has arrived and is not read counts towards the memory of a process.

Cause: the look at idle connections, every 2 s, asked for their age only.

Evidence: TestIdleConnectionWithUnaskedBytesIsClosed failed before: the connection was still kept after Prune. That no such byte reaches another request was so before (TestDoesNotReuseADoubtfulConnection, TestBytesBehindAnAnswer).

Change: Prune closes a connection that has something to read, or that the peer has closed; one system call for each idle connection every 2 s.

Figures: none beyond the test; the price in processor time was not measured.

--- a/pkg/exchange/endless_test.go
+++ b/pkg/exchange/endless_test.go
@@ -128,3 +128,29 @@
 		})
 	}
 }
+
+// Guards against an idle connection that is kept while bytes without end arrive on it.
+func TestIdleConnectionWithUnaskedBytesIsClosed(t *testing.T) {
+	more, sent, closed := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	address := peer(t, func(c net.Conn, r *bufio.Reader) {
+		read(t, r)
+		respond(c, "1", "whole")
+		<-more
+		_, _ = io.WriteString(c, "more")
+		close(sent)
+		_, _ = io.Copy(io.Discard, r)
+		close(closed)
+	})
+	x := client()
+	defer x.Close()
+	_, err := x.Do(context.Background(), get(address, "1"))
+	require.NoError(t, err)
+	kept := func(string) bool { return true }
+	x.Prune(time.Now(), kept)
+	require.Len(t, x.idle[address], 1)
+	close(more)
+	<-sent
+	x.Prune(time.Now(), kept)
+	require.Empty(t, x.idle[address])
+	<-closed
+}
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -79,14 +79,15 @@
 }
 
 // Prune closes idle connections that would not be used again, and all to addresses that keep
-// returns false for.
+// returns false for. A connection on which bytes arrive unasked is one of them: they count
+// towards the memory of the process until it is closed.
 func (c *Client) Prune(now time.Time, keep func(address string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for address, list := range c.idle {
 		kept := list[:0]
 		for _, i := range list {
-			if keep(address) && c.fresh(now, i, c.cfg.MaxIdle) {
+			if keep(address) && c.fresh(now, i, c.cfg.MaxIdle) && i.quiet() {
 				kept = append(kept, i)
 				continue
 			}
