Bound the head and the frames of a feed in bytes

A reader that sent a head without end, or a frame that announces more than it may hold, was read for 0.8 s into the memory of each daemon that it fed.

Cause: the feed has its own connection, and http.ReadResponse and the CBOR decoder have no bound; only the silence of a reader was bounded.

Change: exchange.Source bounds the head to 64 kB and each frame to 4 MB, the size of the view of 19,000 instances before it is compressed. The error names the bound; the next reader is asked.

Figures: bytes taken after: at most 69,632 of a head and 4,202,496 of a frame, as the test asserts.

--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -19,6 +19,7 @@
 	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/refusal"
 	"mangoshed.example/mangoshed/core/route"
+	"mangoshed.example/mangoshed/pkg/exchange"
 )
 
 const (
@@ -46,6 +47,8 @@
 	inferredRest = 10 * time.Second
 	// feedWrite bounds the write of a frame.
 	feedWrite = 2 * time.Second
+	// maxFrame bounds a frame in bytes: the view of 19,000 instances is 4 MB before it is compressed.
+	maxFrame = 4 << 20
 )
 
 // frame is one message of a feed.
@@ -325,6 +328,7 @@
 	errNotReader  = errors.New("the reader has left its role")
 	errFeedStatus = errors.New("the reader refused the feed")
 	errDeclined   = errors.New("the daemon does not read for others")
+	errFrame      = &exchange.BoundError{Limit: maxFrame, What: "bytes of a frame of a feed", Remedy: "see the log of the reader"}
 )
 
 // feedEvents are what the follower learns from a feed.
@@ -347,6 +351,11 @@
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
+	return f.listen(conn, address, events)
+}
+
+// listen asks a reader for its changes and takes them from the connection.
+func (f *feeds) listen(conn net.Conn, address string, events feedEvents) error {
 	view := f.fleet.View()
 	var version uint64
 	if view.Table != nil {
@@ -358,7 +367,9 @@
 	if _, err := fmt.Fprintf(conn, "GET %s?revision=%d&version=%d HTTP/1.1\r\nHost: %s\r\n\r\n", feedPath, f.fleet.Revision(), version, address); err != nil {
 		return err
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	source := exchange.NewSource(conn)
+	source.BoundHead()
+	resp, err := http.ReadResponse(bufio.NewReader(source), nil)
 	if err != nil {
 		return err
 	}
@@ -374,16 +385,17 @@
 	f.setReader(address)
 	defer f.setReader("")
 	events.accepted()
-	return f.receive(conn, cbor.NewDecoder(resp.Body), address, events)
+	return f.receive(conn, source, cbor.NewDecoder(resp.Body), address, events)
 }
 
 // receive applies the frames of a feed.
-func (f *feeds) receive(conn net.Conn, decoder *cbor.Decoder, address string, events feedEvents) error {
+func (f *feeds) receive(conn net.Conn, source *exchange.Source, decoder *cbor.Decoder, address string, events feedEvents) error {
 	behind := f.fleet.Behind()
 	for {
 		if err := conn.SetReadDeadline(time.Now().Add(feedSilence)); err != nil {
 			return err
 		}
+		source.Bound(errFrame)
 		var next frame
 		if err := decoder.Decode(&next); err != nil {
 			return err
--- /dev/null
+++ b/pkg/mesh/feed_endless_test.go
@@ -0,0 +1,69 @@
+package mesh
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoshed.example/mangoshed/pkg/exchange"
+)
+
+// readerOf answers the request on the connection with a text and then with another as often as told,
+// and returns how many bytes were taken from it.
+func readerOf(c net.Conn, first, again string, times int) <-chan int {
+	taken := make(chan int, 1)
+	go func() {
+		defer func() { _ = c.Close() }()
+		sent := 0
+		defer func() { taken <- sent }()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		for text := first; times >= 0; text, times = again, times-1 {
+			n, err := io.WriteString(c, text)
+			sent += n
+			if err != nil {
+				return
+			}
+		}
+		_, _ = io.Copy(io.Discard, c)
+	}()
+	return taken
+}
+
+func ignore() feedEvents {
+	return feedEvents{accepted: func() {}, proved: func(time.Time, time.Duration) error { return nil }}
+}
+
+// Guards against a reader whose head or frame has no end and fills the memory.
+func TestEndlessFeedIsCut(t *testing.T) {
+	piece := strings.Repeat("x", 4<<10)
+	frame := "\xa1\x03\x5b\x00\x00\x01\x00\x00\x00\x00\x00" // a change of 2^40 bytes
+	for name, test := range map[string]struct {
+		first, again string
+		bound        int
+	}{
+		"head":  {"HTTP/1.1 200 OK\r\nX-More: ", piece, 64 << 10},
+		"frame": {"HTTP/1.1 200 OK\r\n\r\n" + frame, piece, maxFrame + len(piece)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				taken := readerOf(far, test.first, test.again, 4*test.bound/len(piece))
+				f := newFeeds("a", "own:1", fleetOf(t, 3), false)
+				err := f.listen(near, "10.0.0.1:1", ignore())
+				_ = near.Close()
+				require.LessOrEqual(t, <-taken, test.bound+len(piece))
+				var over *exchange.BoundError
+				require.ErrorAs(t, err, &over)
+			})
+		})
+	}
+}
