Take a daemon whose answer passes a bound for there

Callers saw: an answer of another daemon that passes a bound, or has to make room for others, made the ingress take that daemon for unreachable: the reason said that its connection broke, and a probe and an instance less until the next sign of it followed.

Cause: each error of an exchange with another daemon counted as a lost connection.

Evidence: TestEndlessAnswerOfAnotherDaemon failed before: kind "cut" in place of "upstream_failed".

Change: a *BoundError is a failed answer that may have run (not run if the body was still held back); the reason names bound and remedy.

--- a/pkg/mesh/sender.go
+++ b/pkg/mesh/sender.go
@@ -66,6 +66,10 @@
 	if errors.Is(err, exchange.ErrAbandoned) {
 		return Result{Refusal: notRun(refusal.Cut, "the caller has gone", 0)}
 	}
+	var over *exchange.BoundError
+	if errors.As(err, &over) {
+		return overBound(err)
+	}
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			s.reach.failed(time.Now(), inst.Host())
@@ -83,6 +87,17 @@
 	return res
 }
 
+// overBound turns an answer that has passed a bound into a result. The other daemon is there.
+func overBound(err error) Result {
+	var failed *exchange.Error
+	refused := mayHaveRun(refusal.UpstreamFailed, "the answer of the instance's daemon failed: "+err.Error())
+	sent := !errors.As(err, &failed) || failed.Sent
+	if !sent {
+		refused.Run = refusal.NotRun
+	}
+	return Result{Arrived: sent, Refusal: refused}
+}
+
 // unreachable turns the error of an exchange with another daemon into a result.
 func unreachable(ctx context.Context, err error) Result {
 	var failed *exchange.Error
--- a/pkg/mesh/sender_test.go
+++ b/pkg/mesh/sender_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"mangoshed.example/mangoshed/core/catalog"
 	"mangoshed.example/mangoshed/core/placement"
 	"mangoshed.example/mangoshed/core/refusal"
+	"mangoshed.example/mangoshed/pkg/exchange"
 )
 
 // Replays a caller that leaves while the daemon, on a machine without processor time, opens a
@@ -54,3 +56,27 @@
 	require.Equal(t, placement.Cancelled, outcome(context.Background(), &res))
 	require.Zero(t, <-got, "bytes that reached the other daemon")
 }
+
+// Guards against a daemon that is taken for unreachable because its answer has no end, and against
+// taking the request for not run.
+func TestEndlessAnswerOfAnotherDaemon(t *testing.T) {
+	now := time.Now()
+	log := newDecisions(zap.NewNop(), 40)
+	fleet := fleetOf(t, 1)
+	s := NewSender("10.0.0.9:1", NewGuard("10.0.0.9:2", Headers{}, nil, log), fleet, nil, func() []string { return nil })
+	s.client = exchange.NewClient(exchange.Config{Dial: func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		readerOf(far, "HTTP/1.1 200 OK\r\n", "X-More: "+strings.Repeat("x", 4<<10)+"\r\n", 64)
+		return near, nil
+	}})
+	s.reach = newReachability(now, "10.0.0.9", 1, s.client, placement.New(fleet.View().Instances[0].Place, placement.DefaultCosts, 1), zap.NewNop())
+	s.reach.update(fleet.View())
+	job := Job{Instance: "0", Method: "GET", Target: "/x", Deadline: now.Add(time.Minute), Goal: now.Add(time.Minute)}
+	res := s.Send(context.Background(), &job, &fleet.View().Instances[0])
+	require.Equal(t, refusal.MayHaveRun, res.Refusal.Run)
+	require.Equal(t, refusal.UpstreamFailed, res.Refusal.Kind)
+	require.Contains(t, res.Refusal.Remedy, "more than 65536 bytes before the body of the answer")
+	require.True(t, res.Arrived)
+	require.False(t, res.Unreachable)
+	require.Equal(t, placement.Failed, outcome(context.Background(), &res))
+}
