Leave a reader of the store at once

Callers saw: after a reader had to be left, because it no longer follows the store, knows less than others or has left its role, the daemon asked the next one up to 0.8 s later than it could; a change may be in force that much later.

Cause: Close of a chunked body reads on to its end, which a feed has not: the daemon waited until the reader had been silent for feedSilence, or took its beacons until the read deadline.

Evidence: TestReaderIsLeftAtOnce (virtual time) failed before: 800 ms from the decision to leave until the feed had ended.

Change: the connection is closed before the body.

--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -373,7 +373,10 @@
 	if err != nil {
 		return err
 	}
-	defer func() { _ = resp.Body.Close() }()
+	defer func() {
+		_ = conn.Close() // before the body, whose Close would wait for the next frames
+		_ = resp.Body.Close()
+	}()
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case declinedStatus:
--- a/pkg/mesh/feed_endless_test.go
+++ b/pkg/mesh/feed_endless_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"mangoshed.example/mangoshed/pkg/exchange"
@@ -67,3 +68,24 @@
 		})
 	}
 }
+
+// Guards against a reader that is left only after it has been silent for some time.
+func TestReaderIsLeftAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		data, err := cbor.Marshal(frame{Revision: 1})
+		require.NoError(t, err)
+		near, far := net.Pipe()
+		taken := readerOf(far, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n"+string(data)+"\r\n", "", 0)
+		require.Len(t, data, 3)
+		f := newFeeds("a", "own:1", fleetOf(t, 3), false)
+		events := ignore()
+		events.proved = func(time.Time, time.Duration) error { return errNotNeeded }
+		began := time.Now()
+		err = f.listen(near, "10.0.0.1:1", events)
+		took := time.Since(began)
+		_ = near.Close()
+		<-taken
+		require.ErrorIs(t, err, errNotNeeded)
+		require.Zero(t, took)
+	})
+}
