Read the whole state when a watch brings more than may be held

After an answer to a watch that passes its bound the daemon asked again for the same changes with every backoff, and knew no change any more until the store had dropped them from its history. A store that answered without end was read until the deadline of the call.

Cause: each failure of a watch was taken for a failure that passes.

Change: after a *BoundError the next step is a read of the whole state, which comes in pages, with the usual backoff and log line before it.

--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"mangoshed.example/mangoshed/core/catalog"
+	"mangoshed.example/mangoshed/pkg/exchange"
 )
 
 const (
@@ -383,6 +384,10 @@
 		f.listed = false
 		return nil
 	}
+	var over *exchange.BoundError
+	if errors.As(err, &over) {
+		f.listed = false // the state comes in pages, and is less than all that has changed
+	}
 	if err != nil {
 		return err
 	}
