Bound the head of an answer of an upstream on the older data plane

Callers saw: nothing known. mangoshed run read up to 10 MB of an answer's status line, header or interim answers into memory, for each request, though a head above 48 kB does not pass a link between daemons.

Cause: http.Transport's default for MaxResponseHeaderBytes.

Evidence: TestEndlessHeadIsCut failed before in all cases: the upstream could send all that the test has (sixteen times the bound) and the connection was not closed. TestEndlessBodyEndsWithItsCaller passed before: bodies are streamed, and their end is that of the caller.

Change: MaxResponseHeaderBytes is 48 kB as on the links.

--- a/pkg/upstream/connections.go
+++ b/pkg/upstream/connections.go
@@ -16,6 +16,8 @@
 	dialTimeout = 250 * time.Millisecond
 	// idleConnection is the time after which an unused connection is closed.
 	idleConnection = 30 * time.Second
+	// maxAnswerHead bounds the bytes before the body of an answer: what a link to another daemon takes.
+	maxAnswerHead = 48 << 10
 )
 
 // dialer opens connections to the upstream.
@@ -120,7 +122,7 @@
 	defer cancel()
 	c := &connection{}
 	transport := &http.Transport{
-		DisableCompression: true, IdleConnTimeout: idleConnection,
+		DisableCompression: true, IdleConnTimeout: idleConnection, MaxResponseHeaderBytes: maxAnswerHead,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := p.dial(ctx, network, address)
 			if err != nil {
