Take an answer to HEAD that announces a length for whole

Callers saw: 502 for HEAD whenever the upstream told the length that GET would have.

Cause: the body was read up to the announced length, which does not follow an answer to HEAD.

Evidence: TestAnswerToHeadHasNoBody failed before: "the answer is longer than the bound" with a length above 64 MB (a shorter one was a cut body).

Change: no body is read where none follows. The caller still gets Content-Length 0 in place of the upstream's; that is not mended here.

--- a/pkg/exchange/body.go
+++ b/pkg/exchange/body.go
@@ -86,14 +86,14 @@
 		}
 		x.closeBody(head, err)
 	}()
-	limit := x.client.maxAnswer()
-	if head.ContentLength > limit {
+	limit, length := x.client.maxAnswer(), bodyLength(head)
+	if length > limit {
 		return nil, held, bodyError(limit)
 	}
-	if head.ContentLength == 0 {
+	if length == 0 {
 		return nil, held, held.arrived()
 	}
-	reader := bodyReader{share: held, limit: limit, length: head.ContentLength}
+	reader := bodyReader{share: held, limit: limit, length: length}
 	if err := reader.read(head.Body); err != nil {
 		return nil, held, err
 	}
@@ -102,18 +102,27 @@
 
 // skipBody reads the body of an answer to another request.
 func (x *transfer) skipBody(head *http.Response) error {
-	limit := x.client.maxAnswer()
-	n, err := int64(0), error(nil)
-	if head.ContentLength <= limit {
-		n, err = io.Copy(io.Discard, io.LimitReader(head.Body, limit+1))
+	limit, length := x.client.maxAnswer(), bodyLength(head)
+	var err error
+	if length <= limit {
+		length, err = io.Copy(io.Discard, io.LimitReader(head.Body, limit+1))
 	}
-	if err == nil && max(n, head.ContentLength) > limit {
+	if err == nil && length > limit {
 		err = bodyError(limit)
 	}
 	x.closeBody(head, err)
 	return err
 }
 
+// bodyLength returns the length of the body that follows a head, negative if it is not known. An
+// answer to HEAD announces one that does not follow.
+func bodyLength(head *http.Response) int64 {
+	if head.Body == http.NoBody {
+		return 0
+	}
+	return head.ContentLength
+}
+
 // closeBody closes a body that was read or has failed.
 func (x *transfer) closeBody(head *http.Response, failed error) {
 	if failed != nil {
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -342,3 +342,24 @@
 	h := http.Header{"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=5"}, "X-Kept": {"2"}, "Expect": {"100-continue"}}
 	require.Equal(t, http.Header{"X-Kept": {"2"}}, EndToEnd(h))
 }
+
+// Guards against an answer to HEAD that counts as cut because no body follows its length.
+func TestAnswerToHeadHasNoBody(t *testing.T) {
+	address := peer(t, func(c net.Conn, r *bufio.Reader) {
+		read(t, r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 100000000\r\n\r\n")
+		read(t, r)
+		respond(c, "2", "next")
+	})
+	x := client()
+	defer x.Close()
+	r := get(address, "1")
+	r.Method = http.MethodHead
+	resp, err := x.Do(context.Background(), r)
+	require.NoError(t, err)
+	require.Empty(t, resp.Body)
+	resp, err = x.Do(context.Background(), get(address, "2"))
+	require.NoError(t, err)
+	require.Equal(t, "next", string(resp.Body))
+	require.True(t, resp.Reused)
+}
