--- a/pkg/mesh/endless_test.go
+++ b/pkg/mesh/endless_test.go
@@ -116,6 +116,16 @@
 	nothingHeld(t, append(backs, ingress)...)
 }
 
+// Guards against more sends than the route allows when each answer has no end.
+func TestEndlessAnswersCountAsAttempts(t *testing.T) {
+	ingress, backs, _ := newSmallFleet(t, "a1", "a2", "b1", "b2")
+	setFault(backs, func(*meshtest.Request) meshtest.Fault { return meshtest.EndlessHeaders })
+	id, got := send(ingress, http.MethodGet, "/read/x", "")
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusBadGateway, got.status)
+	require.Equal(t, 3, runs(backs, id), "max_attempts of the route")
+}
+
 // Guards against answers without end that together take the memory of a daemon, and against usual
 // answers that fail beside them.
 func TestUsualAnswersPassBesideEndlessOnes(t *testing.T) {
