End the calls of a daemon's start with its follower

Callers saw: nothing. A closed daemon could still ask other daemons, with the settings that its owner may change by then.

Cause: the follower did not wait for the calls that it makes at the start, when one of them had won or its context had ended.

TestCallsOfTheStartEndWithTheFollower (virtual time) failed before: 2 calls still ran when the follower had ended.

Change: the first read cancels its calls and waits for them, after it has taken the answer that won.

--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -163,24 +163,29 @@
 // meanwhile, which names neighbours to ask.
 func (f *Follower) first(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, firstTimeout)
+	var calls sync.WaitGroup
+	defer calls.Wait()
 	defer cancel()
 	var patience time.Duration
 	switch {
 	case f.Seed:
 	case f.Decline:
 		patience = seedTime + rand.N(seedTime)
-		go f.introduce(ctx)
+		calls.Go(func() { f.introduce(ctx) })
 	default:
 		patience = rand.N(seedTime)
 	}
 	listed, told := make(chan listAnswer, 1), make(chan peerAnswer, askers)
-	list := time.AfterFunc(patience, func() {
+	calls.Go(func() {
+		if sleep(ctx, patience); ctx.Err() != nil {
+			listed <- listAnswer{err: ctx.Err()}
+			return
+		}
 		state, err := f.Store.List(ctx)
 		listed <- listAnswer{state, err}
 	})
-	defer list.Stop()
 	for range askers {
-		go f.askUntilTold(ctx, told)
+		calls.Go(func() { f.askUntilTold(ctx, told) })
 	}
 	select {
 	case a := <-listed:
