--- a/pkg/mesh/endless_test.go
+++ b/pkg/mesh/endless_test.go
@@ -67,7 +67,7 @@
 	}
 }
 
-// nothingHeld waits until no daemon holds an answer and no upstream a connection.
+// nothingHeld waits until no daemon holds an answer.
 func nothingHeld(t *testing.T, members ...*meshtest.Member) {
 	for _, m := range members {
 		eventually(t, "no answer is held", func() bool { return m.Daemon.Status().AnswerBytes == 0 })
