--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -107,6 +107,9 @@
 	d := &Daemon{settings: s, platform: p, log: log, registry: telemetry.NewRegistry(), leaving: make(chan struct{})}
 	d.setSeeds(s)
 	d.requests, d.end = context.WithCancelCause(context.Background())
+	if d.platform.Answers == nil {
+		d.platform.Answers = s.Limits.AnswerBudget()
+	}
 	var err error
 	if d.metrics, err = newMetrics(d.registry); err != nil {
 		return nil, err
@@ -126,13 +129,13 @@
 	log := newDecisions(d.log, s.Limits.LogLinesPerSecond)
 	seed := uint64(now.UnixNano()) ^ uint64(os.Getpid())<<48
 	d.fleet = NewFleet(d.log, d.onView)
-	d.guard = NewGuard(s.Upstream.Address, d.platform.Headers, log)
+	d.guard = NewGuard(s.Upstream.Address, d.platform.Headers, d.platform.Answers, log)
 	d.placer = placement.New(s.Place(), placement.DefaultCosts, seed)
 	d.placer.SetLink(hostOf(s.Listen.ForwardAddress), s.Limits.LinkMbps*1e6)
 	d.budget = retry.NewFleetBudget(retry.FleetRules{
 		Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance, Window: s.Bounds.RetryWindow,
 	}, now)
-	d.sender = NewSender(s.Listen.ForwardAddress, d.guard, d.fleet, func() []string { return *d.seeds.Load() })
+	d.sender = NewSender(s.Listen.ForwardAddress, d.guard, d.fleet, d.platform.Answers, func() []string { return *d.seeds.Load() })
 	d.reach = newReachability(now, hostOf(s.Listen.ForwardAddress), seed, d.sender.client, d.placer, d.log)
 	d.sender.reach = d.reach
 	d.ingress = &Ingress{
@@ -305,6 +308,7 @@
 	j.Left = func() bool { return left(r) }
 	res := d.guard.Run(r.Context(), j)
 	if r.Context().Err() != nil && !ended(r.Context()) {
+		res.Answer.Release()
 		panic(http.ErrAbortHandler)
 	}
 	if d.guard.Stopped() {
