Pass on an answer that arrived whole when its context ends

Found in review: an answer that had arrived whole was dropped, and counted as none, if the context ended between its arrival and its return. At the end of a planned stop that replaced an answer that was ready by 502. TestWholeAnswerOutlivesTheContext fails without the change; 300 runs pass with it.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -173,8 +173,8 @@
 		return nil, &Error{Reused: x.conn.used, Err: <-written}
 	}
 	resp, began, err := x.read()
-	if err == nil && ctx.Err() == nil {
-		// The rest of a body that was answered early is not sent.
+	if err == nil {
+		// A whole answer counts, also if the context has ended since. The rest of a body that was answered early is not sent.
 		select {
 		case writeErr := <-written:
 			x.reusable = x.reusable && writeErr == nil
@@ -189,10 +189,9 @@
 		resp.Reused = x.conn.used
 		return resp, nil
 	}
-	resp.Release()
 	_ = x.conn.SetDeadline(past)
 	join()
-	if err == nil || ctx.Err() != nil {
+	if ctx.Err() != nil {
 		err = ctx.Err()
 	}
 	return nil, &Error{Sent: true, Reused: x.conn.used, Began: began, Err: err}
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -363,3 +363,19 @@
 	require.Equal(t, "next", string(resp.Body))
 	require.True(t, resp.Reused)
 }
+
+// Guards against a whole answer that is dropped because the context ends between its arrival and
+// its return.
+func TestWholeAnswerOutlivesTheContext(t *testing.T) {
+	address := peer(t, func(c net.Conn, r *bufio.Reader) {
+		read(t, r)
+		respond(c, "a", "the whole answer")
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	req := get(address, "a")
+	req.Answering = cancel // head and body came in one segment
+	resp, err := client().Do(ctx, req)
+	require.NoError(t, err)
+	require.Equal(t, "the whole answer", string(resp.Body))
+}
