Bound the wait for a slot only when a daemon is told to stop

Found in review: the mend of the planned stop bounded every wait for a slot, at any time, by half of what a stop would leave, in case one came (2.65 s with a grace period of 6 s).

A daemon that is told to stop now tells the others beside which its jobs wait when it ends, at once and again when it closes, and names its end with each job that it still sends. The queue beside the instance gives back, as not run, what gets no slot with two usual runs left, by its own estimate. Without a stop nothing bounds the wait but the deadline.

TestStoppingDaemonGivesOtherDaemonsAResult guards what no test did: it fails if the result of a run that is cut is not sent.

--- a/core/drain/drain_test.go
+++ b/core/drain/drain_test.go
@@ -25,13 +25,8 @@
 
 // Guards against a run that starts so late that the process ends before its answer.
 func TestStartByLeavesTimeForTheRun(t *testing.T) {
-	p := New(time.Unix(0, 0), 6*time.Second)
-	for now := p.Began; now.Before(p.Ends); now = now.Add(10 * time.Millisecond) {
-		for _, run := range []time.Duration{0, 50 * time.Millisecond, time.Second, time.Minute} {
-			by := p.StartBy(now, run)
-			require.GreaterOrEqual(t, p.Ends.Sub(by), 2*run)
-			require.GreaterOrEqual(t, p.Ends.Sub(by), p.Ends.Sub(now)/2)
-		}
+	ends := time.Unix(10, 0)
+	for _, run := range []time.Duration{0, 50 * time.Millisecond, time.Second, time.Minute} {
+		require.Equal(t, 2*run, ends.Sub(StartBy(ends, run)))
 	}
-	require.Equal(t, p.Ends.Sub(p.Began)/2, StartWithin(6*time.Second))
 }
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -103,9 +103,11 @@
 	// Goal is the time by which the answer meets its objective; Deadline that after which it
 	// is useless.
 	Goal, Deadline time.Time
-	// StartBy is the time from which on the call must not start, because its sender may end
-	// before the answer; zero if there is none.
-	StartBy time.Time
+	// ID names the call to its sender.
+	ID string
+	// SenderEnds is the time at which the process that waits for the answer ends; zero if that
+	// is not known.
+	SenderEnds time.Time
 	// Objective is the latency objective of the route, for the first guess of its run time.
 	Objective time.Duration
 	// Decide receives the verdict of a call that waits. It is called once, from inside the
@@ -473,7 +475,7 @@
 func (q *Queue) NextTick() (next time.Time, ok bool) {
 	for _, c := range q.waiting {
 		at := c.Deadline.Add(-q.expected(c))
-		if by := q.startBy(c); !by.IsZero() && by.Before(at) {
+		if by, ok := q.startBy(c); ok && by.Before(at) {
 			at = by
 		}
 		if !ok || at.Before(next) {
--- a/core/intake/startby.go
+++ b/core/intake/startby.go
@@ -13,20 +13,32 @@
 	q.advance(now)
 }
 
-// startBy returns the time from which on the call must not start, zero if there is none.
-func (q *Queue) startBy(c *Call) time.Time {
-	if q.endAt.IsZero() {
-		return c.StartBy
+// SenderEndsAt says when the sender of waiting calls ends. Those that get no slot in time are
+// refused before that.
+func (q *Queue) SenderEndsAt(now, end time.Time, ids []string) {
+	sent := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		sent[id] = true
 	}
-	own := q.endAt.Add(-drain.RunReserve * q.expected(c))
-	if c.StartBy.IsZero() || own.Before(c.StartBy) {
-		return own
+	for _, c := range q.waiting {
+		if sent[c.ID] {
+			c.SenderEnds = end
+		}
 	}
-	return c.StartBy
+	q.advance(now)
+}
+
+// startBy returns the time from which on the call must not start; false if there is none.
+func (q *Queue) startBy(c *Call) (time.Time, bool) {
+	end := c.SenderEnds
+	if end.IsZero() || !q.endAt.IsZero() && q.endAt.Before(end) {
+		end = q.endAt
+	}
+	return drain.StartBy(end, q.expected(c)), !end.IsZero()
 }
 
 // tooLate reports whether the call must not start at a time any more.
 func (q *Queue) tooLate(c *Call, at time.Time) bool {
-	by := q.startBy(c)
-	return !by.IsZero() && !at.Before(by)
+	by, ok := q.startBy(c)
+	return ok && !at.Before(by)
 }
--- a/core/intake/startby_test.go
+++ b/core/intake/startby_test.go
@@ -14,32 +14,50 @@
 	teach(q, "r", 100)
 	running := fill(t, q, at(0), "r")
 	c, got := call("r", 1, 0, 5000, 10_000)
-	c.StartBy = at(300)
+	c.SenderEnds = at(500) // two runs of 100 ms have to fit
 	require.Equal(t, Waiting, q.Offer(at(0), c, true))
 	next, ok := q.NextTick()
 	require.True(t, ok)
 	require.Equal(t, at(300), next)
-	q.Advance(at(299))
+	q.Advance(at(140))
 	require.Empty(t, got.verdicts)
 	q.Advance(at(300))
 	require.Equal(t, []Verdict{Overloaded}, got.verdicts)
 	q.Done(at(310), running[0], true)
 
 	late, _ := call("r", 1, 310, 5000, 10_000)
-	late.StartBy = at(310)
+	late.SenderEnds = at(510)
 	require.Equal(t, Overloaded, q.Offer(at(310), late, true), "a slot is free, and the time has passed")
 }
 
+// Guards against calls that wait at another daemon when their sender is told to stop.
+func TestCallsAreGivenBackWhenTheirSenderStops(t *testing.T) {
+	q := New(1)
+	teach(q, "r", 100)
+	fill(t, q, at(0), "r")
+	stays, kept := call("r", 1, 0, 5000, 10_000)
+	stays.ID = "stays"
+	require.Equal(t, Waiting, q.Offer(at(0), stays, true))
+	c, got := call("r", 1, 0, 5000, 10_000)
+	c.ID = "c"
+	require.Equal(t, Waiting, q.Offer(at(0), c, true))
+	q.SenderEndsAt(at(10), at(1000), []string{"c", "unknown"})
+	require.Empty(t, got.verdicts)
+	q.Advance(at(990))
+	require.Equal(t, []Verdict{Overloaded}, got.verdicts)
+	require.Empty(t, kept.verdicts)
+}
+
 // Guards against a call that waits although it is known that it gets no slot in its sender's time.
 func TestCallThatCannotStartInItsSendersTimeIsRefusedAtOnce(t *testing.T) {
 	q := New(1)
 	teach(q, "r", 1000)
 	fill(t, q, at(0), "r")
 	c, _ := call("r", 1, 0, 5000, 10_000)
-	c.StartBy = at(900)
+	c.SenderEnds = at(2900)
 	require.Equal(t, Overloaded, q.Offer(at(0), c, true))
 	patient, _ := call("r", 1, 0, 5000, 10_000)
-	patient.StartBy = at(1100)
+	patient.SenderEnds = at(3100)
 	require.Equal(t, Waiting, q.Offer(at(0), patient, true))
 }
 
@@ -78,7 +96,7 @@
 	now := 0
 	for range 10 {
 		c, got := call("r", 1, now, 100, 10_000) // late
-		c.StartBy = at(now + 450)
+		c.SenderEnds = at(now + 450 + 800)
 		require.Equal(t, Waiting, q.Offer(at(now), c, true))
 		ahead, _ := call("r", 1, now, 5000, 10_000)
 		require.Equal(t, Waiting, q.Offer(at(now), ahead, true))
@@ -104,7 +122,7 @@
 		var running []*Call
 		decided := make(map[*Call]bool)
 		began := func(c *Call) {
-			require.True(t, now.Before(c.StartBy))
+			require.True(t, now.Add(2*q.expected(c)).Before(c.SenderEnds))
 			running = append(running, c)
 		}
 		for range rapid.IntRange(1, 150).Draw(t, "steps") {
@@ -113,7 +131,7 @@
 				q.Advance(now)
 			}
 			for c, done := range decided {
-				require.True(t, done || now.Before(c.StartBy), "a call waits beyond its time")
+				require.True(t, done || now.Add(2*q.expected(c)).Before(c.SenderEnds), "a call waits beyond its time")
 			}
 			if len(running) > 0 && rapid.Bool().Draw(t, "done") {
 				c := running[0]
@@ -123,7 +141,7 @@
 			}
 			c := &Call{
 				Route: "r", Nested: rapid.Bool().Draw(t, "nested"), Goal: now.Add(time.Second), Deadline: now.Add(10 * time.Second),
-				StartBy: now.Add(time.Duration(rapid.IntRange(-10, 500).Draw(t, "start by")) * time.Millisecond), Objective: time.Second,
+				SenderEnds: now.Add(time.Duration(rapid.IntRange(-10, 1000).Draw(t, "sender ends")) * time.Millisecond), Objective: time.Second,
 			}
 			c.Decide = func(v Verdict) {
 				decided[c] = true
--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -33,7 +33,7 @@
 	now := time.Now()
 	i.budget.Request(now, req.service)
 	if !i.canMakeIt(req, now) {
-		res := Result{Refusal: notRun(refusal.Deadline, "the time left is shorter than a usual run; allow more", 0)}
+		res := Result{Refusal: i.tooLate()}
 		return i.conclude(req, res, res)
 	}
 	var last Result
@@ -53,6 +53,14 @@
 	}
 }
 
+// tooLate refuses a request that has not been sent to any instance.
+func (i *Ingress) tooLate() *refusal.Refusal {
+	if i.plan.Load() != nil {
+		return notRun(refusal.Leaving, "the daemon stops before a run could end; connect again", stoppingRetry)
+	}
+	return notRun(refusal.Deadline, "the time left is shorter than a usual run; allow more", 0)
+}
+
 // done reports whether the answer is final. A failure of the upstream itself may be repeated
 // at another instance if the request may run twice.
 func done(req *request, res *Result) bool {
@@ -93,18 +101,22 @@
 	return true
 }
 
-// canMakeIt reports whether another attempt can be answered in time: a usual run takes at
-// least half of the mean.
+// canMakeIt reports whether another attempt can be answered in time, and before the process ends:
+// a usual run takes at least half of the mean.
 func (i *Ingress) canMakeIt(req *request, now time.Time) bool {
-	return req.deadline.Sub(now) >= max(minAttemptTime, i.placer.Run(req.route.Name)/2)
+	run := i.placer.Run(req.route.Name)
+	if plan := i.plan.Load(); plan != nil && !now.Before(drain.StartBy(plan.Ends, run)) {
+		return false
+	}
+	return req.deadline.Sub(now) >= max(minAttemptTime, run/2)
 }
 
 // attempt sends the request to one instance. It returns false when there is none.
 func (i *Ingress) attempt(ctx context.Context, req *request) (Result, bool) {
 	now := time.Now()
-	startBy := i.startBy(req, now)
-	if !now.Before(startBy) {
-		return Result{Refusal: notRun(refusal.Leaving, "the daemon stops before the request could be answered; connect again", stoppingRetry)}, false
+	var ends time.Time
+	if plan := i.plan.Load(); plan != nil {
+		ends = plan.Ends
 	}
 	choice, ok := i.placer.Choose(now, placement.Query{
 		Service: req.service, Route: req.route.Name, Exclude: req.exclude, Slack: req.goal.Sub(now), Bytes: len(req.job.Body) + headBytes,
@@ -113,7 +125,7 @@
 		return Result{Refusal: notRun(refusal.NoInstance, "no live instance of "+req.service+" can be reached; try again", noInstanceRetry)}, false
 	}
 	job := req.job
-	job.Instance, job.StartBy = choice.Instance.ID, startBy
+	job.Instance, job.SenderEnds = choice.Instance.ID, ends
 	// An instance that is known to be full and is the best choice all the same may let the
 	// request wait; one that seems to have a free slot is only asked for that. A request that
 	// has failed before is not worth a place in a queue: what failed it is mostly a lack of room.
@@ -126,15 +138,6 @@
 	return res, true
 }
 
-// startBy returns the time by which an upstream must begin to run an attempt, so that the daemon
-// lives to pass on the answer even if it is told to stop meanwhile.
-func (i *Ingress) startBy(req *request, now time.Time) time.Time {
-	if plan := i.plan.Load(); plan != nil {
-		return plan.StartBy(now, i.placer.Run(req.route.Name))
-	}
-	return now.Add(drain.StartWithin(i.grace))
-}
-
 // count keeps what an attempt says about further ones.
 func (i *Ingress) count(req *request, job *Job, res *Result) {
 	req.last = job.Instance
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -139,7 +139,7 @@
 	d.reach = newReachability(now, hostOf(s.Listen.ForwardAddress), seed, d.sender.client, d.placer, d.log)
 	d.sender.reach = d.reach
 	d.ingress = &Ingress{
-		service: s.Instance.Service, grace: s.Bounds.Grace, parent: d.platform.Parent, headers: d.platform.Headers, fleet: d.fleet, placer: d.placer, sender: d.sender,
+		service: s.Instance.Service, parent: d.platform.Parent, headers: d.platform.Headers, fleet: d.fleet, placer: d.placer, sender: d.sender,
 		budget: d.budget, metrics: d.metrics, log: log, random: random{src: rand.New(rand.NewPCG(seed, uint64(os.Getpid())))},
 	}
 	d.follower = &Follower{
@@ -325,6 +325,8 @@
 		d.sender.serveState(w, r)
 	case feedPath:
 		d.feed.ServeHTTP(w, r)
+	case endsPath:
+		d.serveEnds(w, r)
 	default:
 		http.NotFound(w, r)
 	}
--- a/pkg/mesh/drain.go
+++ b/pkg/mesh/drain.go
@@ -19,10 +19,10 @@
 	stoppingRetry = time.Second
 )
 
-// errEnded is the cause of the end of requests that the process does not live to answer.
+// errEnded ends the contexts of requests that are not answered when the process ends.
 var errEnded = errors.New("the process ends")
 
-// ended reports whether the process ends before the answer to a request.
+// ended reports whether a request's context ended because the process ends.
 func ended(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errEnded) }
 
 // Drain stops the daemon, once: it reports not ready, serves on until callers have had time to go
@@ -34,9 +34,12 @@
 	close(d.leaving)
 	d.ingress.plan.Store(&plan)
 	d.guard.EndAt(plan.Ends)
+	d.tasks.Go(func() { d.sender.AnnounceEnd(d.requests, plan.Ends, d.log) })
 	d.log.Info("daemon_stopping", zap.Int64("requests", d.ingress.active.Load()), zap.Int("jobs", d.guard.Active()))
 	time.Sleep(time.Until(plan.Closes))
 	d.guard.Stop()
+	// Again, for jobs that were under way when the stop began.
+	d.tasks.Go(func() { d.sender.AnnounceEnd(d.requests, plan.Ends, d.log) })
 	for time.Now().Before(plan.Ends) && d.busy() {
 		time.Sleep(drainPoll)
 	}
--- a/pkg/mesh/drain_test.go
+++ b/pkg/mesh/drain_test.go
@@ -77,10 +77,11 @@
 	_, _, backs := newFleet(t, 1, "a2")
 	back := backs[0]
 	back.Upstream.SetFault(func(*meshtest.Request) meshtest.Fault { return meshtest.Hang })
-	job := func(id string) *http.Response {
+	// job returns the result of a job, and whether its connection ends with it.
+	job := func(id string) (result string, ends bool) {
 		req, err := http.NewRequest(http.MethodGet, "http://"+back.Settings.Listen.ForwardAddress+"/read/x", nil)
 		if err != nil {
-			return nil
+			return err.Error(), false
 		}
 		req.Host = "app"
 		req.Header.Set(meshtest.Headers.RequestID, id)
@@ -89,20 +90,62 @@
 		defer transport.CloseIdleConnections()
 		resp, err := transport.RoundTrip(req)
 		if err != nil {
-			return nil
+			return err.Error(), false
 		}
-		_ = resp.Body.Close()
-		return resp
+		defer func() { _ = resp.Body.Close() }()
+		return resp.Header.Get("Mangoshed-Result"), resp.Close
 	}
 	var group sync.WaitGroup
-	group.Go(func() { _ = job("held") })
+	group.Go(func() { _, _ = job("held") })
 	eventually(t, "a job keeps the daemon from its end", func() bool { return len(back.Upstream.Seen()) == 1 })
 	group.Go(back.Daemon.Drain)
-	var refused *http.Response
+	var ends bool
 	eventually(t, "the daemon takes no more jobs", func() bool {
-		refused = job("refused")
-		return refused != nil && strings.Contains(refused.Header.Get("Mangoshed-Result"), string(refusal.Leaving))
+		var result string
+		result, ends = job("refused")
+		return strings.Contains(result, string(refusal.Leaving))
 	})
 	group.Wait()
-	require.True(t, refused.Close)
+	require.True(t, ends)
+}
+
+// Guards against requests that are refused, although nothing stops, because a stop that might come
+// would not leave them the time to wait.
+func TestRequestsWaitForLongerThanAStopTakes(t *testing.T) {
+	fleet, ingress, backs := newFleet(t, 1, "a2")
+	ingress.Daemon.Close()
+	ingress.Settings.Bounds.Grace = 100 * time.Millisecond
+	require.NoError(t, fleet.Restart(ingress))
+	fleet.Store.SetTable(patientTable(t, 2))
+	settled(t, fleet)
+	backs[0].Upstream.SetWork(50 * time.Millisecond)
+	var group sync.WaitGroup
+	answers := make([]reply, 6)
+	for n := range answers {
+		group.Go(func() { _, answers[n] = send(ingress, http.MethodGet, "/read/x", "") })
+	}
+	group.Wait()
+	for _, got := range answers {
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusOK, got.status)
+	}
+}
+
+// Guards against a run for another daemon's caller that is cut, at the end of the daemon beside
+// the upstream, without a result.
+func TestStoppingDaemonGivesOtherDaemonsAResult(t *testing.T) {
+	fleet, ingress, backs := newFleet(t, 1, "a2")
+	fleet.Store.SetTable(patientTable(t, 2))
+	settled(t, fleet)
+	back := backs[0]
+	back.Upstream.SetFault(func(*meshtest.Request) meshtest.Fault { return meshtest.Hang })
+	var group sync.WaitGroup
+	var got reply
+	group.Go(func() { _, got = send(ingress, http.MethodGet, "/read/x", "") })
+	eventually(t, "the request runs", func() bool { return len(back.Upstream.Seen()) == 1 })
+	back.Daemon.Drain()
+	group.Wait()
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusBadGateway, got.status)
+	require.NotContains(t, got.body, "the connection to the instance's daemon broke")
 }
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -130,6 +130,15 @@
 	g.schedule(now)
 }
 
+// SenderEndsAt says when the daemon that waits for jobs ends.
+func (g *Guard) SenderEndsAt(end time.Time, ids []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.queue.SenderEndsAt(now, end, ids)
+	g.schedule(now)
+}
+
 // Stopped reports whether the guard refuses new work because the daemon stops.
 func (g *Guard) Stopped() bool {
 	g.mu.Lock()
@@ -203,7 +212,7 @@
 func (g *Guard) run(ctx context.Context, j *Job) Result {
 	call := &intake.Call{
 		Route: j.Route, Priority: j.Priority, Returning: j.Returning, Nested: j.Nested, Goal: j.Goal, Deadline: j.Deadline,
-		StartBy: j.StartBy, Objective: j.Objective,
+		ID: j.ID, SenderEnds: j.SenderEnds, Objective: j.Objective,
 	}
 	if refused := g.admit(ctx, j, call); refused != nil {
 		return Result{Refusal: refused}
@@ -395,6 +404,8 @@
 		return Result{Refusal: notRun(refusal.UpstreamFailed, "the upstream does not accept connections: "+err.Error(), downTime)}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return Result{Arrived: true, Refusal: mayHaveRun(refusal.Deadline, "the upstream did not answer in time")}
+	case ended(ctx):
+		return Result{Arrived: true, Refusal: mayHaveRun(refusal.Cut, "the daemon beside the instance stopped before the answer")}
 	case ctx.Err() != nil:
 		return Result{Arrived: true, Refusal: mayHaveRun(refusal.Cut, "the caller has gone")}
 	}
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -46,8 +46,7 @@
 
 // Ingress takes the requests of callers. It implements http.Handler.
 type Ingress struct {
-	service string        // beside the daemon
-	grace   time.Duration // from an order to stop to the end of the process
+	service string // beside the daemon
 	headers Headers
 	// parent returns the request whose run makes one with an ID; nil if IDs do not tell.
 	parent  func(id string) (string, bool)
@@ -136,6 +135,9 @@
 	switch {
 	case ended(r.Context()):
 		outcome = outcomeCutByStop
+		if res.Refusal.Run == refusal.NotRun {
+			res.Refusal.RetryAfter = stoppingRetry
+		}
 		res.Refusal.Remedy = "the daemon stopped before the request was answered; send it to another one if it may run again"
 	case r.Context().Err() != nil || res.Refusal.Kind == refusal.Cut && left(r):
 		i.metrics.answered(req, outcomeCallerLeft)
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -18,8 +18,8 @@
 const (
 	headerJob    = refusal.HeaderPrefix + "Job"
 	headerResult = refusal.HeaderPrefix + "Result"
-	// headerStart carries Job.StartBy as milliseconds from now, only if it binds.
-	headerStart = refusal.HeaderPrefix + "Start"
+	// headerEnds carries Job.SenderEnds as milliseconds from now, only if that is known.
+	headerEnds = refusal.HeaderPrefix + "Ends"
 )
 
 // Flags of a job.
@@ -48,10 +48,10 @@
 	// waits for it.
 	MayWait, Returning, MayRepeat, Nested bool
 	Goal, Deadline                        time.Time
-	// StartBy is the time from which on the job must not start, because its sender may end
-	// before the answer; zero if only the deadline bounds its wait.
-	StartBy   time.Time
-	Objective time.Duration
+	// SenderEnds is the time at which the daemon that waits for the answer ends; zero while it
+	// is not told to stop.
+	SenderEnds time.Time
+	Objective  time.Duration
 
 	Method, Target, Host, ID string
 	Header                   http.Header
@@ -89,8 +89,8 @@
 		string(j.Instance), j.Route, j.Caller, j.flags(), strconv.Itoa(j.Priority), millis(j.Deadline.Sub(now)), millis(j.Goal.Sub(now)),
 		millis(j.Objective), strconv.FormatUint(revision, 10), j.Service, gossip,
 	)}
-	if !j.StartBy.IsZero() && j.StartBy.Before(j.Deadline) {
-		h[headerStart] = []string{millis(j.StartBy.Sub(now))}
+	if !j.SenderEnds.IsZero() {
+		h[headerEnds] = []string{millis(j.SenderEnds.Sub(now))}
 	}
 	return &exchange.Request{
 		Address: address, Method: j.Method, Target: j.Target, Host: j.Host, Header: h, Body: j.Body, HasBody: j.HasBody, ID: j.ID,
@@ -179,12 +179,12 @@
 	}
 	after := func(ms int64) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
 	flags := fields[3]
-	var startBy time.Time
-	if ms, err := strconv.ParseInt(r.Header.Get(headerStart), 10, 32); err == nil {
-		startBy = after(ms)
+	var ends time.Time
+	if ms, err := strconv.ParseInt(r.Header.Get(headerEnds), 10, 32); err == nil {
+		ends = after(ms)
 	}
 	return &Job{
-		StartBy: startBy, Instance: model.InstanceID(fields[0]), Route: fields[1], Caller: fields[2], Service: fields[9],
+		SenderEnds: ends, Instance: model.InstanceID(fields[0]), Route: fields[1], Caller: fields[2], Service: fields[9],
 		MayWait: strings.IndexByte(flags, flagMayWait) >= 0, Returning: strings.IndexByte(flags, flagReturning) >= 0,
 		MayRepeat: strings.IndexByte(flags, flagRepeat) >= 0, Nested: strings.IndexByte(flags, flagNested) >= 0,
 		Priority: int(numbers[0]), Deadline: after(numbers[1]), Goal: after(numbers[2]), Objective: time.Duration(numbers[3]) * time.Millisecond,
--- a/pkg/mesh/sender.go
+++ b/pkg/mesh/sender.go
@@ -44,12 +44,14 @@
 	turn int
 	// introduced are daemons to ask before a view names them.
 	introduced []string
+	// waiting holds the IDs of the jobs that wait for an answer, by the address of the daemon.
+	waiting map[string]map[string]bool
 }
 
 // NewSender returns a sender that passes jobs for the daemon's own forward address to the guard.
 func NewSender(own string, guard *Guard, fleet *Fleet, answers *exchange.Budget, seeds func() []string) *Sender {
 	return &Sender{
-		own: own, guard: guard, fleet: fleet, seeds: seeds,
+		own: own, guard: guard, fleet: fleet, seeds: seeds, waiting: make(map[string]map[string]bool),
 		client: exchange.NewClient(exchange.Config{
 			DialTimeout: peerDial, Unacknowledged: peerUnacknowledged, MaxIdle: peerIdle, Budget: answers,
 		}),
@@ -61,6 +63,8 @@
 	if inst.ForwardAddr == s.own {
 		return s.guard.Run(ctx, j)
 	}
+	s.note(inst.ForwardAddr, j.ID)
+	defer s.forget(inst.ForwardAddr, j.ID)
 	now := time.Now()
 	resp, err := s.client.Do(ctx, j.encode(now, inst.ForwardAddr, s.fleet.View().Revision, s.guard.suspects.gossip(now)))
 	if errors.Is(err, exchange.ErrAbandoned) {
