Do not hold a stopping process for connections without a request

Found in review: once nothing was left to finish, the servers closed their listeners and then waited up to the end of the grace period for connections that had not sent a request yet (listeners gone at 1.75 s, exit at 3.75 s with a grace period of 4 s). Callers were refused connections meanwhile. The last answers have 200 ms, at most until the planned exit.

New requests and jobs are refused for 200 ms before the connections are closed, so that others learn from an answer, not from a broken connection, that they have to go elsewhere.

--- a/pkg/mesh/drain.go
+++ b/pkg/mesh/drain.go
@@ -14,6 +14,11 @@
 const (
 	// drainPoll is the period of looks at what still runs.
 	drainPoll = 50 * time.Millisecond
+	// linger is the time for which new requests and jobs are refused before the connections on
+	// which they come are closed: other daemons learn that they have to go elsewhere.
+	linger = 200 * time.Millisecond
+	// lastAnswers is the time for the last answers to leave.
+	lastAnswers = 200 * time.Millisecond
 	// stoppingRetry is the time after which a stopping daemon should be asked again: callers that
 	// can go elsewhere have done so by then, and a restart takes about a second.
 	stoppingRetry = time.Second
@@ -40,6 +45,7 @@
 	d.guard.Stop()
 	// Again, for jobs that were under way when the stop began.
 	d.tasks.Go(func() { d.sender.AnnounceEnd(d.requests, plan.Ends, d.log) })
+	time.Sleep(linger)
 	for time.Now().Before(plan.Ends) && d.busy() {
 		time.Sleep(drainPoll)
 	}
@@ -47,11 +53,19 @@
 		d.log.Warn("requests_cut", zap.Int64("requests", d.ingress.active.Load()), zap.Int("jobs", d.guard.Active()))
 	}
 	d.end(errEnded)
-	d.shutdown(plan.Exits)
+	d.shutdown(earlier(plan.Exits, time.Now().Add(lastAnswers)))
 	d.stop()
 	d.log.Info("daemon_stopped", zap.Duration("took", time.Since(plan.Began)))
 }
 
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // busy reports whether a request of a caller or a job of another daemon is not answered yet.
 func (d *Daemon) busy() bool { return d.guard.Active() > 0 || d.ingress.active.Load() > 0 }
 
