Use no idle connection to a daemon that takes no more jobs

A daemon that hears that another takes no more closes its idle connections to it. TestConnectionsToADaemonThatLeavesAreNotUsedAgain fails without it.

--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -102,6 +102,16 @@
 	}
 }
 
+// CloseIdle closes the idle connections to an address.
+func (c *Client) CloseIdle(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, i := range c.idle[address] {
+		c.drop(address, i)
+	}
+	delete(c.idle, address)
+}
+
 // Close closes all idle connections; those in use are closed after their answer.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/pkg/mesh/sender.go
+++ b/pkg/mesh/sender.go
@@ -81,6 +81,10 @@
 		return unreachable(ctx, err)
 	}
 	res, from := decodeResult(resp)
+	if res.Refusal != nil && res.Refusal.Kind == refusal.Leaving {
+		// The daemon may end: what is sent on a connection that it is about to close may have run.
+		s.client.CloseIdle(inst.ForwardAddr)
+	}
 	if res.Answer == nil {
 		resp.Release()
 	}
--- a/pkg/mesh/sender_test.go
+++ b/pkg/mesh/sender_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -80,3 +83,44 @@
 	require.False(t, res.Unreachable)
 	require.Equal(t, placement.Failed, outcome(context.Background(), &res))
 }
+
+// Guards against a job that is sent on an idle connection to a daemon which takes no more: it may
+// be about to close it, and the job would count as one that may have run.
+func TestConnectionsToADaemonThatLeavesAreNotUsedAgain(t *testing.T) {
+	var mu sync.Mutex
+	var from []string
+	both := make(chan bool)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		from = append(from, r.RemoteAddr)
+		n := len(from)
+		mu.Unlock()
+		switch n {
+		case 1: // keeps its connection until the second job has one as well
+			<-both
+		case 2:
+			close(both)
+		}
+		writeResult(w, &Result{Refusal: notRun(map[bool]refusal.Kind{true: refusal.Leaving, false: refusal.Overloaded}[n == 3], "", 0)}, sender{})
+	}))
+	defer server.Close()
+	now := time.Now()
+	log := newDecisions(zap.NewNop(), 40)
+	fleet := fleetOf(t, 1)
+	s := NewSender("10.0.0.9:1", NewGuard("10.0.0.9:2", Headers{}, nil, log), fleet, nil, func() []string { return nil })
+	s.reach = newReachability(now, "10.0.0.9", 1, s.client, placement.New(fleet.View().Instances[0].Place, placement.DefaultCosts, 1), zap.NewNop())
+	inst := &catalog.Instance{}
+	inst.ID, inst.ForwardAddr = "i", server.Listener.Addr().String()
+	send := func() refusal.Kind {
+		job := Job{Instance: "i", Method: "GET", Target: "/x", Deadline: now.Add(time.Minute), Goal: now.Add(time.Minute)}
+		return s.Send(context.Background(), &job, inst).Refusal.Kind
+	}
+	var group sync.WaitGroup
+	group.Go(func() { send() })
+	group.Go(func() { send() })
+	group.Wait()
+	require.Equal(t, refusal.Leaving, send())
+	require.Equal(t, refusal.Overloaded, send())
+	require.NotContains(t, from[:3], from[3])
+	require.Contains(t, from[:2], from[2])
+}
