Answer the calls that outlast a drain

Callers saw: a call that still ran, or waited at another daemon, when the drain timeout of `mangoshed run` ended lost its connection without an answer (EOF). A caller cannot tell that from a request that was never read. So did a call whose body had stopped arriving, although it had not run.

Cause: at the end of the drain the daemon closed the connections of what it was still waiting for. A row's deadline may be 600 s, the drain timeout is 50 s by default, and nothing tied the one to the other.

Change: calls are given up 2 s before the end of the drain timeout, or at half of it. What certainly has not run is refused as leaving (503, not run), the rest as cut (502, may have run). An answer that has begun goes on until the end. Giving up also ends a read of a body, which the end of a context does not wake.

--- a/cmd/mangoshed/fleet_test.go
+++ b/cmd/mangoshed/fleet_test.go
@@ -76,8 +76,9 @@
 	daemons  []*child
 	// release lets the upstreams finish the requests to /slow.
 	release chan struct{}
-	// slow is the number of requests to /slow that wait for release.
-	slow atomic.Int64
+	// slow is the number of requests to /slow that wait for release, endless that of requests
+	// to /endless.
+	slow, endless atomic.Int64
 }
 
 // child is a daemon's process.
@@ -157,7 +158,7 @@
 }
 
 // upstream answers with its ID; under /slow it sends the ID in two parts, the second one
-// after the release.
+// after the release, and under /endless it never answers.
 func (f *fleet) upstream(id string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, id) })
@@ -170,6 +171,10 @@
 		<-f.release
 		_, _ = io.WriteString(w, id[3:])
 	})
+	mux.HandleFunc("/endless", func(_ http.ResponseWriter, r *http.Request) {
+		f.endless.Add(1)
+		<-r.Context().Done()
+	})
 	return mux
 }
 
@@ -371,6 +376,11 @@
 // restartWith starts a daemon that has stopped with another upstream.
 func (f *fleet) restartWith(d *child, upstream string) {
 	d.settings.Upstream.Address = upstream
+	f.restart(d)
+}
+
+// restart starts a daemon that has stopped with its present settings.
+func (f *fleet) restart(d *child) {
 	data, err := yaml.Marshal(d.settings)
 	require.NoError(f.t, err)
 	require.NoError(f.t, os.WriteFile(f.path(string(d.ID)+".yaml"), data, 0o600))
--- a/cmd/mangoshed/process_test.go
+++ b/cmd/mangoshed/process_test.go
@@ -260,6 +260,25 @@
 			require.NotEqual(t, string(leaving.ID), a.body)
 		}
 	})
+
+	// The caller must be told that its call may have run, before the process ends.
+	t.Run("call that outlasts the drain", func(t *testing.T) {
+		d := f.daemons[4]
+		f.signal(d, syscall.SIGTERM)
+		<-d.done
+		d.settings.DrainTimeoutSeconds = 4
+		f.restart(d)
+		answers := make(chan answer, 1)
+		go func() { answers <- call(d, http.MethodPost, "shifts", "/endless") }()
+		f.eventually(func() bool { return f.endless.Load() == 1 }, "the call does not run")
+		f.signal(d, syscall.SIGTERM)
+		a := <-answers
+		require.NoError(t, a.err)
+		require.Equal(t, http.StatusBadGateway, a.status, a.body)
+		require.Equal(t, refusal.MayHaveRun.String(), a.header.Get(refusal.HeaderRun))
+		<-d.done
+		require.Equal(t, 1, d.cmd.ProcessState.ExitCode(), "a call was not finished")
+	})
 }
 
 // runUpstream is an upstream in a process of its own. It writes the path of each request
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -30,9 +30,6 @@
 	headerTimeout = 10 * time.Second
 	// keepAlive is the time after which an unused connection of a caller is closed.
 	keepAlive = 2 * time.Minute
-	// lingerTime is how long a draining server answers requests that were under way
-	// on idle connections before it closes them.
-	lingerTime = 500 * time.Millisecond
 	// defaultMaxCalls bounds the calls in flight: each takes about 25 KB, and 64 KB more
 	// while its answer is copied.
 	defaultMaxCalls = 1024
@@ -58,6 +55,9 @@
 	// Linger is the time for which a draining server still answers on open
 	// connections. Default: 500 ms.
 	Linger time.Duration
+	// AnswerTime is how long the callers of calls that outlast a drain may take to read
+	// their refusals. Default: AnswerTime.
+	AnswerTime time.Duration
 	// MaxCalls bounds the calls in flight; more are refused (overloaded, not run).
 	// Default: 1,024.
 	MaxCalls int
@@ -73,6 +73,10 @@
 	draining atomic.Bool
 	stale    atomic.Bool
 	running  atomic.Int64
+	// stopping ends when a drain gives up the calls that still run.
+	stopping context.Context
+	giveUp   context.CancelFunc
+	givenUp  atomic.Int64
 
 	mu        sync.Mutex
 	listeners []net.Listener
@@ -87,6 +91,9 @@
 	if config.Linger == 0 {
 		config.Linger = lingerTime
 	}
+	if config.AnswerTime == 0 {
+		config.AnswerTime = AnswerTime
+	}
 	if config.MaxCalls == 0 {
 		config.MaxCalls = defaultMaxCalls
 	}
@@ -99,6 +106,7 @@
 		budget: budget,
 	}
 	s := &Server{Dispatcher: d, config: config}
+	s.stopping, s.giveUp = context.WithCancel(context.Background())
 	d.metrics = newMetrics(budget, &s.running)
 	if config.Registry != nil {
 		if err := d.register(config.Registry); err != nil {
@@ -146,27 +154,6 @@
 // that must not be repeated are refused (not run).
 func (s *Server) SetStale(on bool) { s.stale.Store(on) }
 
-// Drain stops accepting connections, refuses new calls on open ones and waits for the
-// running calls until the context ends.
-func (s *Server) Drain(ctx context.Context) error {
-	s.draining.Store(true)
-	s.mu.Lock()
-	for _, listener := range s.listeners {
-		_ = listener.Close()
-	}
-	s.mu.Unlock()
-	timer := time.NewTimer(s.config.Linger)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return s.http.Shutdown(ctx)
-}
-
-// Close cuts everything.
-func (s *Server) Close() error { return s.http.Close() }
-
 // exchange is one call of a caller with its answer.
 type exchange struct {
 	w       http.ResponseWriter
@@ -208,6 +195,8 @@
 		e.upload = stream.NewUpload(w, r, s.config.Idle, cancel)
 		defer e.upload.End()
 	}
+	answering := s.endWithDrain(e)
+	defer answering()
 	if refused != nil {
 		s.answerRefusal(e, refused)
 		return
@@ -218,7 +207,12 @@
 		defer c.body.free()
 	}
 	s.prepare(c, r)
-	resp, err := s.send(ctx, c) //nolint:bodyclose // stream.Answer closes it
+	resp, err := s.send(ctx, c)
+	if !answering() {
+		s.answerRefusal(e, stopped(resp, err))
+		discard(resp)
+		return
+	}
 	if err != nil {
 		s.answerRefusal(e, s.refusalFor(ctx, c, err))
 		return
--- a/pkg/daemon/calls.go
+++ b/pkg/daemon/calls.go
@@ -115,14 +115,27 @@
 
 // drain refuses new work and waits for what runs. The ingress and the guard drain side by
 // side, because each may wait for calls of the other one; the forward server stops last,
-// so that refusals and key records still reach the peers.
+// so that refusals and key records still reach the peers. Calls that outlast the drain are
+// given up while there is time for the refusals to their callers.
 func (c *calls) drain(ctx context.Context) error {
+	running, cancel := reserve(ctx, caller.AnswerTime)
+	defer cancel()
 	guard := make(chan error, 1)
-	go func() { guard <- c.guard.Drain(ctx) }()
-	err := c.callers.Drain(ctx)
+	go func() { guard <- c.guard.Drain(running) }()
+	err := c.callers.Drain(running)
 	return errors.Join(err, <-guard, c.forwardServer.Shutdown(ctx))
 }
 
+// reserve returns a context that ends before ctx by the time, but not before half of the
+// time left. It ends with ctx if that has no deadline.
+func reserve(ctx context.Context, at time.Duration) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline.Add(-min(at, time.Until(deadline)/2)))
+}
+
 // close cuts what is left.
 func (c *calls) close() {
 	_ = c.callers.Close()
--- a/pkg/stream/watch.go
+++ b/pkg/stream/watch.go
@@ -45,6 +45,7 @@
 	mu      sync.Mutex
 	watch   *Watch
 	done    bool
+	ended   bool
 }
 
 // NewUpload wraps the body of the request that w answers. cancel ends the call.
@@ -80,9 +81,21 @@
 	return u.done
 }
 
+// Abort ends a read that waits, and all further ones. It does nothing after End.
+func (u *Upload) Abort() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.ended {
+		_ = u.control.SetReadDeadline(time.Now())
+	}
+}
+
 // End must be called before the handler returns. It ends a read that still waits.
 func (u *Upload) End() {
 	u.stop(false)
+	u.mu.Lock()
+	u.ended = true
+	u.mu.Unlock()
 	if !u.Done() {
 		_ = u.control.SetReadDeadline(time.Now().Add(drainTime))
 	}
