Drop lines of the log after its end instead of a crash

Seen by reading the end of `mangoshed mesh run`: the drain closes the connections of requests that it cuts, returns without waiting for their handlers and for the follower, and the log's writer is closed. The handlers log `request_ended` just then.

Evidence: TestBoundedWriterTakesLinesAfterClose.

Change: Close marks the writer as closed, and later lines are dropped and counted.

--- a/pkg/telemetry/bounded.go
+++ b/pkg/telemetry/bounded.go
@@ -15,7 +15,9 @@
 	lines   chan []byte
 	dropped atomic.Uint64
 	done    chan struct{}
-	close   sync.Once
+
+	mu     sync.RWMutex // guards closed; held while a line is put into the channel
+	closed bool
 }
 
 // flushTimeout bounds the wait of Close for a writer that blocks.
@@ -28,8 +30,14 @@
 	return w
 }
 
-// Write takes one line. It always succeeds.
+// Write takes one line. It always succeeds; after Close the line is dropped.
 func (w *BoundedWriter) Write(p []byte) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		w.dropped.Add(1)
+		return len(p), nil
+	}
 	line := append([]byte(nil), p...)
 	select {
 	case w.lines <- line:
@@ -45,15 +53,25 @@
 // Dropped returns the number of lines dropped and not reported yet.
 func (w *BoundedWriter) Dropped() uint64 { return w.dropped.Load() }
 
-// Close writes what is held and stops. No line may be written afterwards.
+// Close writes what is held and stops.
 func (w *BoundedWriter) Close() {
-	w.close.Do(func() { close(w.lines) })
+	w.stop()
 	select {
 	case <-w.done:
 	case <-time.After(flushTimeout):
 	}
 }
 
+// stop closes the channel once.
+func (w *BoundedWriter) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+}
+
 func (w *BoundedWriter) run() {
 	defer close(w.done)
 	for line := range w.lines {
--- a/pkg/telemetry/bounded_test.go
+++ b/pkg/telemetry/bounded_test.go
@@ -40,3 +40,25 @@
 	require.Equal(t, 100-int(dropped), strings.Count(out.text.String(), "line\n"))
 	require.Contains(t, out.text.String(), "event=log_lines_dropped")
 }
+
+// Guards against a crash at the end of a process, when requests that it cuts write their last lines.
+func TestBoundedWriterTakesLinesAfterClose(t *testing.T) {
+	out := &blockedWriter{open: make(chan struct{})}
+	close(out.open)
+	w := NewBoundedWriter(out, 4)
+	var group sync.WaitGroup
+	for range 4 {
+		group.Go(func() {
+			for range 1000 {
+				_, _ = w.Write([]byte("line\n"))
+			}
+		})
+	}
+	w.Close()
+	n, err := w.Write([]byte("late\n"))
+	require.NoError(t, err)
+	require.Equal(t, len("late\n"), n)
+	group.Wait()
+	<-w.done
+	require.NotContains(t, out.text.String(), "late\n")
+}
