Take the calls of runs that a drain waits for

Callers saw: a request whose upstream makes a call of its own, through the daemon beside it, failed when that daemon was told to stop in the meantime, although the drain waited for the run: the upstream answered 500.

Cause: the ingress closed its listeners and refused everything at the start of the drain, side by side with the guard, also what the guard's runs need.

Evidence: the case "nested call" of TestStops, with processes. Before: the upstream's call got `dial tcp 127.122.157.4:8084: connect: connection refused`, and the caller 500.

Change: a drain first leaves, then drains. While it leaves, the ingress takes calls of the upstream's own service that carry the depth of a run, over TLS; both are proven by the certificate. It drains when the guard has. Callers without a certificate are turned away at once, as before; a nested call that comes over plain HTTP cannot be told from theirs and is still refused.

--- a/cmd/mangoshed/fleet_test.go
+++ b/cmd/mangoshed/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -25,6 +26,7 @@
 	"mangoshed.example/mangoshed/core/refusal"
 	"mangoshed.example/mangoshed/pkg/audit"
 	"mangoshed.example/mangoshed/pkg/ctl"
+	"mangoshed.example/mangoshed/pkg/identity"
 	"mangoshed.example/mangoshed/pkg/operator"
 	"mangoshed.example/mangoshed/pkg/platform/standin"
 	"mangoshed.example/mangoshed/pkg/settings"
@@ -79,6 +81,10 @@
 	// slow is the number of requests to /slow that wait for release, endless that of requests
 	// to /endless.
 	slow, endless atomic.Int64
+	// nesting receives the instances that run a request to /nested, which calls the service
+	// through its own daemon once releaseNested is closed.
+	nesting       chan model.InstanceID
+	releaseNested chan struct{}
 }
 
 // child is a daemon's process.
@@ -99,9 +105,10 @@
 // newFleet starts the daemons on loopback addresses of their own and waits until all of
 // them are ready with version 1.
 func newFleet(t *testing.T, signed bool) *fleet {
-	f := &fleet{t: t, dir: t.TempDir(), signed: signed, platform: standin.New(standin.Config{}), release: make(chan struct{})}
+	f := &fleet{t: t, dir: t.TempDir(), signed: signed, platform: standin.New(standin.Config{}), release: make(chan struct{}), nesting: make(chan model.InstanceID, 1), releaseNested: make(chan struct{})}
 	f.address = f.serve("127.0.0.1:0", f.platform)
 	f.ctl("keys", "authority", "--out", f.dir)
+	f.ctl("keys", "service", "shifts", "--authority", f.dir, "--out", f.dir)
 	if signed {
 		f.ctl("keys", "sign", "--out", f.dir)
 	}
@@ -128,8 +135,8 @@
 	region, dc, _ := strings.Cut(place, "/")
 	s := settings.Default()
 	s.Instance = settings.Instance{ID: id, Service: "shifts", Region: region, DataCentre: dc}
-	s.Listen = settings.Listen{CallerAddress: ip + ":8080", ForwardAddress: ip + ":8081", ControlAddress: ip + ":8082", AdminAddress: ip + ":8083"}
-	s.Upstream.Address = f.serve(ip+":9000", f.upstream(id))
+	s.Listen = settings.Listen{CallerAddress: ip + ":8080", CallerTLSAddress: ip + ":8084", ForwardAddress: ip + ":8081", ControlAddress: ip + ":8082", AdminAddress: ip + ":8083"}
+	s.Upstream.Address = f.serve(ip+":9000", f.upstream(id, ip+":8084"))
 	s.Platform.Address, s.Platform.Region = f.address, "klang"
 	s.TLS = settings.TLS{CAFile: f.path("ca.pem"), CertFile: f.path(id + ".pem"), KeyFile: f.path(id + ".key")}
 	if f.signed {
@@ -158,8 +165,9 @@
 }
 
 // upstream answers with its ID; under /slow it sends the ID in two parts, the second one
-// after the release, and under /endless it never answers.
-func (f *fleet) upstream(id string) http.Handler {
+// after the release, under /endless it never answers, and under /nested it passes on the
+// answer of a call of its own through its daemon at the address.
+func (f *fleet) upstream(id, daemon string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, id) })
 	mux.HandleFunc("/slow", func(w http.ResponseWriter, r *http.Request) {
@@ -175,6 +183,16 @@
 		f.endless.Add(1)
 		<-r.Context().Done()
 	})
+	mux.HandleFunc("/nested", func(w http.ResponseWriter, r *http.Request) {
+		f.nesting <- model.InstanceID(id)
+		<-f.releaseNested
+		a := f.callNested(model.InstanceID(id), daemon, r)
+		if a.err != nil {
+			a.status, a.body = http.StatusInternalServerError, a.err.Error()
+		}
+		w.WriteHeader(a.status)
+		_, _ = io.WriteString(w, a.body)
+	})
 	return mux
 }
 
@@ -358,12 +376,34 @@
 
 // call makes one call through a daemon on a connection of its own.
 func call(d *child, method, service, path string) answer {
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: bound}
 	req, err := http.NewRequest(method, "http://"+d.settings.Listen.CallerAddress+path, http.NoBody)
 	if err != nil {
 		return answer{err: err}
 	}
 	req.Host = service
+	return send(req, nil)
+}
+
+// callNested makes a call of the own service through a daemon, within the run of a request.
+func (f *fleet) callNested(daemon model.InstanceID, address string, parent *http.Request) answer {
+	source, err := identity.Load(identity.Files{CA: f.path("ca.pem"), Cert: f.path("shifts.pem"), Key: f.path("shifts.key")})
+	if err != nil {
+		return answer{err: err}
+	}
+	req, err := http.NewRequestWithContext(parent.Context(), http.MethodGet, "https://"+address+"/", http.NoBody)
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Host = "shifts"
+	for _, name := range []string{refusal.HeaderDepth, refusal.HeaderRemaining} {
+		req.Header[name] = parent.Header[name]
+	}
+	return send(req, source.ClientTLS(daemon, "http/1.1"))
+}
+
+// send sends a request on a connection of its own.
+func send(req *http.Request, config *tls.Config) answer {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: config}, Timeout: bound}
 	resp, err := client.Do(req)
 	if err != nil {
 		return answer{err: err}
--- a/cmd/mangoshed/process_test.go
+++ b/cmd/mangoshed/process_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -279,6 +280,24 @@
 		<-d.done
 		require.Equal(t, 1, d.cmd.ProcessState.ExitCode(), "a call was not finished")
 	})
+
+	// A run that the drain waits for must be able to make the calls that it needs.
+	t.Run("nested call", func(t *testing.T) {
+		answers := make(chan answer, 1)
+		go func() { answers <- call(f.daemons[3], http.MethodPost, "shifts", "/nested") }()
+		id := <-f.nesting
+		leaving := f.daemons[slices.IndexFunc(f.daemons, func(d *child) bool { return d.ID == id })]
+		f.signal(leaving, syscall.SIGTERM)
+		f.eventually(func() bool { return f.status(leaving).State == "leaving" }, "the daemon does not leave")
+		f.eventually(func() bool { return call(leaving, http.MethodGet, "shifts", "/").err != nil }, "the daemon takes calls")
+		close(f.releaseNested)
+		a := <-answers
+		require.NoError(t, a.err)
+		require.Equal(t, http.StatusOK, a.status, a.body)
+		require.NotEqual(t, string(id), a.body)
+		<-leaving.done
+		require.Equal(t, 0, leaving.cmd.ProcessState.ExitCode())
+	})
 }
 
 // runUpstream is an upstream in a process of its own. It writes the path of each request
--- a/pkg/caller/answer_test.go
+++ b/pkg/caller/answer_test.go
@@ -244,7 +244,7 @@
 	drained.Wait()
 	_, err = net.Dial("tcp", addr)
 	require.Error(t, err)
-	_, _, refused := server.admit(&http.Request{}, false)
+	_, _, refused := server.admit(&http.Request{}, "")
 	require.Equal(t, refusal.Leaving, refused.Kind)
 	require.Equal(t, refusal.NotRun, refused.Run)
 }
--- a/pkg/caller/drain.go
+++ b/pkg/caller/drain.go
@@ -37,16 +37,21 @@
 // Unwrap returns the cause.
 func (e *DrainError) Unwrap() error { return e.Err }
 
+// Leave refuses new calls, but for those that the local upstream makes within its runs: a
+// run that the daemon waits for would fail without them. They come over TLS, with the
+// certificate of the upstream's service and the depth of the run.
+func (s *Server) Leave() {
+	s.leaving.Store(true)
+	s.closeListeners(&s.plain)
+}
+
 // Drain stops accepting connections, refuses new calls on open ones and waits for the
 // running calls until the context ends. What still runs then is given up: its callers get
 // refusals, for which they have the AnswerTime. The error is a *DrainError.
 func (s *Server) Drain(ctx context.Context) error {
-	s.draining.Store(true)
-	s.mu.Lock()
-	for _, listener := range s.listeners {
-		_ = listener.Close()
-	}
-	s.mu.Unlock()
+	s.Leave()
+	s.drained.Store(true)
+	s.closeListeners(&s.secure)
 	timer := time.NewTimer(s.config.Linger)
 	defer timer.Stop()
 	select {
@@ -64,6 +69,23 @@
 	return &DrainError{GivenUp: s.givenUp.Load(), Cut: cut, Err: err}
 }
 
+// closeListeners closes listeners that Serve or ServeTLS accept from.
+func (s *Server) closeListeners(listeners *[]net.Listener) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, listener := range *listeners {
+		_ = listener.Close()
+	}
+}
+
+// takes reports whether a call may run. service is that of the caller's certificate.
+func (s *Server) takes(r *http.Request, service string) bool {
+	if !s.leaving.Load() {
+		return true
+	}
+	return !s.drained.Load() && service == s.config.Self.Service && r.Header.Get(refusal.HeaderDepth) != ""
+}
+
 // shutdown closes idle connections and waits for the others. That a listener is closed
 // already is no failure.
 func (s *Server) shutdown(ctx context.Context) error {
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -68,18 +68,21 @@
 // Server answers callers.
 type Server struct {
 	*Dispatcher
-	config   Config
-	http     *http.Server
-	draining atomic.Bool
-	stale    atomic.Bool
-	running  atomic.Int64
+	config Config
+	http   *http.Server
+	// leaving is set by Leave and drained by Drain.
+	leaving atomic.Bool
+	drained atomic.Bool
+	stale   atomic.Bool
+	running atomic.Int64
 	// stopping ends when a drain gives up the calls that still run.
 	stopping context.Context
 	giveUp   context.CancelFunc
 	givenUp  atomic.Int64
 
-	mu        sync.Mutex
-	listeners []net.Listener
+	mu sync.Mutex
+	// plain are the listeners of Serve, secure those of ServeTLS.
+	plain, secure []net.Listener
 }
 
 // New returns a server that does not listen yet. It fails when the registry refuses
@@ -125,26 +128,26 @@
 	return s, nil
 }
 
-// Serve accepts plain HTTP until Drain.
+// Serve accepts plain HTTP until Leave or Drain.
 func (s *Server) Serve(listener net.Listener) error {
-	s.track(listener)
+	s.track(&s.plain, listener)
 	return s.ended(s.http.Serve(listener))
 }
 
 // ServeTLS accepts HTTPS until Drain. Own services show their certificates here.
 func (s *Server) ServeTLS(listener net.Listener) error {
-	s.track(listener)
+	s.track(&s.secure, listener)
 	return s.ended(s.http.ServeTLS(listener, "", ""))
 }
 
-func (s *Server) track(listener net.Listener) {
+func (s *Server) track(listeners *[]net.Listener, listener net.Listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.listeners = append(s.listeners, listener)
+	*listeners = append(*listeners, listener)
 }
 
 func (s *Server) ended(err error) error {
-	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() {
+	if errors.Is(err, http.ErrServerClosed) || s.leaving.Load() {
 		return nil
 	}
 	return err
@@ -170,12 +173,7 @@
 	e := &exchange{w: w, r: r, started: time.Now(), expects: r.Header.Get("Expect") != ""}
 	running := s.running.Add(1)
 	defer s.running.Add(-1)
-	var own bool
-	if r.TLS != nil {
-		peer, err := identity.PeerOf(*r.TLS)
-		own = err == nil && peer.Service != ""
-	}
-	c, limit, refused := s.admit(r, own)
+	c, limit, refused := s.admit(r, serviceOfPeer(r))
 	if running > int64(s.config.MaxCalls) {
 		refused = tooMany
 	}
@@ -283,11 +281,26 @@
 	Kind: refusal.Overloaded, Run: refusal.NotRun, RetryAfter: time.Second, Remedy: "the daemon has too many calls in flight; try again",
 }
 
-// admit returns the call and its time limit, or its refusal.
-func (s *Server) admit(r *http.Request, own bool) (*call, time.Duration, *refusal.Refusal) {
-	if s.draining.Load() {
+// serviceOfPeer returns the own service whose certificate the caller holds, empty for
+// strangers.
+func serviceOfPeer(r *http.Request) string {
+	if r.TLS == nil {
+		return ""
+	}
+	peer, err := identity.PeerOf(*r.TLS)
+	if err != nil {
+		return "" // a caller needs no certificate
+	}
+	return peer.Service
+}
+
+// admit returns the call and its time limit, or its refusal. service is that of the
+// caller's certificate.
+func (s *Server) admit(r *http.Request, service string) (*call, time.Duration, *refusal.Refusal) {
+	if !s.takes(r, service) {
 		return nil, 0, &refusal.Refusal{Kind: refusal.Leaving, Run: refusal.NotRun, Remedy: "connect again; this daemon stops"}
 	}
+	own := service != ""
 	if refused := check(r, own); refused != nil {
 		return nil, 0, refused
 	}
--- a/pkg/daemon/calls.go
+++ b/pkg/daemon/calls.go
@@ -113,17 +113,16 @@
 	return c.router.Explain(service, time.Now())
 }
 
-// drain refuses new work and waits for what runs. The ingress and the guard drain side by
-// side, because each may wait for calls of the other one; the forward server stops last,
-// so that refusals and key records still reach the peers. Calls that outlast the drain are
-// given up while there is time for the refusals to their callers.
+// drain refuses new work and waits for what runs. The ingress serves what runs, and the
+// calls that this makes, until the guard has drained; the forward server stops last, so that
+// refusals and key records still reach the peers. Calls that outlast the drain are given up
+// while there is time for the refusals to their callers.
 func (c *calls) drain(ctx context.Context) error {
 	running, cancel := reserve(ctx, caller.AnswerTime)
 	defer cancel()
-	guard := make(chan error, 1)
-	go func() { guard <- c.guard.Drain(running) }()
-	err := c.callers.Drain(running)
-	return errors.Join(err, <-guard, c.forwardServer.Shutdown(ctx))
+	c.callers.Leave()
+	guard := c.guard.Drain(running)
+	return errors.Join(guard, c.callers.Drain(running), c.forwardServer.Shutdown(ctx))
 }
 
 // reserve returns a context that ends before ctx by the time, but not before half of the
