Hand the keys over and answer other daemons when a drain times out

Callers saw: one request that outlasted the drain timeout, with a key or without, cost all keys of the instance. Whoever sent a key of the last 10 min again got `unknown_outcome` from the successor although its request had been answered. A request that came from another daemon was cut together with the connection between the daemons.

Cause: the guard returned at the end of the drain, before the hand-over, and the core hands nothing over while a keyed request runs.

Change: what still waits for the upstream's answer at the end of a drain is given up (cut, may have run; leaving if nothing was sent), 1 s before the end of the drain timeout and 1 s after the calls of the daemon's own callers, so that these are not tried again elsewhere. The keys are handed over in any case, beside the refusals to callers and as soon as no keyed request runs.

--- a/pkg/caller/drain.go
+++ b/pkg/caller/drain.go
@@ -39,17 +39,19 @@
 
 // Leave refuses new calls, but for those that the local upstream makes within its runs: a
 // run that the daemon waits for would fail without them. They come over TLS, with the
-// certificate of the upstream's service and the depth of the run.
-func (s *Server) Leave() {
+// certificate of the upstream's service and the depth of the run. Calls that still run when
+// the context ends are given up: their callers get refusals.
+func (s *Server) Leave(ctx context.Context) {
+	context.AfterFunc(ctx, s.giveUp)
 	s.leaving.Store(true)
 	s.closeListeners(&s.plain)
 }
 
 // Drain stops accepting connections, refuses new calls on open ones and waits for the
-// running calls until the context ends. What still runs then is given up: its callers get
-// refusals, for which they have the AnswerTime. The error is a *DrainError.
+// running calls until the context ends. What still runs then is given up, and its callers
+// have the AnswerTime to take their refusals. The error is a *DrainError.
 func (s *Server) Drain(ctx context.Context) error {
-	s.Leave()
+	s.Leave(ctx)
 	s.drained.Store(true)
 	s.closeListeners(&s.secure)
 	timer := time.NewTimer(s.config.Linger)
@@ -59,14 +61,17 @@
 	case <-ctx.Done():
 	}
 	err := s.shutdown(ctx)
-	if err == nil {
-		return nil
+	cut := false
+	if err != nil {
+		s.giveUp()
+		answers, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.config.AnswerTime)
+		defer cancel()
+		cut = s.shutdown(answers) != nil
 	}
-	s.giveUp()
-	answers, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.config.AnswerTime)
-	defer cancel()
-	cut := s.shutdown(answers) != nil
-	return &DrainError{GivenUp: s.givenUp.Load(), Cut: cut, Err: err}
+	if calls := s.givenUp.Load(); err != nil || calls > 0 {
+		return &DrainError{GivenUp: calls, Cut: cut, Err: context.Cause(ctx)}
+	}
+	return nil
 }
 
 // closeListeners closes listeners that Serve or ServeTLS accept from.
--- a/pkg/caller/drain_test.go
+++ b/pkg/caller/drain_test.go
@@ -118,7 +118,7 @@
 	}
 	open := connect("shifts")
 	require.Equal(t, "4", request(open, depth).body)
-	server.Leave()
+	server.Leave(context.Background())
 	_, err = net.Dial("tcp", plain)
 	require.Error(t, err)
 	require.Equal(t, "4", request(open, depth).body)
--- a/pkg/daemon/calls.go
+++ b/pkg/daemon/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"mangoshed.example/mangoshed/core/admission"
@@ -113,16 +114,26 @@
 	return c.router.Explain(service, time.Now())
 }
 
+// refusalTime is the part of a drain for the refusals of calls of other daemons that outlast
+// it. Those of callers are given up before, so that the ingress does not try them elsewhere.
+const refusalTime = caller.AnswerTime / 2
+
 // drain refuses new work and waits for what runs. The ingress serves what runs, and the
 // calls that this makes, until the guard has drained; the forward server stops last, so that
 // refusals and key records still reach the peers. Calls that outlast the drain are given up
-// while there is time for the refusals to their callers.
+// while there is time for the refusals.
 func (c *calls) drain(ctx context.Context) error {
-	running, cancel := reserve(ctx, caller.AnswerTime)
-	defer cancel()
-	c.callers.Leave()
+	ingress, cancelIngress := reserve(ctx, caller.AnswerTime)
+	defer cancelIngress()
+	running, cancelRunning := reserve(ctx, refusalTime)
+	defer cancelRunning()
+	c.callers.Leave(ingress)
 	guard := c.guard.Drain(running)
-	return errors.Join(guard, c.callers.Drain(running), c.forwardServer.Shutdown(ctx))
+	var handOver sync.WaitGroup
+	handOver.Go(func() { c.guard.HandOver(ctx) })
+	callers := c.callers.Drain(ingress)
+	handOver.Wait()
+	return errors.Join(guard, callers, c.forwardServer.Shutdown(ctx))
 }
 
 // reserve returns a context that ends before ctx by the time, but not before half of the
--- a/pkg/upstream/guard.go
+++ b/pkg/upstream/guard.go
@@ -82,6 +82,9 @@
 	exchange   exchange
 	active     int
 	idle       chan struct{}
+	// stopping ends when a drain gives up the requests that still run.
+	stopping context.Context
+	giveUp   context.CancelFunc
 
 	// ctx ends at Close.
 	ctx   context.Context
@@ -109,6 +112,7 @@
 		quarantine: quarantine.NewTable(), ctx: ctx, stop: stop, idle: make(chan struct{}, 1),
 	}
 	g.keys = newKeys(g, now)
+	g.stopping, g.giveUp = context.WithCancel(context.Background())
 	if cfg.Registry != nil {
 		if err := g.register(cfg.Registry); err != nil {
 			stop()
@@ -221,59 +225,6 @@
 	return g.runLocal(req, admission.NonRepeatable)
 }
 
-// handOverTimeout bounds the hand-over of keys, so that a stop does not wait for peers that
-// are dead or stop at the same time.
-const handOverTimeout = 3 * time.Second
-
-// Drain refuses new work, waits for running requests and hands the keys over. It returns the
-// context's error when requests still run at its end; keys that no peer takes are logged.
-func (g *Guard) Drain(ctx context.Context) error {
-	g.mu.Lock()
-	g.draining = true
-	g.queue.Close()
-	g.mu.Unlock()
-	g.keys.leave()
-	for {
-		g.mu.Lock()
-		active := g.active
-		g.mu.Unlock()
-		if active == 0 {
-			break
-		}
-		select {
-		case <-g.idle:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-	handOver, cancel := context.WithTimeout(ctx, handOverTimeout)
-	defer cancel()
-	if err := g.keys.handOver(handOver); err != nil {
-		g.log.Warn("keys_not_handed_over", zap.Error(err),
-			zap.String("remedy", "none needed: successors answer unknown_outcome for these keys"))
-	}
-	return nil
-}
-
-// begin and end count what Drain waits for.
-func (g *Guard) begin() {
-	g.mu.Lock()
-	g.active++
-	g.mu.Unlock()
-}
-
-func (g *Guard) end() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.active--
-	if g.active == 0 {
-		select {
-		case g.idle <- struct{}{}:
-		default:
-		}
-	}
-}
-
 // Close ends the timers and the idle connections.
 func (g *Guard) Close() {
 	g.keys.mu.Lock()
--- a/pkg/upstream/guard_test.go
+++ b/pkg/upstream/guard_test.go
@@ -299,7 +299,7 @@
 		}()
 		synctest.Wait()
 		drained := make(chan error)
-		go func() { drained <- mine.Drain(context.Background()) }()
+		go func() { drained <- drain(context.Background(), mine) }()
 		synctest.Wait()
 		_, refused, _ = call(mine, request(context.Background(), "GET", ""))
 		require.Equal(t, refusal.Leaving, refused.Kind)
--- a/pkg/upstream/keys.go
+++ b/pkg/upstream/keys.go
@@ -209,12 +209,14 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.core.Finish(id, state, data)
+	k.progress()
 }
 
 func (k *keys) clear(id once.Digest) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.core.Clear(id)
+	k.progress()
 }
 
 func (k *keys) figures() (keys, answerBytes int) {
--- a/pkg/upstream/local.go
+++ b/pkg/upstream/local.go
@@ -29,6 +29,9 @@
 	run    *quarantine.Run
 	conn   *connection
 	cancel context.CancelFunc
+	// answering is called when an answer has begun; it reports false if the end of a drain has
+	// ended the request before.
+	answering func() bool
 }
 
 // runLocal runs the request on the local upstream.
@@ -38,7 +41,8 @@
 		return nil, notRun(refusal.Cut, "the request's body ended early: "+err.Error())
 	}
 	ctx, cancel := context.WithCancel(req.Context())
-	a := &attempt{guard: g, cancel: cancel}
+	a := &attempt{guard: g, cancel: cancel, answering: context.AfterFunc(g.stopping, cancel)}
+	defer a.answering()
 	if refused := a.admit(ctx, fingerprint, class); refused != nil {
 		cancel()
 		return nil, refused
@@ -181,7 +185,7 @@
 	g := a.guard
 	conn, err := g.pool.get(ctx)
 	if err != nil {
-		refused := failure(ctx, refusal.NotRun, err)
+		refused := a.failure(ctx, refusal.NotRun, err)
 		a.finish(false)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			g.suspectCrash()
@@ -195,12 +199,17 @@
 		g.mu.Unlock()
 	})
 	resp, err := conn.client.RoundTrip(a.outgoing(ctx, req))
+	if err == nil && !a.answering() {
+		_ = resp.Body.Close()
+		a.cancel()
+		err = context.Canceled
+	}
 	if err != nil {
 		run := refusal.MayHaveRun
 		if !conn.seal() {
 			run = refusal.NotRun
 		}
-		refused := failure(ctx, run, err)
+		refused := a.failure(ctx, run, err)
 		g.pool.drop(conn)
 		a.conn = nil
 		if ctx.Err() == nil && run == refusal.MayHaveRun {
@@ -286,7 +295,10 @@
 }
 
 // failure turns an error of the transport into a refusal.
-func failure(ctx context.Context, run refusal.Run, err error) *refusal.Refusal {
+func (a *attempt) failure(ctx context.Context, run refusal.Run, err error) *refusal.Refusal {
+	if !a.answering() && ctx.Err() != nil {
+		return stopped(run)
+	}
 	r := &refusal.Refusal{Kind: refusal.UpstreamFailed, Run: run, Remedy: "the upstream's connection failed: " + err.Error()}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/pkg/upstream/ownership.go
+++ b/pkg/upstream/ownership.go
@@ -188,10 +188,7 @@
 		default:
 		}
 	}
-	select {
-	case k.moved <- struct{}{}:
-	default:
-	}
+	k.progress()
 }
 
 func (k *keys) deliver(s once.Send) {
@@ -276,19 +273,13 @@
 	k.send(k.core.Leave(time.Now()))
 }
 
-// handOver hands the records to the other instances and waits until they have them.
+// handOver hands the records to the other instances once no keyed request runs, and waits until
+// they have them.
 func (k *keys) handOver(ctx context.Context) error {
 	k.mu.Lock()
 	owner := k.core.Confirmed()
-	k.send(k.core.HandRecords(time.Now()))
 	k.mu.Unlock()
-	for owner && k.guard.cfg.Peers != nil {
-		k.mu.Lock()
-		done := k.core.HandedOver()
-		k.mu.Unlock()
-		if done {
-			return nil
-		}
+	for owner && !k.handedOver() {
 		select {
 		case <-k.moved:
 		case <-ctx.Done():
@@ -297,3 +288,21 @@
 	}
 	return nil
 }
+
+// handedOver starts the hand-over if nothing keeps it, and reports whether it is complete.
+func (k *keys) handedOver() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if sends := k.core.HandRecords(time.Now()); len(sends) > 0 {
+		k.send(sends)
+	}
+	return k.guard.cfg.Peers == nil || k.core.HandedOver()
+}
+
+// progress wakes handOver.
+func (k *keys) progress() {
+	select {
+	case k.moved <- struct{}{}:
+	default:
+	}
+}
