Refuse requests whose bodies do not arrive while a daemon stops

Callers saw: a request that met a leaving daemon was refused only after the start of its body had arrived, up to the idle time of 10 s later. One whose body never arrived held the drain, and at its end the connection between the daemons was closed under it: the other daemon got no answer, and had to take it for a request that may have run although nothing had been sent to the upstream.

Cause: the guard reads the start of a body before it looks whether it takes work, and nothing but the idle time ends such a read.

Evidence: TestLeavingDoesNotReadBodies, before: kind "cut" in place of "leaving", since the body was read. TestCallsWithoutTheirBodiesAreRefusedAtTheEnd, before, with the server closed as the daemon does: no answer until the test's time limit (20 s).

--- a/pkg/daemon/calls.go
+++ b/pkg/daemon/calls.go
@@ -127,6 +127,7 @@
 	defer cancelIngress()
 	running, cancelRunning := reserve(ctx, refusalTime)
 	defer cancelRunning()
+	context.AfterFunc(running, c.forwardServer.GiveUp)
 	c.callers.Leave(ingress)
 	guard := c.guard.Drain(running)
 	var handOver sync.WaitGroup
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -39,6 +39,9 @@
 type Server struct {
 	config ServerConfig
 	http   *http.Server
+	// stopping ends when bodies that still arrive are given up.
+	stopping context.Context
+	giveUp   context.CancelFunc
 }
 
 // NewServer returns a server that does not listen yet.
@@ -50,6 +53,7 @@
 		config.ErrorLog = log.New(io.Discard, "", 0)
 	}
 	s := &Server{config: config}
+	s.stopping, s.giveUp = context.WithCancel(context.Background())
 	protocols := new(http.Protocols)
 	protocols.SetHTTP2(true)
 	s.http = &http.Server{
@@ -71,6 +75,10 @@
 	return err
 }
 
+// GiveUp ends the reads of bodies whose calls have no answer yet, so that these can be refused
+// before the server is closed.
+func (s *Server) GiveUp() { s.giveUp() }
+
 // Shutdown stops accepting, tells the peers to send nothing new on their connections
 // and waits for the running calls until the context ends.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
@@ -131,12 +139,15 @@
 	out.Host, out.RequestURI = service, ""
 	// A transport would probe a body of unknown kind for its first byte.
 	out.Body = http.NoBody
+	answering := func() bool { return true }
 	if r.ContentLength != 0 {
 		body := stream.NewUpload(w, r, s.config.Idle, cancel)
 		defer body.End()
 		out.Body = body
+		answering = context.AfterFunc(s.stopping, body.Abort)
 	}
 	resp, err := s.config.Calls.RoundTrip(out) //nolint:bodyclose // stream.Answer closes it
+	answering()
 	if err != nil {
 		s.refuse(w, asRefusal(err))
 		return
--- a/pkg/forward/shutdown_test.go
+++ b/pkg/forward/shutdown_test.go
@@ -144,6 +144,40 @@
 	}
 }
 
+// Guards against a call that is cut at the end of a planned stop, with an unknown outcome, while
+// its body has not arrived and it has not run.
+func TestCallsWithoutTheirBodiesAreRefusedAtTheEnd(t *testing.T) {
+	f := newFleet(t)
+	entered := make(chan struct{})
+	server, inst := serve(t, f, func(r *http.Request) (*http.Response, error) {
+		close(entered)
+		_, err := io.ReadAll(r.Body)
+		return nil, &refusal.Refusal{Kind: refusal.Cut, Run: refusal.NotRun, Remedy: err.Error()}
+	}, nil)
+	type result struct {
+		resp *http.Response
+		err  error
+	}
+	answered := make(chan result, 1)
+	never := make(waitReader)
+	go func() {
+		req := call(context.Background(), "POST", "a body")
+		req.Body = io.NopCloser(never)
+		resp, err := newClient(t, f).RoundTrip(inst, req) //nolint:bodyclose // closed by the receiver
+		answered <- result{resp, err}
+	}()
+	<-entered
+	server.GiveUp()
+	require.NoError(t, server.Shutdown(context.Background()))
+	got := <-answered
+	close(never)
+	require.NoError(t, got.err)
+	defer func() { _ = got.resp.Body.Close() }()
+	refused, ok := refusal.FromResponse(got.resp)
+	require.True(t, ok)
+	require.Equal(t, refusal.NotRun, refused.Run)
+}
+
 type errReader struct{}
 
 func (errReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
--- a/pkg/upstream/drain_test.go
+++ b/pkg/upstream/drain_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -76,6 +78,25 @@
 	}
 }
 
+// Guards against a leaving daemon that reads a body before it refuses the request: a body may
+// not arrive for as long as the drain lasts.
+func TestLeavingDoesNotReadBodies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fake{script: say(fine)}
+		g, end := newGuard(t, f, nil)
+		defer end()
+		require.NoError(t, drain(context.Background(), g))
+		for _, method := range []string{"GET", "POST"} {
+			unread := request(context.Background(), method, "body")
+			unread.Body = io.NopCloser(iotest.ErrReader(errors.New("the body was read")))
+			_, refused, _ := call(g, unread)
+			require.NotNil(t, refused)
+			require.Equal(t, refusal.Leaving, refused.Kind, refused)
+			require.Equal(t, refusal.NotRun, refused.Run)
+		}
+	})
+}
+
 // ownKey returns a key that the guard owns.
 func ownKey(g *Guard) string {
 	for n := 0; ; n++ {
--- a/pkg/upstream/local.go
+++ b/pkg/upstream/local.go
@@ -36,6 +36,9 @@
 
 // runLocal runs the request on the local upstream.
 func (g *Guard) runLocal(req *http.Request, class admission.Class) (*http.Response, *refusal.Refusal) {
+	if g.closed() {
+		return nil, refusalOf(admission.Closed)
+	}
 	fingerprint, err := g.peek(req)
 	if err != nil {
 		return nil, notRun(refusal.Cut, "the request's body ended early: "+err.Error())
@@ -50,6 +53,13 @@
 	return a.send(ctx, req)
 }
 
+// closed reports whether new work is refused, so that nobody waits for its body.
+func (g *Guard) closed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draining
+}
+
 // peek reads the start of the body for the fingerprint, before the request holds a slot.
 func (g *Guard) peek(req *http.Request) (quarantine.Fingerprint, error) {
 	var head []byte
