--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -30,9 +30,6 @@
 	headerTimeout = 10 * time.Second
 	// keepAlive is the time after which an unused connection of a caller is closed.
 	keepAlive = 2 * time.Minute
-	// lingerTime is how long a draining server answers requests that were under way
-	// on idle connections before it closes them.
-	lingerTime = 500 * time.Millisecond
 	// defaultMaxCalls bounds the calls in flight: each takes about 25 KB, and 64 KB more
 	// while its answer is copied.
 	defaultMaxCalls = 1024
@@ -58,6 +55,9 @@
 	// Linger is the time for which a draining server still answers on open
 	// connections. Default: 500 ms.
 	Linger time.Duration
+	// AnswerTime is how long the callers of calls that outlast a drain may take to read
+	// their refusals. Default: AnswerTime.
+	AnswerTime time.Duration
 	// MaxCalls bounds the calls in flight; more are refused (overloaded, not run).
 	// Default: 1,024.
 	MaxCalls int
@@ -68,14 +68,21 @@
 // Server answers callers.
 type Server struct {
 	*Dispatcher
-	config   Config
-	http     *http.Server
-	draining atomic.Bool
-	stale    atomic.Bool
-	running  atomic.Int64
+	config Config
+	http   *http.Server
+	// leaving is set by Leave and drained by Drain.
+	leaving atomic.Bool
+	drained atomic.Bool
+	stale   atomic.Bool
+	running atomic.Int64
+	// stopping ends when a drain gives up the calls that still run.
+	stopping context.Context
+	giveUp   context.CancelFunc
+	givenUp  atomic.Int64
 
-	mu        sync.Mutex
-	listeners []net.Listener
+	mu sync.Mutex
+	// plain are the listeners of Serve, secure those of ServeTLS.
+	plain, secure []net.Listener
 }
 
 // New returns a server that does not listen yet. It fails when the registry refuses
@@ -87,6 +94,9 @@
 	if config.Linger == 0 {
 		config.Linger = lingerTime
 	}
+	if config.AnswerTime == 0 {
+		config.AnswerTime = AnswerTime
+	}
 	if config.MaxCalls == 0 {
 		config.MaxCalls = defaultMaxCalls
 	}
@@ -99,6 +109,7 @@
 		budget: budget,
 	}
 	s := &Server{Dispatcher: d, config: config}
+	s.stopping, s.giveUp = context.WithCancel(context.Background())
 	d.metrics = newMetrics(budget, &s.running)
 	if config.Registry != nil {
 		if err := d.register(config.Registry); err != nil {
@@ -117,26 +128,26 @@
 	return s, nil
 }
 
-// Serve accepts plain HTTP until Drain.
+// Serve accepts plain HTTP until Leave or Drain.
 func (s *Server) Serve(listener net.Listener) error {
-	s.track(listener)
+	s.track(&s.plain, listener)
 	return s.ended(s.http.Serve(listener))
 }
 
 // ServeTLS accepts HTTPS until Drain. Own services show their certificates here.
 func (s *Server) ServeTLS(listener net.Listener) error {
-	s.track(listener)
+	s.track(&s.secure, listener)
 	return s.ended(s.http.ServeTLS(listener, "", ""))
 }
 
-func (s *Server) track(listener net.Listener) {
+func (s *Server) track(listeners *[]net.Listener, listener net.Listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.listeners = append(s.listeners, listener)
+	*listeners = append(*listeners, listener)
 }
 
 func (s *Server) ended(err error) error {
-	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() {
+	if errors.Is(err, http.ErrServerClosed) || s.leaving.Load() {
 		return nil
 	}
 	return err
@@ -146,27 +157,6 @@
 // that must not be repeated are refused (not run).
 func (s *Server) SetStale(on bool) { s.stale.Store(on) }
 
-// Drain stops accepting connections, refuses new calls on open ones and waits for the
-// running calls until the context ends.
-func (s *Server) Drain(ctx context.Context) error {
-	s.draining.Store(true)
-	s.mu.Lock()
-	for _, listener := range s.listeners {
-		_ = listener.Close()
-	}
-	s.mu.Unlock()
-	timer := time.NewTimer(s.config.Linger)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return s.http.Shutdown(ctx)
-}
-
-// Close cuts everything.
-func (s *Server) Close() error { return s.http.Close() }
-
 // exchange is one call of a caller with its answer.
 type exchange struct {
 	w       http.ResponseWriter
@@ -183,12 +173,7 @@
 	e := &exchange{w: w, r: r, started: time.Now(), expects: r.Header.Get("Expect") != ""}
 	running := s.running.Add(1)
 	defer s.running.Add(-1)
-	var own bool
-	if r.TLS != nil {
-		peer, err := identity.PeerOf(*r.TLS)
-		own = err == nil && peer.Service != ""
-	}
-	c, limit, refused := s.admit(r, own)
+	c, limit, refused := s.admit(r, serviceOfPeer(r))
 	if running > int64(s.config.MaxCalls) {
 		refused = tooMany
 	}
@@ -208,6 +193,8 @@
 		e.upload = stream.NewUpload(w, r, s.config.Idle, cancel)
 		defer e.upload.End()
 	}
+	answering := s.endWithDrain(e)
+	defer answering()
 	if refused != nil {
 		s.answerRefusal(e, refused)
 		return
@@ -218,7 +205,12 @@
 		defer c.body.free()
 	}
 	s.prepare(c, r)
-	resp, err := s.send(ctx, c) //nolint:bodyclose // stream.Answer closes it
+	resp, err := s.send(ctx, c)
+	if !answering() {
+		s.answerRefusal(e, stopped(resp, err))
+		discard(resp)
+		return
+	}
 	if err != nil {
 		s.answerRefusal(e, s.refusalFor(ctx, c, err))
 		return
@@ -289,11 +281,26 @@
 	Kind: refusal.Overloaded, Run: refusal.NotRun, RetryAfter: time.Second, Remedy: "the daemon has too many calls in flight; try again",
 }
 
-// admit returns the call and its time limit, or its refusal.
-func (s *Server) admit(r *http.Request, own bool) (*call, time.Duration, *refusal.Refusal) {
-	if s.draining.Load() {
+// serviceOfPeer returns the own service whose certificate the caller holds, empty for
+// strangers.
+func serviceOfPeer(r *http.Request) string {
+	if r.TLS == nil {
+		return ""
+	}
+	peer, err := identity.PeerOf(*r.TLS)
+	if err != nil {
+		return "" // a caller needs no certificate
+	}
+	return peer.Service
+}
+
+// admit returns the call and its time limit, or its refusal. service is that of the
+// caller's certificate.
+func (s *Server) admit(r *http.Request, service string) (*call, time.Duration, *refusal.Refusal) {
+	if !s.takes(r, service) {
 		return nil, 0, &refusal.Refusal{Kind: refusal.Leaving, Run: refusal.NotRun, Remedy: "connect again; this daemon stops"}
 	}
+	own := service != ""
 	if refused := check(r, own); refused != nil {
 		return nil, 0, refused
 	}
