Know routes of the kind download

The kind is known to the sheet, the checks and the adapter. Its requests may be repeated; its answers are held within the budget of bytes of a daemon, streaming is not built.

TestDecodeKinds and TestKinds fail without it.

--- a/core/route/csv.go
+++ b/core/route/csv.go
@@ -97,7 +97,7 @@
 	r := Route{Name: name, Host: cells[1], Prefix: cells[2]}
 	kind := slices.Index(kindNames, cells[3])
 	if kind < 0 {
-		c.add(name, columns[3], cells[3], "unknown kind", "use safe, unsafe or upload")
+		c.add(name, columns[3], cells[3], "unknown kind", kindRemedy)
 		kind = 0
 	}
 	r.Kind = Kind(kind)
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -20,10 +20,15 @@
 	Safe
 	// Upload requests have large bodies and run at most once.
 	Upload
+	// Download requests have large answers and may run more than once.
+	Download
 )
 
 // kindNames is indexed by Kind.
-var kindNames = []string{"unsafe", "safe", "upload"}
+var kindNames = []string{"unsafe", "safe", "upload", "download"}
+
+// kindRemedy says which kinds there are.
+const kindRemedy = "use safe, unsafe, upload or download"
 
 // String returns the name that the CSV form uses.
 func (k Kind) String() string {
@@ -34,7 +39,7 @@
 }
 
 // MayRepeat reports whether a request may be sent again after it may have run.
-func (k Kind) MayRepeat() bool { return k == Safe }
+func (k Kind) MayRepeat() bool { return k == Safe || k == Download }
 
 // Share is the part of a route's requests that goes to a service.
 type Share struct {
--- a/core/route/validate.go
+++ b/core/route/validate.go
@@ -92,8 +92,8 @@
 	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
 		c.add(r.Name, "prefix", r.Prefix, "prefix does not begin and end with a slash", "use for example /orders/")
 	}
-	if r.Kind > Upload {
-		c.add(r.Name, "kind", r.Kind.String(), "unknown kind", "use safe, unsafe or upload")
+	if r.Kind > Download {
+		c.add(r.Name, "kind", r.Kind.String(), "unknown kind", kindRemedy)
 	}
 	if r.Timeout <= 0 || r.Timeout > MaxTimeout {
 		c.add(r.Name, "timeout_ms", r.Timeout.String(), "timeout is out of range", "use 1 to 600000 ms")
