--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -1,12 +1,10 @@
 package exchange
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -32,9 +30,7 @@
 	// ErrAbandoned says that Request.Abandoned was true before the request was sent.
 	ErrAbandoned = errors.New("the request was abandoned before it was sent")
 
-	errForeign = errors.New("the answers on the connection belong to other requests")
-	errInterim = errors.New("too many interim answers")
-	errTooLong = errors.New("the answer is longer than the bound")
+	errClosing = errors.New("the connection ends with the answer to another request")
 )
 
 // Request is one request. The body is held in memory, so that it can be sent again.
@@ -62,13 +58,22 @@
 	Answering func()
 }
 
-// Response is a whole answer.
+// Response is a whole answer. Release it when the body is not needed any more.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
 	// Reused says that the request went over a connection that had served others.
 	Reused bool
+	held   *share
+}
+
+// Release gives the bytes of the body back to the budget of the client. It may be called more than
+// once, and without an answer.
+func (r *Response) Release() {
+	if r != nil && r.held != nil {
+		r.held.release()
+	}
 }
 
 // Error is a request without a whole answer.
@@ -133,7 +138,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer)}, nil
+	return newConn(c), nil
 }
 
 // transfer is one request on its connection.
@@ -168,8 +173,8 @@
 		return nil, &Error{Reused: x.conn.used, Err: <-written}
 	}
 	resp, began, err := x.read()
-	if err == nil && ctx.Err() == nil {
-		// The rest of a body that was answered early is not sent.
+	if err == nil {
+		// A whole answer counts, also if the context has ended since. The rest of a body that was answered early is not sent.
 		select {
 		case writeErr := <-written:
 			x.reusable = x.reusable && writeErr == nil
@@ -186,7 +191,7 @@
 	}
 	_ = x.conn.SetDeadline(past)
 	join()
-	if err == nil || ctx.Err() != nil {
+	if ctx.Err() != nil {
 		err = ctx.Err()
 	}
 	return nil, &Error{Sent: true, Reused: x.conn.used, Began: began, Err: err}
@@ -223,6 +228,8 @@
 	if _, err := x.conn.Write(head); err != nil {
 		return err
 	}
+	x.conn.source.BoundHead()
+	defer x.conn.source.Unbound()
 	for range maxInterim {
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
 		if err != nil {
@@ -277,89 +284,6 @@
 	return 0
 }
 
-// read returns the answer to the request; began says that a part of it arrived.
-func (x *transfer) read() (resp *Response, began bool, err error) {
-	for range maxForeign {
-		head, err := x.readHead() //nolint:bodyclose // readBody closes it
-		if err != nil {
-			return nil, began, err
-		}
-		began = true
-		if x.request.Answering != nil {
-			x.request.Answering()
-		}
-		body, err := x.readBody(head)
-		if err != nil {
-			return nil, began, err
-		}
-		if x.foreign(head) {
-			if head.Close {
-				return nil, false, errForeign
-			}
-			began = false
-			continue
-		}
-		x.conn.lifetime = parseKeepAlive(head.Header.Get("Keep-Alive"))
-		x.reusable = !head.Close && framed(head) && x.conn.reader.Buffered() == 0
-		return &Response{Status: head.StatusCode, Header: head.Header, Body: body}, true, nil
-	}
-	return nil, false, errForeign
-}
-
-// framed reports whether the end of the answer is known without the end of the connection.
-func framed(head *http.Response) bool {
-	return head.ContentLength >= 0 || len(head.TransferEncoding) > 0
-}
-
-// foreign reports whether an answer names another request.
-func (x *transfer) foreign(head *http.Response) bool {
-	if x.client.cfg.RequestID == "" {
-		return false
-	}
-	id := head.Header.Get(x.client.cfg.RequestID)
-	return id != "" && id != x.request.ID
-}
-
-// readHead reads the header of the next final answer.
-func (x *transfer) readHead() (*http.Response, error) {
-	if resp := x.refused; resp != nil {
-		x.refused = nil
-		resp.Close = true
-		return resp, nil
-	}
-	for range maxInterim {
-		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
-		if err != nil {
-			if errors.Is(err, io.EOF) {
-				err = io.ErrUnexpectedEOF
-			}
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, nil
-		}
-	}
-	return nil, errInterim
-}
-
-func (x *transfer) readBody(head *http.Response) ([]byte, error) {
-	defer func() { _ = head.Body.Close() }()
-	limit := x.client.cfg.MaxAnswer
-	if head.ContentLength > limit {
-		return nil, errTooLong
-	}
-	if head.ContentLength > 0 {
-		body := make([]byte, head.ContentLength)
-		_, err := io.ReadFull(head.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(head.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = errTooLong
-	}
-	return body, err
-}
-
 // hopByHop are the headers that concern one connection only.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
--- a/pkg/mesh/drain.go
+++ b/pkg/mesh/drain.go
@@ -14,15 +14,20 @@
 const (
 	// drainPoll is the period of looks at what still runs.
 	drainPoll = 50 * time.Millisecond
+	// linger is the time for which new requests and jobs are refused before the connections on
+	// which they come are closed: other daemons learn that they have to go elsewhere.
+	linger = 200 * time.Millisecond
+	// lastAnswers is the time for the last answers to leave.
+	lastAnswers = 200 * time.Millisecond
 	// stoppingRetry is the time after which a stopping daemon should be asked again: callers that
 	// can go elsewhere have done so by then, and a restart takes about a second.
 	stoppingRetry = time.Second
 )
 
-// errEnded is the cause of the end of requests that the process does not live to answer.
+// errEnded ends the contexts of requests that are not answered when the process ends.
 var errEnded = errors.New("the process ends")
 
-// ended reports whether the process ends before the answer to a request.
+// ended reports whether a request's context ended because the process ends.
 func ended(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errEnded) }
 
 // Drain stops the daemon, once: it reports not ready, serves on until callers have had time to go
@@ -34,9 +39,13 @@
 	close(d.leaving)
 	d.ingress.plan.Store(&plan)
 	d.guard.EndAt(plan.Ends)
+	d.tasks.Go(func() { d.sender.AnnounceEnd(d.requests, plan.Ends, d.log) })
 	d.log.Info("daemon_stopping", zap.Int64("requests", d.ingress.active.Load()), zap.Int("jobs", d.guard.Active()))
 	time.Sleep(time.Until(plan.Closes))
 	d.guard.Stop()
+	// Again, for jobs that were under way when the stop began.
+	d.tasks.Go(func() { d.sender.AnnounceEnd(d.requests, plan.Ends, d.log) })
+	time.Sleep(linger)
 	for time.Now().Before(plan.Ends) && d.busy() {
 		time.Sleep(drainPoll)
 	}
@@ -44,11 +53,19 @@
 		d.log.Warn("requests_cut", zap.Int64("requests", d.ingress.active.Load()), zap.Int("jobs", d.guard.Active()))
 	}
 	d.end(errEnded)
-	d.shutdown(plan.Exits)
+	d.shutdown(earlier(plan.Exits, time.Now().Add(lastAnswers)))
 	d.stop()
 	d.log.Info("daemon_stopped", zap.Duration("took", time.Since(plan.Began)))
 }
 
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // busy reports whether a request of a caller or a job of another daemon is not answered yet.
 func (d *Daemon) busy() bool { return d.guard.Active() > 0 || d.ingress.active.Load() > 0 }
 
