--- a/pkg/daemon/calls.go
+++ b/pkg/daemon/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"mangoshed.example/mangoshed/core/admission"
@@ -113,14 +114,37 @@
 	return c.router.Explain(service, time.Now())
 }
 
-// drain refuses new work and waits for what runs. The ingress and the guard drain side by
-// side, because each may wait for calls of the other one; the forward server stops last,
-// so that refusals and key records still reach the peers.
+// refusalTime is the part of a drain for the refusals of calls of other daemons that outlast
+// it. Those of callers are given up before, so that the ingress does not try them elsewhere.
+const refusalTime = caller.AnswerTime / 2
+
+// drain refuses new work and waits for what runs. The ingress serves what runs, and the
+// calls that this makes, until the guard has drained; the forward server stops last, so that
+// refusals and key records still reach the peers. Calls that outlast the drain are given up
+// while there is time for the refusals.
 func (c *calls) drain(ctx context.Context) error {
-	guard := make(chan error, 1)
-	go func() { guard <- c.guard.Drain(ctx) }()
-	err := c.callers.Drain(ctx)
-	return errors.Join(err, <-guard, c.forwardServer.Shutdown(ctx))
+	ingress, cancelIngress := reserve(ctx, caller.AnswerTime)
+	defer cancelIngress()
+	running, cancelRunning := reserve(ctx, refusalTime)
+	defer cancelRunning()
+	context.AfterFunc(running, c.forwardServer.GiveUp)
+	c.callers.Leave(ingress)
+	guard := c.guard.Drain(running)
+	var handOver sync.WaitGroup
+	handOver.Go(func() { c.guard.HandOver(ctx) })
+	callers := c.callers.Drain(ingress)
+	handOver.Wait()
+	return errors.Join(guard, callers, c.forwardServer.Shutdown(ctx))
+}
+
+// reserve returns a context that ends before ctx by the time, but not before half of the
+// time left. It ends with ctx if that has no deadline.
+func reserve(ctx context.Context, at time.Duration) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline.Add(-min(at, time.Until(deadline)/2)))
 }
 
 // close cuts what is left.
