Upstream stand-in: say when a run ended, and set its time by request

A check for requests that are broken off has to know which runs were at work at a moment, and load that makes requests wait needs runs of different length on one upstream. No test changes its verdict.

--- a/pkg/mesh/meshtest/upstream.go
+++ b/pkg/mesh/meshtest/upstream.go
@@ -27,7 +27,8 @@
 	ID, Caller           string
 	Remaining            time.Duration
 	Body                 []byte
-	At                   time.Time
+	// At and Ended are the times at which its run began and ended; Ended is zero while it lasts.
+	At, Ended time.Time
 }
 
 // Fault spoils one answer of an upstream.
@@ -75,7 +76,7 @@
 	listener net.Listener
 	mu       sync.Mutex
 	id       model.InstanceID
-	work     time.Duration
+	work     func(r *Request) time.Duration
 	fault    func(r *Request) Fault
 	down     bool
 	seen     []Request
@@ -96,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &Upstream{headers: headers, id: id, slots: slots, work: work, Size: 400, listener: listener, conns: make(map[net.Conn]bool)}
+	u := &Upstream{headers: headers, id: id, slots: slots, work: always(work), Size: 400, listener: listener, conns: make(map[net.Conn]bool)}
 	u.tasks.Go(func() { u.accept(listener) })
 	return u, nil
 }
@@ -110,12 +111,21 @@
 }
 
 // SetWork sets the time that a request takes.
-func (u *Upstream) SetWork(work time.Duration) {
+func (u *Upstream) SetWork(work time.Duration) { u.SetWorkOf(always(work)) }
+
+// SetWorkOf sets the function that tells the time that a request takes. It is called for one
+// request at a time.
+func (u *Upstream) SetWorkOf(work func(r *Request) time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.work = work
 }
 
+// always returns a function that tells the same time for all requests.
+func always(work time.Duration) func(*Request) time.Duration {
+	return func(*Request) time.Duration { return work }
+}
+
 // SetID makes the upstream another instance at the same address.
 func (u *Upstream) SetID(id model.InstanceID) {
 	u.mu.Lock()
@@ -268,16 +278,18 @@
 // run takes the time of a request.
 func (u *Upstream) run(r Request) {
 	u.mu.Lock()
+	place := len(u.seen)
 	u.seen = append(u.seen, r)
 	u.running++
 	u.peak = max(u.peak, u.running)
-	work := u.work
+	work := u.work(&r)
 	u.mu.Unlock()
 	if work > 0 {
 		time.Sleep(work)
 	}
 	u.mu.Lock()
 	u.running--
+	u.seen[place].Ended = time.Now()
 	u.mu.Unlock()
 }
 
