--- /dev/null
+++ b/core/drain/drain.go
@@ -0,0 +1,51 @@
+// Package drain decides how a daemon that is told to stop spends its grace period: how long it
+// takes new requests and when the process ends.
+//
+// A request that is taken must be answered before the process ends. How long it will wait for
+// a slot and run is not known, but the end is, so that the queues beside the instances are told
+// of it: what has no slot in time is given back as not run.
+package drain
+
+import "time"
+
+const (
+	// notice is the time in which callers learn to go elsewhere. Platforms probe once a second
+	// and act on two misses.
+	notice = 2500 * time.Millisecond
+	// slack is the time before the end of the grace period at which what still runs is given
+	// up, at most the slackShare-th part of the period.
+	slack      = 700 * time.Millisecond
+	slackShare = 8
+	// runReserve is the number of usual runs that must fit between the start of a run and the
+	// end of the process: run times scatter by about half of their mean.
+	runReserve = 2
+)
+
+// Plan is the course of one planned stop.
+type Plan struct {
+	// Began is the time of the order to stop.
+	Began time.Time
+	// Closes is the time from which on new requests are refused.
+	Closes time.Time
+	// Ends is the time at which what still runs is given up.
+	Ends time.Time
+	// Exits is the time by which the process has ended. The answers to what was given up leave
+	// before it.
+	Exits time.Time
+}
+
+// New returns the plan of a stop that begins at a time and must end within the grace period.
+func New(began time.Time, grace time.Duration) Plan {
+	rest := min(slack, grace/slackShare)
+	lasts := grace - rest
+	return Plan{
+		Began: began, Closes: began.Add(min(notice, lasts/2)), Ends: began.Add(lasts), Exits: began.Add(lasts + rest/2),
+	}
+}
+
+// Takes reports whether new requests are taken at a time.
+func (p Plan) Takes(now time.Time) bool { return now.Before(p.Closes) }
+
+// StartBy returns the time before which an upstream must begin a run of which a usual one takes so
+// long, for the answer to come before a process ends.
+func StartBy(ends time.Time, run time.Duration) time.Time { return ends.Add(-runReserve * run) }
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -103,6 +103,11 @@
 	// Goal is the time by which the answer meets its objective; Deadline that after which it
 	// is useless.
 	Goal, Deadline time.Time
+	// ID names the call to its sender.
+	ID string
+	// SenderEnds is the time at which the process that waits for the answer ends; zero if that
+	// is not known.
+	SenderEnds time.Time
 	// Objective is the latency objective of the route, for the first guess of its run time.
 	Objective time.Duration
 	// Decide receives the verdict of a call that waits. It is called once, from inside the
@@ -135,6 +140,9 @@
 	nestedLoad    float64
 	nestedAt      time.Time
 	ends          []time.Duration // scratch of wait
+	// endAt is the time at which runs are given up because the process ends; zero before that is
+	// known.
+	endAt time.Time
 }
 
 // New returns a queue with the slots.
@@ -178,6 +186,9 @@
 		return Closed
 	}
 	c.queued = now
+	if q.tooLate(c, now) {
+		return Overloaded
+	}
 	if c.Nested {
 		q.countNested(now, c)
 	}
@@ -211,6 +222,9 @@
 func (q *Queue) worthWaiting(now time.Time, c *Call) bool {
 	run := q.expected(c)
 	wait := q.wait(now, q.ahead(now, c))
+	if q.tooLate(c, now.Add(wait)) {
+		return false
+	}
 	if wait+run <= time.Duration(goalShare*float64(c.Goal.Sub(now))) {
 		return true
 	}
@@ -410,19 +424,19 @@
 	}
 }
 
-// expel refuses the waiting calls that would end after their deadline even if they started now.
+// expel refuses the waiting calls that would end after their deadline even if they started now,
+// and those that must not start any more.
 func (q *Queue) expel(now time.Time) {
 	var gone []*Call
 	q.waiting = slices.DeleteFunc(q.waiting, func(c *Call) bool {
-		hopeless := now.Add(q.expected(c)).After(c.Deadline)
+		hopeless := q.tooLate(c, now) || now.Add(q.expected(c)).After(c.Deadline)
 		if hopeless {
 			gone = append(gone, c)
 		}
 		return hopeless
 	})
 	for _, c := range gone {
-		q.settle(c, false)
-		c.Decide(Overloaded)
+		q.giveUp(c, q.tooLate(c, now))
 	}
 }
 
@@ -431,20 +445,40 @@
 func (q *Queue) prune(now time.Time) {
 	for i := 0; i < len(q.waiting); {
 		c := q.waiting[i]
-		if !q.late(now, c) || q.wait(now, q.ahead(now, c))+q.expected(c) <= c.Deadline.Sub(now) {
+		if !q.late(now, c) || q.canBeAnswered(now, c) {
 			i++
 			continue
 		}
 		q.waiting = slices.Delete(q.waiting, i, i+1)
+		q.giveUp(c, q.tooLate(c, now.Add(q.wait(now, q.ahead(now, c)))))
+	}
+}
+
+// giveUp refuses a call that has waited. One that must not start any more because a process
+// ends says nothing about the slots that late calls get.
+func (q *Queue) giveUp(c *Call, tooLate bool) {
+	if tooLate {
+		q.left(c)
+	} else {
 		q.settle(c, false)
-		c.Decide(Overloaded)
 	}
+	c.Decide(Overloaded)
+}
+
+// canBeAnswered reports whether a waiting call gets a slot in time if no others come.
+func (q *Queue) canBeAnswered(now time.Time, c *Call) bool {
+	wait := q.wait(now, q.ahead(now, c))
+	return wait+q.expected(c) <= c.Deadline.Sub(now) && !q.tooLate(c, now.Add(wait))
 }
 
 // NextTick returns the time of the next expulsion; ok is false when nothing waits.
 func (q *Queue) NextTick() (next time.Time, ok bool) {
 	for _, c := range q.waiting {
-		if at := c.Deadline.Add(-q.expected(c)); !ok || at.Before(next) {
+		at := c.Deadline.Add(-q.expected(c))
+		if by, ok := q.startBy(c); ok && by.Before(at) {
+			at = by
+		}
+		if !ok || at.Before(next) {
 			next, ok = at, true
 		}
 	}
--- /dev/null
+++ b/core/intake/startby_test.go
@@ -0,0 +1,160 @@
+package intake
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against a call that waits on, or starts, when its sender may end before the answer.
+func TestCallOfASenderThatEndsIsGivenBack(t *testing.T) {
+	q := New(1)
+	teach(q, "r", 100)
+	running := fill(t, q, at(0), "r")
+	c, got := call("r", 1, 0, 5000, 10_000)
+	c.SenderEnds = at(500) // two runs of 100 ms have to fit
+	require.Equal(t, Waiting, q.Offer(at(0), c, true))
+	next, ok := q.NextTick()
+	require.True(t, ok)
+	require.Equal(t, at(300), next)
+	q.Advance(at(140))
+	require.Empty(t, got.verdicts)
+	q.Advance(at(300))
+	require.Equal(t, []Verdict{Overloaded}, got.verdicts)
+	q.Done(at(310), running[0], true)
+
+	late, _ := call("r", 1, 310, 5000, 10_000)
+	late.SenderEnds = at(510)
+	require.Equal(t, Overloaded, q.Offer(at(310), late, true), "a slot is free, and the time has passed")
+}
+
+// Guards against calls that wait at another daemon when their sender is told to stop.
+func TestCallsAreGivenBackWhenTheirSenderStops(t *testing.T) {
+	q := New(1)
+	teach(q, "r", 100)
+	fill(t, q, at(0), "r")
+	stays, kept := call("r", 1, 0, 5000, 10_000)
+	stays.ID = "stays"
+	require.Equal(t, Waiting, q.Offer(at(0), stays, true))
+	c, got := call("r", 1, 0, 5000, 10_000)
+	c.ID = "c"
+	require.Equal(t, Waiting, q.Offer(at(0), c, true))
+	q.SenderEndsAt(at(10), at(1000), []string{"c", "unknown"})
+	require.Empty(t, got.verdicts)
+	q.Advance(at(990))
+	require.Equal(t, []Verdict{Overloaded}, got.verdicts)
+	require.Empty(t, kept.verdicts)
+}
+
+// Guards against a call that waits although it is known that it gets no slot in its sender's time.
+func TestCallThatCannotStartInItsSendersTimeIsRefusedAtOnce(t *testing.T) {
+	q := New(1)
+	teach(q, "r", 1000)
+	fill(t, q, at(0), "r")
+	c, _ := call("r", 1, 0, 5000, 10_000)
+	c.SenderEnds = at(2900)
+	require.Equal(t, Overloaded, q.Offer(at(0), c, true))
+	patient, _ := call("r", 1, 0, 5000, 10_000)
+	patient.SenderEnds = at(3100)
+	require.Equal(t, Waiting, q.Offer(at(0), patient, true))
+}
+
+// Guards against a run that a stopping daemon lets begin although it would probably outlast it.
+func TestRunThatOutlastsTheProcessDoesNotBegin(t *testing.T) {
+	q := New(2)
+	teach(q, "long", 800)
+	teach(q, "short", 100)
+	q.EndAt(at(0), at(2000))
+	early, _ := call("long", 1, 0, 5000, 10_000)
+	require.Equal(t, Started, q.Offer(at(399), early, true))
+	late, _ := call("long", 1, 0, 5000, 10_000)
+	require.Equal(t, Overloaded, q.Offer(at(400), late, true), "a slot is free")
+	short, _ := call("short", 1, 0, 5000, 10_000)
+	require.Equal(t, Started, q.Offer(at(1700), short, true))
+}
+
+// Guards against what waits at a stopping daemon until it is too late for its run.
+func TestCallsThatWaitAreGivenBackWhenTheProcessEnds(t *testing.T) {
+	q := New(1)
+	teach(q, "r", 500)
+	fill(t, q, at(0), "r")
+	c, got := call("r", 1, 0, 5000, 10_000)
+	require.Equal(t, Waiting, q.Offer(at(0), c, true))
+	q.EndAt(at(10), at(1200))
+	require.Empty(t, got.verdicts)
+	q.Advance(at(200))
+	require.Equal(t, []Verdict{Overloaded}, got.verdicts)
+}
+
+// Guards against late calls that are refused everywhere because the senders of others stopped.
+func TestCallsOfStoppingSendersSayNothingAboutOthers(t *testing.T) {
+	q := New(1)
+	teach(q, "r", 400)
+	running := fill(t, q, at(0), "r")[0]
+	now := 0
+	for range 10 {
+		c, got := call("r", 1, now, 100, 10_000) // late
+		c.SenderEnds = at(now + 450 + 800)
+		require.Equal(t, Waiting, q.Offer(at(now), c, true))
+		ahead, _ := call("r", 1, now, 5000, 10_000)
+		require.Equal(t, Waiting, q.Offer(at(now), ahead, true))
+		now += 400
+		q.Done(at(now), running, true)
+		require.True(t, ahead.running)
+		running = ahead
+		q.Advance(at(now + 50))
+		require.Equal(t, []Verdict{Overloaded}, got.verdicts)
+		now += 50
+	}
+	for range 2 {
+		c, _ := call("r", 1, now, 100, 10_000)
+		require.Equal(t, Waiting, q.Offer(at(now), c, true))
+	}
+}
+
+// Guards, over random loads, against a call that starts too late for its sender or is never decided.
+func TestCallsStartInTheirSendersTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(rapid.IntRange(1, 3).Draw(t, "slots"))
+		now := start
+		var running []*Call
+		decided := make(map[*Call]bool)
+		began := func(c *Call) {
+			require.True(t, now.Add(2*q.expected(c)).Before(c.SenderEnds))
+			running = append(running, c)
+		}
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "ms")) * time.Millisecond)
+			if next, ok := q.NextTick(); ok && !next.After(now) {
+				q.Advance(now)
+			}
+			for c, done := range decided {
+				require.True(t, done || now.Add(2*q.expected(c)).Before(c.SenderEnds), "a call waits beyond its time")
+			}
+			if len(running) > 0 && rapid.Bool().Draw(t, "done") {
+				c := running[0]
+				running = running[1:]
+				q.Done(now, c, true)
+				continue
+			}
+			c := &Call{
+				Route: "r", Nested: rapid.Bool().Draw(t, "nested"), Goal: now.Add(time.Second), Deadline: now.Add(10 * time.Second),
+				SenderEnds: now.Add(time.Duration(rapid.IntRange(-10, 1000).Draw(t, "sender ends")) * time.Millisecond), Objective: time.Second,
+			}
+			c.Decide = func(v Verdict) {
+				decided[c] = true
+				if v == Started {
+					began(c)
+				}
+			}
+			switch q.Offer(now, c, true) {
+			case Started:
+				began(c)
+			case Waiting:
+				decided[c] = false
+			}
+		}
+	})
+}
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -342,3 +342,40 @@
 	h := http.Header{"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=5"}, "X-Kept": {"2"}, "Expect": {"100-continue"}}
 	require.Equal(t, http.Header{"X-Kept": {"2"}}, EndToEnd(h))
 }
+
+// Guards against an answer to HEAD that counts as cut because no body follows its length.
+func TestAnswerToHeadHasNoBody(t *testing.T) {
+	address := peer(t, func(c net.Conn, r *bufio.Reader) {
+		read(t, r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 100000000\r\n\r\n")
+		read(t, r)
+		respond(c, "2", "next")
+	})
+	x := client()
+	defer x.Close()
+	r := get(address, "1")
+	r.Method = http.MethodHead
+	resp, err := x.Do(context.Background(), r)
+	require.NoError(t, err)
+	require.Empty(t, resp.Body)
+	resp, err = x.Do(context.Background(), get(address, "2"))
+	require.NoError(t, err)
+	require.Equal(t, "next", string(resp.Body))
+	require.True(t, resp.Reused)
+}
+
+// Guards against a whole answer that is dropped because the context ends between its arrival and
+// its return.
+func TestWholeAnswerOutlivesTheContext(t *testing.T) {
+	address := peer(t, func(c net.Conn, r *bufio.Reader) {
+		read(t, r)
+		respond(c, "a", "the whole answer")
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	req := get(address, "a")
+	req.Answering = cancel // head and body came in one segment
+	resp, err := client().Do(ctx, req)
+	require.NoError(t, err)
+	require.Equal(t, "the whole answer", string(resp.Body))
+}
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -31,6 +31,8 @@
 	MaxConnections int
 	// MaxAnswer bounds the body of an answer in bytes; default 64 MB.
 	MaxAnswer int64
+	// Budget bounds the bodies of all answers that are held at once; nil sets no bound.
+	Budget *Budget
 	// RequestID names the header that an answer repeats; empty if answers do not.
 	RequestID string
 	// Dial opens connections; default a net.Dialer.
@@ -77,14 +79,15 @@
 }
 
 // Prune closes idle connections that would not be used again, and all to addresses that keep
-// returns false for.
+// returns false for. A connection on which bytes arrive unasked is one of them: they count
+// towards the memory of the process until it is closed.
 func (c *Client) Prune(now time.Time, keep func(address string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for address, list := range c.idle {
 		kept := list[:0]
 		for _, i := range list {
-			if keep(address) && c.fresh(now, i, c.cfg.MaxIdle) {
+			if keep(address) && c.fresh(now, i, c.cfg.MaxIdle) && i.quiet() {
 				kept = append(kept, i)
 				continue
 			}
@@ -99,6 +102,16 @@
 	}
 }
 
+// CloseIdle closes the idle connections to an address.
+func (c *Client) CloseIdle(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, i := range c.idle[address] {
+		c.drop(address, i)
+	}
+	delete(c.idle, address)
+}
+
 // Close closes all idle connections; those in use are closed after their answer.
 func (c *Client) Close() {
 	c.mu.Lock()
--- /dev/null
+++ b/pkg/mesh/closing_test.go
@@ -0,0 +1,116 @@
+package mesh
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"mangoshed.example/mangoshed/core/catalog"
+	"mangoshed.example/mangoshed/core/drain"
+	"mangoshed.example/mangoshed/core/refusal"
+	"mangoshed.example/mangoshed/core/route"
+	"mangoshed.example/mangoshed/pkg/exchange"
+)
+
+// closingIngress returns an ingress with one route, in front of a guard whose upstream runs the
+// request "parent".
+func closingIngress(t *testing.T) *Ingress {
+	table, err := route.New(1, []route.Route{{
+		Name: "write", Host: "app", Prefix: "/", Kind: route.Unsafe, Timeout: time.Second, Goal: time.Second, MaxAttempts: 1,
+		Shares: []route.Share{{Service: "back", Weight: 1}},
+	}}, []route.Service{{Name: "back"}}, route.Limits{})
+	require.NoError(t, err)
+	fleet := NewFleet(zap.NewNop(), func(time.Time, *catalog.View) {})
+	fleet.view.Store(&catalog.View{Table: table})
+	guard := NewGuard("127.0.0.1:1", Headers{RequestID: "Id"}, nil, newDecisions(zap.NewNop(), 1))
+	guard.note("parent", 1)
+	return &Ingress{
+		headers: Headers{RequestID: "Id"}, random: random{src: rand.New(rand.NewPCG(1, 1))}, fleet: fleet, sender: &Sender{guard: guard},
+		parent: func(id string) (string, bool) { return "parent", id == "nested" },
+	}
+}
+
+// closedPlan is the plan of a stop that takes no more requests.
+func closedPlan() *drain.Plan {
+	plan := drain.New(time.Now().Add(-3*time.Second), 6*time.Second)
+	return &plan
+}
+
+func accept(i *Ingress, id string, body io.Reader) (*request, *refusal.Refusal) {
+	r := httptest.NewRequest(http.MethodPost, "/x", body)
+	r.Host = "app"
+	r.Header.Set("Id", id)
+	return i.accept(httptest.NewRecorder(), r, time.Now())
+}
+
+// Guards against a request that is taken when the daemon is about to end.
+func TestRequestThatComesLateInAStopIsRefused(t *testing.T) {
+	i := closingIngress(t)
+	req, refused := accept(i, "new", nil)
+	require.Nil(t, refused)
+	require.NotNil(t, req)
+	i.plan.Store(closedPlan())
+	_, refused = accept(i, "new", nil)
+	require.Equal(t, refusal.Leaving, refused.Kind)
+	require.Equal(t, refusal.NotRun, refused.Run)
+	require.Equal(t, http.StatusServiceUnavailable, refused.StatusCode())
+}
+
+// slowBody is a body during whose arrival something happens.
+type slowBody struct{ meanwhile func() }
+
+func (b slowBody) Read([]byte) (int, error) {
+	b.meanwhile()
+	return 0, io.EOF
+}
+
+// Guards against a request that is taken late in a stop because its body took long to arrive.
+func TestRequestWhoseBodyComesLateInAStopIsRefused(t *testing.T) {
+	i := closingIngress(t)
+	_, refused := accept(i, "new", slowBody{func() { i.plan.Store(closedPlan()) }})
+	require.Equal(t, refusal.Leaving, refused.Kind)
+	require.Equal(t, refusal.NotRun, refused.Run)
+}
+
+// Guards against a run that fails at the end of a stop because its own calls are refused.
+func TestCallsOfARunAreTakenLateInAStop(t *testing.T) {
+	i := closingIngress(t)
+	i.plan.Store(closedPlan())
+	req, refused := accept(i, "nested", nil)
+	require.Nil(t, refused)
+	require.True(t, req.job.Nested)
+
+	// Its time is a second; 2.3 s are left to the process, then 0.8 s.
+	plan := drain.New(time.Now().Add(-4500*time.Millisecond), 6*time.Second)
+	i.plan.Store(&plan)
+	_, refused = accept(i, "nested", nil)
+	require.Equal(t, refusal.Leaving, refused.Kind, "it could be given up when the process ends")
+}
+
+// Guards against an answer during a stop that lets its caller use the connection again, also if
+// the request had come before the stop.
+func TestAnswersDuringAStopEndTheirConnection(t *testing.T) {
+	i := closingIngress(t)
+	i.log = newDecisions(zap.NewNop(), 1)
+	var err error
+	i.metrics, err = newMetrics(prometheus.NewRegistry())
+	require.NoError(t, err)
+	req, refused := accept(i, "early", nil)
+	require.Nil(t, refused)
+	i.plan.Store(closedPlan())
+	for _, res := range []Result{
+		{Answer: &exchange.Response{Status: http.StatusOK, Header: http.Header{}}},
+		{Refusal: notRun(refusal.Overloaded, "come back", time.Second)},
+	} {
+		w := httptest.NewRecorder()
+		i.finish(w, httptest.NewRequest(http.MethodPost, "/x", nil), req, res)
+		require.Equal(t, "close", w.Header().Get("Connection"))
+	}
+}
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -75,6 +75,9 @@
 	seeds    atomic.Pointer[[]string]
 	tasks    sync.WaitGroup
 	stop     context.CancelFunc
+	// requests is the context of all requests; end cancels it with the cause errEnded.
+	requests context.Context
+	end      context.CancelCauseFunc
 }
 
 // server is one HTTP server with its listener.
@@ -102,7 +105,11 @@
 // New binds the daemon's sockets and builds its parts. Nothing is served before Start.
 func New(s *Settings, p Platform, log *zap.Logger) (*Daemon, error) {
 	d := &Daemon{settings: s, platform: p, log: log, registry: telemetry.NewRegistry(), leaving: make(chan struct{})}
-	d.seeds.Store(&s.Seeds)
+	d.setSeeds(s)
+	d.requests, d.end = context.WithCancelCause(context.Background())
+	if d.platform.Answers == nil {
+		d.platform.Answers = s.Limits.AnswerBudget()
+	}
 	var err error
 	if d.metrics, err = newMetrics(d.registry); err != nil {
 		return nil, err
@@ -122,13 +129,13 @@
 	log := newDecisions(d.log, s.Limits.LogLinesPerSecond)
 	seed := uint64(now.UnixNano()) ^ uint64(os.Getpid())<<48
 	d.fleet = NewFleet(d.log, d.onView)
-	d.guard = NewGuard(s.Upstream.Address, d.platform.Headers, log)
+	d.guard = NewGuard(s.Upstream.Address, d.platform.Headers, d.platform.Answers, log)
 	d.placer = placement.New(s.Place(), placement.DefaultCosts, seed)
 	d.placer.SetLink(hostOf(s.Listen.ForwardAddress), s.Limits.LinkMbps*1e6)
 	d.budget = retry.NewFleetBudget(retry.FleetRules{
 		Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance, Window: s.Bounds.RetryWindow,
 	}, now)
-	d.sender = NewSender(s.Listen.ForwardAddress, d.guard, d.fleet, func() []string { return *d.seeds.Load() })
+	d.sender = NewSender(s.Listen.ForwardAddress, d.guard, d.fleet, d.platform.Answers, func() []string { return *d.seeds.Load() })
 	d.reach = newReachability(now, hostOf(s.Listen.ForwardAddress), seed, d.sender.client, d.placer, d.log)
 	d.sender.reach = d.reach
 	d.ingress = &Ingress{
@@ -188,7 +195,7 @@
 		}
 		d.servers = append(d.servers, &server{name: s.key, listener: listener, http: &http.Server{
 			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: s.idle, MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.errorLog(s.key),
-			DisableGeneralOptionsHandler: true, ConnContext: withConn,
+			DisableGeneralOptionsHandler: true, ConnContext: withConn, BaseContext: func(net.Listener) context.Context { return d.requests },
 		}})
 	}
 	return nil
@@ -300,9 +307,14 @@
 	}
 	j.Left = func() bool { return left(r) }
 	res := d.guard.Run(r.Context(), j)
-	if r.Context().Err() != nil {
+	if r.Context().Err() != nil && !ended(r.Context()) {
+		res.Answer.Release()
 		panic(http.ErrAbortHandler)
 	}
+	if d.guard.Stopped() {
+		// The connection ends with the daemon: a job that crosses its end may have run.
+		w.Header().Set("Connection", "close")
+	}
 	writeResult(w, &res, sender{d.fleet.View().Revision, d.guard.suspects.gossip(time.Now())})
 }
 
@@ -313,6 +325,8 @@
 		d.sender.serveState(w, r)
 	case feedPath:
 		d.feed.ServeHTTP(w, r)
+	case endsPath:
+		d.serveEnds(w, r)
 	default:
 		http.NotFound(w, r)
 	}
@@ -343,13 +357,20 @@
 
 // Reload takes changed settings: the seeds and nothing else can change without a restart.
 func (d *Daemon) Reload(s *Settings) {
-	d.seeds.Store(&s.Seeds)
+	d.setSeeds(s)
 	d.log.Info("settings_reloaded", zap.Int("seeds", len(s.Seeds)))
 }
 
+// setSeeds takes the seeds of the settings.
+func (d *Daemon) setSeeds(s *Settings) {
+	seeds := slices.Clone(s.Seeds)
+	d.seeds.Store(&seeds)
+}
+
 // Close stops the daemon without notice and cuts what runs.
 func (d *Daemon) Close() {
 	d.stop()
+	d.end(context.Canceled)
 	for _, s := range d.servers {
 		_ = s.http.Close()
 	}
--- a/pkg/mesh/sender.go
+++ b/pkg/mesh/sender.go
@@ -44,14 +44,16 @@
 	turn int
 	// introduced are daemons to ask before a view names them.
 	introduced []string
+	// waiting holds the IDs of the jobs that wait for an answer, by the address of the daemon.
+	waiting map[string]map[string]bool
 }
 
 // NewSender returns a sender that passes jobs for the daemon's own forward address to the guard.
-func NewSender(own string, guard *Guard, fleet *Fleet, seeds func() []string) *Sender {
+func NewSender(own string, guard *Guard, fleet *Fleet, answers *exchange.Budget, seeds func() []string) *Sender {
 	return &Sender{
-		own: own, guard: guard, fleet: fleet, seeds: seeds,
+		own: own, guard: guard, fleet: fleet, seeds: seeds, waiting: make(map[string]map[string]bool),
 		client: exchange.NewClient(exchange.Config{
-			DialTimeout: peerDial, Unacknowledged: peerUnacknowledged, MaxIdle: peerIdle,
+			DialTimeout: peerDial, Unacknowledged: peerUnacknowledged, MaxIdle: peerIdle, Budget: answers,
 		}),
 	}
 }
@@ -61,11 +63,17 @@
 	if inst.ForwardAddr == s.own {
 		return s.guard.Run(ctx, j)
 	}
+	s.note(inst.ForwardAddr, j.ID)
+	defer s.forget(inst.ForwardAddr, j.ID)
 	now := time.Now()
 	resp, err := s.client.Do(ctx, j.encode(now, inst.ForwardAddr, s.fleet.View().Revision, s.guard.suspects.gossip(now)))
 	if errors.Is(err, exchange.ErrAbandoned) {
 		return Result{Refusal: notRun(refusal.Cut, "the caller has gone", 0)}
 	}
+	var over *exchange.BoundError
+	if errors.As(err, &over) {
+		return overBound(err)
+	}
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			s.reach.failed(time.Now(), inst.Host())
@@ -73,6 +81,13 @@
 		return unreachable(ctx, err)
 	}
 	res, from := decodeResult(resp)
+	if res.Refusal != nil && res.Refusal.Kind == refusal.Leaving {
+		// The daemon may end: what is sent on a connection that it is about to close may have run.
+		s.client.CloseIdle(inst.ForwardAddr)
+	}
+	if res.Answer == nil {
+		resp.Release()
+	}
 	now = time.Now()
 	s.reach.heard(now, inst.Host())
 	s.fleet.Heard(now, from.revision)
@@ -80,6 +95,17 @@
 	return res
 }
 
+// overBound turns an answer that has passed a bound into a result. The other daemon is there.
+func overBound(err error) Result {
+	var failed *exchange.Error
+	refused := mayHaveRun(refusal.UpstreamFailed, "the answer of the instance's daemon failed: "+err.Error())
+	sent := !errors.As(err, &failed) || failed.Sent
+	if !sent {
+		refused.Run = refusal.NotRun
+	}
+	return Result{Arrived: sent, Refusal: refused}
+}
+
 // unreachable turns the error of an exchange with another daemon into a result.
 func unreachable(ctx context.Context, err error) Result {
 	var failed *exchange.Error
@@ -109,6 +135,7 @@
 	if err != nil {
 		return catalog.State{}, "", err
 	}
+	defer resp.Release()
 	if resp.Status != http.StatusOK {
 		return catalog.State{}, "", fmt.Errorf("daemon %s knows nothing newer (status %d)", address, resp.Status)
 	}
