Keep the last refusals of a stop within a short grace period

The 200 ms for which a stopping daemon refuses what still comes did not depend on the grace period: with one below 0.4 s the process outlived it. The plan of the stop names the time, at most half of what is left after the intake closes; its test holds it before the end for periods from 1 ms to a minute.

--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -12,6 +12,10 @@
 	// notice is the time in which callers learn to go elsewhere. Platforms probe once a second
 	// and act on two misses.
 	notice = 2500 * time.Millisecond
+	// linger is the time for which new requests are refused before the connections on which they
+	// come are closed, at most half of the rest of the plan: an answer tells other daemons more
+	// than a broken connection.
+	linger = 200 * time.Millisecond
 	// slack is the time before the end of the grace period at which what still runs is given
 	// up, at most the slackShare-th part of the period.
 	slack      = 700 * time.Millisecond
@@ -27,6 +31,8 @@
 	Began time.Time
 	// Closes is the time from which on new requests are refused.
 	Closes time.Time
+	// Lingers is the time until which the process stays, also if it has nothing to finish.
+	Lingers time.Time
 	// Ends is the time at which what still runs is given up.
 	Ends time.Time
 	// Exits is the time by which the process has ended. The answers to what was given up leave
@@ -38,8 +44,10 @@
 func New(began time.Time, grace time.Duration) Plan {
 	rest := min(slack, grace/slackShare)
 	lasts := grace - rest
+	closes := min(notice, lasts/2)
 	return Plan{
-		Began: began, Closes: began.Add(min(notice, lasts/2)), Ends: began.Add(lasts), Exits: began.Add(lasts + rest/2),
+		Began: began, Closes: began.Add(closes), Lingers: began.Add(closes + min(linger, (lasts-closes)/2)),
+		Ends: began.Add(lasts), Exits: began.Add(lasts + rest/2),
 	}
 }
 
--- a/core/drain/drain_test.go
+++ b/core/drain/drain_test.go
@@ -16,6 +16,7 @@
 		require.True(t, p.Takes(began), grace)
 		require.False(t, p.Takes(p.Closes), grace)
 		require.GreaterOrEqual(t, p.Ends.Sub(p.Closes), p.Closes.Sub(began), grace)
+		require.True(t, p.Closes.Before(p.Lingers) && p.Lingers.Before(p.Ends), grace)
 		require.True(t, p.Ends.Before(p.Exits), grace)
 		require.Less(t, p.Exits.Sub(began), grace, grace)
 		// What runs is cut in the last sixth of the grace period only.
--- a/pkg/mesh/drain.go
+++ b/pkg/mesh/drain.go
@@ -14,9 +14,6 @@
 const (
 	// drainPoll is the period of looks at what still runs.
 	drainPoll = 50 * time.Millisecond
-	// linger is the time for which new requests and jobs are refused before the connections on
-	// which they come are closed: other daemons learn that they have to go elsewhere.
-	linger = 200 * time.Millisecond
 	// lastAnswers is the time for the last answers to leave.
 	lastAnswers = 200 * time.Millisecond
 	// stoppingRetry is the time after which a stopping daemon should be asked again: callers that
@@ -45,7 +42,7 @@
 	d.guard.Stop()
 	// Again, for jobs that were under way when the stop began.
 	d.tasks.Go(func() { d.sender.AnnounceEnd(d.requests, plan.Ends, d.log) })
-	time.Sleep(linger)
+	time.Sleep(time.Until(plan.Lingers))
 	for time.Now().Before(plan.Ends) && d.busy() {
 		time.Sleep(drainPoll)
 	}
