--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -87,8 +87,8 @@
 
 // Answers are held as a whole, those of upstreams, of other daemons and of the store.
 const (
-	// answerShare is the part of the memory limit that they may take at once. The rest of a daemon
-	// peaks at 53 MB (CAPACITY.md), which fits below memoryShare at 184 MB, the least of the sites.
+	// answerShare is the part of the memory limit that they may take at once. With the rest of a
+	// daemon (CAPACITY.md) they stay below memoryShare on small machines.
 	answerShare = 0.4
 	// unlimitedAnswers is what they may take where the settings set no memory limit, in bytes.
 	unlimitedAnswers = 512 << 20
