Show a view only once the daemon's parts know it

Cause: Fleet.publish made the view visible and told the placer, the guard and the readiness flag afterwards.

Change: the parts learn a view before View returns it.

--- a/pkg/mesh/fleet.go
+++ b/pkg/mesh/fleet.go
@@ -28,7 +28,8 @@
 	heardHigher time.Time
 }
 
-// NewFleet returns a fleet without a view. onChange is called with each new view, one at a time.
+// NewFleet returns a fleet without a view. onChange is called with each new view, one at a time and
+// before View returns it.
 func NewFleet(log *zap.Logger, onChange func(now time.Time, v *catalog.View)) *Fleet {
 	f := &Fleet{log: log, onChange: onChange, catalog: catalog.New(), changed: make(chan struct{}), behind: make(chan struct{})}
 	f.view.Store(&catalog.View{})
@@ -108,6 +109,8 @@
 // publish makes the catalog's view the present one. The caller holds the mutex.
 func (f *Fleet) publish(now time.Time, source string) {
 	old, v := f.view.Load(), f.catalog.View()
+	// A request that finds the view must find its instances known to the placer and the guard.
+	f.onChange(now, v)
 	f.view.Store(v)
 	close(f.changed)
 	f.changed = make(chan struct{})
@@ -117,7 +120,6 @@
 	} else {
 		f.log.Info("instances_changed", fields...)
 	}
-	f.onChange(now, v)
 }
 
 // Returned says that the store can be read again after an outage, and has reached a revision.
