Place calls elsewhere that a stopping instance gives back

Callers saw 503 leaving (not run) for calls that waited at a daemon of `mangoshed run` when it was told to stop, while other instances were free.

Cause: the queue of the stopping daemon refuses what waits, which is right, but the sender took a retry from its budget for each of these calls. The budget holds two retries at the start and one more for ten calls, so that of a dozen waiting calls three were sent elsewhere and nine were refused to their callers.

A request that was given back has run nowhere. Sending it to another instance adds no load beyond the first attempt, and MaxAttempts bounds how often it happens. The decision no longer asks the budget for a not-run refusal of the kind leaving.

Evidence: TestCallsThatWaitAtAStoppingInstanceRunElsewhere (12 calls) and TestGivenBackCallsTakeNoBudget fail without the change (503, and reason budget) and pass with it.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -60,7 +60,9 @@
 func (v Verdict) Retry() bool { return v.Reason == Again }
 
 // Decide returns the verdict on a failed attempt. random is a uniformly distributed
-// number. A positive verdict takes one retry from the budget.
+// number. A positive verdict takes one retry from the budget, unless an instance that
+// leaves gave the request back: it has run nowhere, so that sending it elsewhere multiplies
+// no load, and MaxAttempts bounds how often that happens.
 func Decide(a Attempt, budget *Budget, random uint64) Verdict {
 	switch {
 	case !transient(a.Kind, a.Run):
@@ -82,7 +84,8 @@
 	if a.Remaining <= wait {
 		return Verdict{Reason: Time}
 	}
-	if !budget.take() {
+	givenBack := a.Kind == refusal.Leaving && a.Run == refusal.NotRun
+	if !givenBack && !budget.take() {
 		return Verdict{Reason: Exhausted}
 	}
 	return Verdict{Reason: Again, Wait: wait}
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -80,3 +80,20 @@
 	leaving.Kind = refusal.Leaving
 	require.Zero(t, Decide(leaving, NewBudget(), 12345).Wait)
 }
+
+// Guards against calls that waited at an instance when it was told to stop and are refused
+// to their callers, because there are more of them than retries in the budget.
+func TestGivenBackCallsTakeNoBudget(t *testing.T) {
+	givenBack := Attempt{Number: 1, Kind: refusal.Leaving, Run: refusal.NotRun, Replayable: true, Remaining: time.Second}
+	require.Equal(t, Again, Decide(givenBack, &Budget{}, 0).Reason)
+	budget := NewBudget()
+	before := budget.Retries()
+	require.True(t, Decide(givenBack, budget, 0).Retry())
+	require.Equal(t, before, budget.Retries())
+	mayHaveRun := givenBack
+	mayHaveRun.Run, mayHaveRun.Repeatable = refusal.MayHaveRun, true
+	require.Equal(t, Exhausted, Decide(mayHaveRun, &Budget{}, 0).Reason)
+	last := givenBack
+	last.Number = MaxAttempts
+	require.Equal(t, Attempts, Decide(last, NewBudget(), 0).Reason)
+}
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -45,9 +45,17 @@
 	return model.Instance{ID: model.InstanceID(id), Service: "shifts", Place: home}
 }
 
-// newRouter routes shifts (GET repeatable), files (all repeatable) and the internal
-// service ledger to the instances.
+// newRouter routes the services of routes to the instances.
 func newRouter(t testing.TB, instances ...model.Instance) *routing.Router {
+	t.Helper()
+	router := routing.New(model.Instance{ID: "a", Place: home}, 1)
+	router.Update(routes(t), instances, time.Now())
+	return router
+}
+
+// routes has rows for shifts (GET repeatable), files (all repeatable) and the internal
+// service ledger.
+func routes(t testing.TB) *snapshot.Snapshot {
 	t.Helper()
 	cell := table.Cell{Weight: 1, LimitPerSecond: table.NoLimit}
 	row := func(name string, repeat table.Idempotency, internal bool) table.Row {
@@ -61,9 +69,7 @@
 		Rows:   []table.Row{row("files", table.All, false), row("ledger", table.None, true), row("shifts", table.Reads, false)},
 	}, 1, time.Now(), nil)
 	require.NoError(t, err)
-	router := routing.New(model.Instance{ID: "a", Place: home}, 1)
-	router.Update(snap, instances, time.Now())
-	return router
+	return snap
 }
 
 // start runs a server for the instance "a" and returns its address.
--- a/pkg/caller/dispatch_test.go
+++ b/pkg/caller/dispatch_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -182,6 +183,43 @@
 	require.Positive(t, counts["mangoshed_retry_decisions_total budget"])
 }
 
+// Guards against calls that wait at an instance when it is told to stop and whose callers
+// get 503, although another instance would run them.
+func TestCallsThatWaitAtAStoppingInstanceRunElsewhere(t *testing.T) {
+	const calls = 12
+	router := newRouter(t, instance("b"))
+	waiting, stopped := make(chan struct{}, calls), make(chan struct{})
+	_, addr := start(t, Config{
+		Router: router,
+		Remote: remoteFunc(func(inst *model.Instance, _ *http.Request) (*http.Response, error) {
+			if inst.ID == "c" {
+				return answer(200, "c"), nil
+			}
+			waiting <- struct{}{}
+			<-stopped
+			return nil, &refusal.Refusal{Kind: refusal.Leaving, Run: refusal.NotRun}
+		}),
+	})
+	answers := make(chan reply, calls)
+	for n := range calls {
+		go func() {
+			got, err := ask(t, addr, []string{"GET", "POST"}[n%2]+" / HTTP/1.1\r\nHost: shifts\r\nContent-Length: 0\r\n\r\n")
+			assert.NoError(t, err)
+			answers <- got
+		}()
+	}
+	for range calls {
+		<-waiting
+	}
+	router.Update(routes(t), []model.Instance{instance("b"), instance("c")}, time.Now())
+	close(stopped)
+	for range calls {
+		got := <-answers
+		require.Equal(t, 200, got.StatusCode, got.Header)
+		require.Equal(t, "c", got.body)
+	}
+}
+
 // Guards against keyed requests that miss the owner of the key.
 func TestKeyedRequestGoesToOwner(t *testing.T) {
 	ran := make(chan model.InstanceID, 1)
