Ramp up an instance that is announced after it was listed

Callers of a daemon that had just started waited at another instance that had just started as well: the daemon gave it a full share, though its slots grow from one over 5 s, and itself a tenth.

Cause: the platform's list names instances without the time of their start, which only their announcements carry. The first view settled such an instance, and the announcement that followed was not taken for a restart, so the node stayed settled. In a traced run of TestStops one daemon saw the other at a ramp of 1.00 a second after its start, sent it all six of its calls, and the other queued them behind one slot.

The ramp now starts at the announced start when that arrives later. The node stays the same, so that calls in flight still count.

Evidence: TestLateAnnouncementStartsTheRamp fails in its two cases of young instances without the change (ramp 1) and passes with it.

--- a/core/routing/node.go
+++ b/core/routing/node.go
@@ -66,8 +66,7 @@
 // node is what an ingress learns about an instance. It outlives route tables. Times
 // are nanoseconds since the base of the route tables.
 type node struct {
-	rampFrom int64 // start of the ramp; never changes
-	settled  bool  // known from the first update on, so without a ramp
+	rampFrom atomic.Int64 // start of the ramp
 
 	inFlight   atomic.Int64 // own calls
 	reported   atomic.Uint64
@@ -125,12 +124,24 @@
 	return slots > 0 && calls >= float64(slots)
 }
 
+// newNode returns a node whose ramp starts at the given time.
+func newNode(rampFrom int64) *node {
+	n := &node{}
+	n.rampFrom.Store(rampFrom)
+	return n
+}
+
+// born takes the start of the instance from its announcement. An instance can be listed
+// before it is announced, so that it looked settled at first.
+func (n *node) born(at, now int64) {
+	if at <= now && now-at < int64(RampUp) {
+		n.rampFrom.Store(max(n.rampFrom.Load(), at))
+	}
+}
+
 // ramp returns the part of its share that the instance gets, up to 1.
 func (n *node) ramp(now int64) float64 {
-	if n.settled {
-		return 1
-	}
-	age := now - n.rampFrom
+	age := now - n.rampFrom.Load()
 	if age >= int64(RampUp) {
 		return 1
 	}
--- a/core/routing/routes.go
+++ b/core/routing/routes.go
@@ -149,19 +149,26 @@
 // nodeFor keeps the node of an instance that only changed its state. A restart, seen by
 // a higher incarnation, starts anew.
 func (r *routes) nodeFor(was target, inst *model.Instance, first bool, now time.Time) *node {
+	at := int64(now.Sub(r.base))
+	// Announced incarnations are the start of the instance in Unix milliseconds.
+	born := at - int64(now.Sub(time.UnixMilli(int64(inst.Incarnation))))
 	if was.node != nil {
 		restarted := inst.Incarnation > was.inst.Incarnation && (was.inst.Incarnation != 0 || was.node.leaving.Load())
 		if !restarted {
+			if was.inst.Incarnation == 0 && inst.Incarnation != 0 {
+				was.node.born(born, at)
+			}
 			return was.node
 		}
 	}
-	n := &node{rampFrom: int64(now.Sub(r.base))}
-	if first {
-		// At the own start all instances are new to this daemon; only those that the
-		// announcements show to be young are ramped up.
-		age := now.Sub(time.UnixMilli(int64(inst.Incarnation)))
-		n.settled = inst.Incarnation == 0 || age < 0 || age >= RampUp
-		n.rampFrom -= int64(age)
+	if !first {
+		return newNode(at)
+	}
+	// At the own start all instances are new to this daemon; only those that the
+	// announcements show to be young are ramped up.
+	n := newNode(at - int64(RampUp))
+	if inst.Incarnation != 0 {
+		n.born(born, at)
 	}
 	return n
 }
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -168,6 +168,34 @@
 	require.Greater(t, share(joined.Add(RampUp)), 900)
 }
 
+// Guards against a full share for an instance that has just started, because the list
+// named it before its announcement arrived.
+func TestLateAnnouncementStartsTheRamp(t *testing.T) {
+	for name, c := range map[string]struct {
+		started time.Duration // before the own start; after it if negative
+		ramp    float64
+	}{
+		"just started": {time.Second, rampStart + (1-rampStart)*1.5/RampUp.Seconds()},
+		"since then":   {-250 * time.Millisecond, rampStart + (1-rampStart)*0.25/RampUp.Seconds()},
+		"long ago":     {time.Hour, 1},
+		"clock ahead":  {-time.Minute, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			members := sixteen()
+			r := newRouter(members, row("shifts", 1, 1, 1, 1, 1))
+			n := r.nodeOf(members[0].ID)
+			require.Equal(t, 1.0, n.ramp(0))
+			n.inFlight.Add(1)
+			announced := sixteen()
+			announced[0].Incarnation = uint64(start.Add(-c.started).UnixMilli())
+			at := start.Add(500 * time.Millisecond)
+			r.swap(1, tableOf(row("shifts", 1, 1, 1, 1, 1)), announced, at)
+			require.Same(t, n, r.nodeOf(members[0].ID), "calls in flight still count")
+			require.InDelta(t, c.ramp, n.ramp(int64(at.Sub(start))), 1e-9)
+		})
+	}
+}
+
 // Guards against more than one call that tests a suspect, and against a suspicion that
 // never ends or does not grow.
 func TestSuspectGetsOneProbe(t *testing.T) {
@@ -288,7 +316,7 @@
 
 // Guards against stale load: it fades within 1 s down to the own calls.
 func TestLoadFades(t *testing.T) {
-	n := &node{settled: true}
+	n := newNode(-int64(RampUp))
 	n.inFlight.Store(2)
 	n.report(Load{InFlight: 8, Slots: 9, Queued: 4}, 0)
 	for _, step := range []struct {
