Count own unanswered calls against an instance's slots

Callers of `mangoshed run` waited for the slots of one instance beside free ones: of a burst of 12 calls 11 went to one instance, and two waited there until the idle time cut the calls before them.

Cause: slots are known only from the load that rides on answers. Until the first answer an instance counted as endless, also one that had just started and runs one call at a time, so a daemon sent it all calls of a burst. A full instance was also kept when another one had room, which is right while reports lag, but own calls do not lag.

An instance without a report now has the default slots, and fewer while it ramps up. A report from its ramp is a lower bound once it is old. An instance that the own calls alone fill is replaced by one with room.

--- a/core/routing/choose.go
+++ b/core/routing/choose.go
@@ -83,14 +83,21 @@
 	if t.node == nil {
 		t, why = s.scan(z)
 	}
-	if t.node != nil && why == "" && s.pass == withCapacity && t.node.full(s.now) && !s.room(z) {
+	if t.node == nil || why != "" || s.pass != withCapacity || !t.node.full(s.now) {
+		return t, why
+	}
+	switch room := s.room(z); {
+	case room.seen == 0:
 		return target{}, ""
+	case t.node.crowded(s.now):
+		return s.best(room), ""
 	}
-	return t, why
+	return t, ""
 }
 
 // draw makes a power of two choices among settled instances. A full one takes part: while
-// load reports lag, leaving it out sends everybody to the few that look free. An instance
+// load reports lag, leaving it out sends everybody to the few that look free. Only one that
+// the own calls fill is replaced, in zone. An instance
 // that ramps up does not, because it would win against all others; the first draw gives
 // it exactly its part of a share.
 func (s *search) draw(z *zone) (target, Reason) {
@@ -125,14 +132,14 @@
 	return first, ""
 }
 
-// room reports whether an instance of the zone has capacity.
-func (s *search) room(z *zone) bool {
+// room samples the instances of the zone that have capacity.
+func (s *search) room(z *zone) (free pair) {
 	for _, t := range z.targets {
 		if !t.node.full(s.now) && !t.node.suspect() && !s.out(t) {
-			return true
+			free.offer(t, s.random)
 		}
 	}
-	return false
+	return free
 }
 
 // scan looks at all instances of the zone.
--- a/core/routing/node.go
+++ b/core/routing/node.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"mangoshed.example/mangoshed/core/admission"
 	"mangoshed.example/mangoshed/core/model"
 )
 
@@ -119,11 +120,26 @@
 	return float64(n.latency.Load())
 }
 
+// slots returns the slots that the instance is taken to have. Until it reports its own,
+// these are the default ones, fewer while it ramps up; an old report from its ramp is a
+// lower bound.
+func (n *node) slots(now int64) int {
+	_, reported, fresh := n.load(now)
+	if reported > 0 && (fresh || n.ramp(n.loadAt.Load()) >= 1) {
+		return reported
+	}
+	return max(1, reported, int(n.ramp(now)*admission.DefaultSlots))
+}
+
 func (n *node) full(now int64) bool {
-	calls, slots, _ := n.load(now)
-	return slots > 0 && calls >= float64(slots)
+	calls, _, _ := n.load(now)
+	return calls >= float64(n.slots(now))
 }
 
+// crowded reports whether the own calls alone fill the instance. Unlike what others send,
+// they are known without a report, before the first of them is answered.
+func (n *node) crowded(now int64) bool { return int(n.inFlight.Load()) >= n.slots(now) }
+
 // newNode returns a node whose ramp starts at the given time.
 func newNode(rampFrom int64) *node {
 	n := &node{}
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -168,6 +168,62 @@
 	require.Greater(t, share(joined.Add(RampUp)), 900)
 }
 
+// Guards against a burst that one daemon sends to one instance, where it waits beside free
+// slots, because no answer has reported the load yet.
+func TestUnansweredCallsFillInstances(t *testing.T) {
+	const settled, young = -int64(RampUp), 0
+	for name, c := range map[string]struct {
+		rampFrom []int64 // of the instances of the own data centre
+		at       time.Duration
+		calls    int
+		local    []int // calls at the instances of the own data centre
+	}{
+		"cold ones take one each":          {[]int64{young, young}, 0, 6, []int{1, 1}},
+		"as many as their ramp allows":     {[]int64{young, young}, RampUp / 2, 15, []int{4, 4}},
+		"nine at settled ones":             {[]int64{settled, settled, settled}, 0, 36, []int{9, 9, 9}},
+		"a young one beside a settled one": {[]int64{settled, young}, RampUp / 2, 22, []int{9, 4}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			members := []model.Instance{instance("shifts", north2, 0)}
+			for i := range c.rampFrom {
+				members = append([]model.Instance{instance("shifts", north1, len(c.rampFrom)-1-i)}, members...)
+			}
+			r := newRouter(members, row("shifts", 1, 1, 1, 1, 1))
+			for i, from := range c.rampFrom {
+				r.nodeOf(members[i].ID).rampFrom.Store(from)
+			}
+			served, regional := map[model.InstanceID]int{}, 0
+			for range c.calls {
+				d, why := r.Pick(Query{Service: "shifts"}, start.Add(c.at))
+				require.Nil(t, why)
+				served[d.Instance.ID]++
+				if d.Reason == Region {
+					regional++
+				}
+			}
+			for i, want := range c.local {
+				require.Equal(t, want, served[members[i].ID], members[i].ID)
+				c.calls -= want
+			}
+			require.Equal(t, c.calls, regional, "the rest goes to the next data centre")
+		})
+	}
+}
+
+// Guards against an instance that keeps the few slots of its ramp for as long as its calls
+// last, and against more slots than a settled one has reported.
+func TestOldReportsOfARampAreLowerBounds(t *testing.T) {
+	n := newNode(0)
+	n.report(Load{Slots: 1}, 0)
+	require.Equal(t, 1, n.slots(0))
+	require.Equal(t, 4, n.slots(int64(RampUp/2)))
+	require.Equal(t, 9, n.slots(int64(RampUp)))
+	n.report(Load{Slots: 3}, int64(RampUp))
+	require.Equal(t, 3, n.slots(int64(RampUp+time.Hour)))
+	n.report(Load{Slots: 40}, 0)
+	require.Equal(t, 40, n.slots(int64(RampUp)))
+}
+
 // Guards against a full share for an instance that has just started, because the list
 // named it before its announcement arrived.
 func TestLateAnnouncementStartsTheRamp(t *testing.T) {
