Place calls by the live load of the own instance

Callers waited at the instance beside their daemon while another one was free: the daemon took no account of the calls that other daemons had just sent to its own instance.

Cause: the router knew the load of the own instance as that of any other, from the answers of its own calls. Its guard counts the calls of all daemons as they arrive, but nobody asked it.

Each choice for the own service now sees the guard's load. Because it does not lag, a full own instance is passed by when another one has room.

--- a/core/routing/choose.go
+++ b/core/routing/choose.go
@@ -97,9 +97,8 @@
 
 // draw makes a power of two choices among settled instances. A full one takes part: while
 // load reports lag, leaving it out sends everybody to the few that look free. Only one that
-// the own calls fill is replaced, in zone. An instance
-// that ramps up does not, because it would win against all others; the first draw gives
-// it exactly its part of a share.
+// is crowded is replaced, in zone. An instance that ramps up does not take part, because it
+// would win against all others; the first draw gives it exactly its part of a share.
 func (s *search) draw(z *zone) (target, Reason) {
 	n := len(z.targets)
 	if n == 0 {
--- a/core/routing/node.go
+++ b/core/routing/node.go
@@ -72,6 +72,7 @@
 	inFlight   atomic.Int64 // own calls
 	reported   atomic.Uint64
 	loadAt     atomic.Int64
+	firstHand  atomic.Bool  // the load is that of the own guard, which does not lag
 	answeredAt atomic.Int64 // any answer, refusals included
 	latency    atomic.Int64 // moving average in nanoseconds, 0 if unknown
 	latencyAt  atomic.Int64
@@ -136,9 +137,11 @@
 	return calls >= float64(n.slots(now))
 }
 
-// crowded reports whether the own calls alone fill the instance. Unlike what others send,
-// they are known without a report, before the first of them is answered.
-func (n *node) crowded(now int64) bool { return int(n.inFlight.Load()) >= n.slots(now) }
+// crowded reports whether the instance is full for certain: the own calls alone fill it,
+// which are known before the first of them is answered, or its load is known at first hand.
+func (n *node) crowded(now int64) bool {
+	return int(n.inFlight.Load()) >= n.slots(now) || n.firstHand.Load() && n.full(now)
+}
 
 // newNode returns a node whose ramp starts at the given time.
 func newNode(rampFrom int64) *node {
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -4,6 +4,8 @@
 package routing
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -144,6 +146,23 @@
 	return Decision{Instance: *t.inst, Row: svc.row, Version: routes.version, Reason: why, node: t.node, base: routes.base, at: s.now}, nil
 }
 
+// ObserveSelf takes the present load of the instance beside this daemon. Its guard counts
+// the calls of all daemons as they arrive, while answers report them later.
+func (r *Router) ObserveSelf(load Load, now time.Time) {
+	routes := r.routes.Load()
+	if routes == nil || load.Slots <= 0 {
+		return
+	}
+	group := routes.groups[r.self.Service]
+	i, found := slices.BinarySearchFunc(group, r.self.ID, func(t target, id model.InstanceID) int {
+		return strings.Compare(string(t.inst.ID), string(id))
+	})
+	if found {
+		group[i].node.firstHand.Store(true)
+		group[i].node.report(load, int64(now.Sub(routes.base)))
+	}
+}
+
 // Observe takes the load that came with the header of an answer whose body still runs.
 func (r *Router) Observe(d Decision, load Load, now time.Time) {
 	if d.node == nil {
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -210,6 +210,33 @@
 	}
 }
 
+// Guards against calls that a daemon places at its own instance although those of other
+// daemons hold its slots.
+func TestOwnInstanceCountsTheCallsOfOthers(t *testing.T) {
+	members := sixteen()[:2]
+	r := New(members[1], 1)
+	r.ObserveSelf(Load{InFlight: 9, Slots: 9}, start) // before the first update: no effect
+	r.swap(1, tableOf(row("shifts", 1, 1, 1, 1, 1)), members, start)
+	own := r.nodeOf(members[1].ID)
+	require.False(t, own.full(0))
+	own.inFlight.Store(2)
+	r.ObserveSelf(Load{InFlight: 7, Slots: 9, Queued: 1}, start)
+	calls, slots, fresh := own.load(0)
+	require.Equal(t, 8.0, calls, "own calls count once")
+	require.Equal(t, 9, slots)
+	require.True(t, fresh)
+	r.ObserveSelf(Load{InFlight: 9, Slots: 9}, start)
+	require.True(t, own.full(0))
+	for range 9 {
+		d, why := r.Pick(Query{Service: "shifts"}, start)
+		require.Nil(t, why)
+		require.Equal(t, members[0].ID, d.Instance.ID)
+	}
+	other := New(model.Instance{ID: "files-1", Service: "files", Place: north1}, 1)
+	other.swap(1, tableOf(row("shifts", 1, 1, 1, 1, 1)), members, start)
+	other.ObserveSelf(Load{InFlight: 9, Slots: 9}, start) // has no row: no effect
+}
+
 // Guards against an instance that keeps the few slots of its ramp for as long as its calls
 // last, and against more slots than a settled one has reported.
 func TestOldReportsOfARampAreLowerBounds(t *testing.T) {
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -48,7 +48,7 @@
 // newRouter routes the services of routes to the instances.
 func newRouter(t testing.TB, instances ...model.Instance) *routing.Router {
 	t.Helper()
-	router := routing.New(model.Instance{ID: "a", Place: home}, 1)
+	router := routing.New(instance("a"), 1)
 	router.Update(routes(t), instances, time.Now())
 	return router
 }
--- a/pkg/caller/dispatch.go
+++ b/pkg/caller/dispatch.go
@@ -35,9 +35,10 @@
 // Dispatcher sends calls to routed instances or to the owners of their keys. It is
 // safe for concurrent use.
 type Dispatcher struct {
-	self   model.InstanceID
+	self   model.Instance
 	router *routing.Router
 	local  http.RoundTripper
+	load   func() routing.Load // of the own instance; may be nil
 	remote Remote
 	owners Owners
 	budget *retry.Budget
@@ -176,6 +177,9 @@
 	if c.key != "" {
 		return d.askOwners(ctx, c, number)
 	}
+	if d.load != nil && c.service == d.self.Service {
+		d.router.ObserveSelf(d.load(), time.Now())
+	}
 	decision, refused := d.router.Pick(routing.Query{Service: c.service, Exclude: c.exclude[:number-1]}, time.Now())
 	if refused != nil {
 		if number > 1 && refused.Kind == refusal.NoInstance {
@@ -266,7 +270,7 @@
 	if c.dispatch {
 		out.Header[refusal.HeaderDispatch] = attemptValues[0]
 	}
-	if inst.ID == d.self {
+	if inst.ID == d.self.ID {
 		forward.SetRemaining(ctx, out.Header, time.Now())
 		return d.local.RoundTrip(out)
 	}
--- a/pkg/caller/dispatch_test.go
+++ b/pkg/caller/dispatch_test.go
@@ -21,6 +21,7 @@
 	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/refusal"
 	"mangoshed.example/mangoshed/core/retry"
+	"mangoshed.example/mangoshed/core/routing"
 )
 
 // Guards against a request that runs twice, a retry with a part of the body, and a
@@ -183,6 +184,34 @@
 	require.Positive(t, counts["mangoshed_retry_decisions_total budget"])
 }
 
+// Guards against calls that queue at the own instance, which others fill, beside a free one.
+func TestOwnInstanceFilledByOthersIsPassedBy(t *testing.T) {
+	load := routing.Load{InFlight: 9, Slots: 9, Queued: 3}
+	_, addr := start(t, Config{
+		Router:    newRouter(t, instance("a"), instance("b")),
+		LocalLoad: func() routing.Load { return load },
+		Local:     guardFunc(func(*http.Request) (*http.Response, error) { return answer(200, "a"), nil }),
+		Remote: remoteFunc(func(inst *model.Instance, _ *http.Request) (*http.Response, error) {
+			return answer(200, string(inst.ID)), nil
+		}),
+	})
+	served := map[string]int{}
+	for range 200 {
+		got, err := ask(t, addr, get("shifts", "/"))
+		require.NoError(t, err)
+		served[got.body]++
+	}
+	require.Equal(t, map[string]int{"b": 200}, served)
+	load = routing.Load{Slots: 9}
+	served = map[string]int{}
+	for range 200 {
+		got, err := ask(t, addr, get("shifts", "/"))
+		require.NoError(t, err)
+		served[got.body]++
+	}
+	require.NotZero(t, served["a"])
+}
+
 // Guards against calls that wait at an instance when it is told to stop and whose callers
 // get 503, although another instance would run them.
 func TestCallsThatWaitAtAStoppingInstanceRunElsewhere(t *testing.T) {
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -41,6 +41,8 @@
 	Router *routing.Router
 	// Local is the guard of the local upstream.
 	Local http.RoundTripper
+	// LocalLoad returns the present load of the local upstream; nil if only answers tell.
+	LocalLoad func() routing.Load
 	// Remote reaches the daemons beside other instances.
 	Remote Remote
 	// Owners finds the owners of idempotency keys.
@@ -105,7 +107,7 @@
 	}
 	budget := retry.NewBudget()
 	d := &Dispatcher{
-		self: config.Self.ID, router: config.Router, local: config.Local, remote: config.Remote, owners: config.Owners,
+		self: config.Self, router: config.Router, local: config.Local, load: config.LocalLoad, remote: config.Remote, owners: config.Owners,
 		budget: budget,
 	}
 	s := &Server{Dispatcher: d, config: config}
--- a/pkg/daemon/calls.go
+++ b/pkg/daemon/calls.go
@@ -51,7 +51,8 @@
 	}
 	c.callers, err = caller.New(caller.Config{
 		Self: d.self, Router: c.router, Local: c.guard, Remote: c.forwardClient, Owners: c.guard,
-		Identity: d.cfg.Identity, Registry: d.registry, Idle: idle, ErrorLog: d.errorLog("callers"),
+		LocalLoad: func() routing.Load { return routing.Load(c.guard.LoadNow()) },
+		Identity:  d.cfg.Identity, Registry: d.registry, Idle: idle, ErrorLog: d.errorLog("callers"),
 	})
 	if err != nil {
 		c.guard.Close()
