End a control link whose last frame is not acknowledged

A daemon kept a link over which nothing arrived: a frame lost in a partition was not noticed until the idle timeout (100 s between regions), and the frames behind it waited for as long. TestUnacknowledgedFrameEndsTheLink failed once that way beside a load of 14 to 19 ("no event, expected down" after 31 s).

Cause: the watch took any packet of the peer for an acknowledgement of all that had been written. A packet that the peer sends before the path is cut, such as the acknowledgement of the frame before, can arrive after the next frame was written. The check 3 s later found a higher count of received packets and stopped; retransmissions do not start it again. The test hits the window when the acknowledgement has passed the path before the cut and the daemon handles it after the write, which takes a busy machine.

The watch now follows the events of the QUIC connection: stream data sent, data in flight, probe timeouts. A link ends when probes for stream data go unanswered for 3 s. Any acknowledgement starts the time anew, a lost keep-alive alone does not end a link, as before.

Evidence: TestLateAcknowledgementDoesNotHideALostFrame holds that acknowledgement back until the lost frame was written. TestAckWatchEndsOnlySilentLinksWithData checks the decision in virtual time.

--- a/pkg/peer/accept.go
+++ b/pkg/peer/accept.go
@@ -82,7 +82,7 @@
 				return nil, err
 			}
 			context.AfterFunc(ctx, func() { t.socket.forget(address) })
-			return ctx, nil
+			return withAckWatch(ctx), nil
 		},
 	}
 }
--- a/pkg/peer/dial.go
+++ b/pkg/peer/dial.go
@@ -42,6 +42,7 @@
 		MaxConnectionReceiveWindow:     maxWindow,
 		MaxIncomingUniStreams:          -1,
 		DisablePathMTUDiscovery:        true,
+		Tracer:                         traceAcks,
 	}
 }
 
@@ -123,7 +124,7 @@
 		_ = transport.Close()
 		t.closeSocket(socket)
 	}
-	conn, err := transport.Dial(ctx, socket.remote, t.cfg.Identity.ClientTLS(d.instance.ID, Protocol), clientConfig(distance))
+	conn, err := transport.Dial(withAckWatch(ctx), socket.remote, t.cfg.Identity.ClientTLS(d.instance.ID, Protocol), clientConfig(distance))
 	if err != nil {
 		var failed *quic.TransportError
 		if errors.As(err, &failed) && failed.ErrorCode.IsCryptoError() && !failed.Remote {
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -36,11 +36,12 @@
 	writing int  // bytes that are being handed to the stream
 	busy    bool // a writer runs
 	closing bool
-	ack     ackWatch
 }
 
 func newLink(t *Transport, peer model.InstanceID, conn *quic.Conn, stream *quic.Stream, reader *bufio.Reader, h hello) *link {
-	return &link{transport: t, peer: peer, conn: conn, stream: stream, reader: reader, hello: h, release: func() {}}
+	l := &link{transport: t, peer: peer, conn: conn, stream: stream, reader: reader, hello: h, release: func() {}}
+	l.watchAcks()
+	return l
 }
 
 // up reports the link. The caller holds Transport.order.
@@ -182,7 +183,6 @@
 		l.pending, l.spare = l.spare, nil
 		l.writing = len(batch)
 		l.queue.Unlock()
-		l.expectAck()
 		if _, err := l.stream.Write(batch); err != nil {
 			return // busy stays set; the reader ends the link
 		}
