Look for a free slot before a call waits at an instance

Callers waited in the queue of one instance beside free ones when several daemons sent it calls at the same moment.

A daemon that thinks an instance has a free slot now asks it to refuse the call with no_slot (header Mangoshed-No-Wait) rather than to queue it. The refusal carries the load, and the call goes to the next instance with room, up to three; then it waits at one that is full, as before. Where no instance has room it waits at once. The refusal comes before the limits, the queue and the upstream, so it takes no token of a limit and none of the retry budget. A body that cannot be sent again is queued as before, and callers never see no_slot. A daemon that does not know the header queues.

Evidence: TestCallLooksForAFreeSlot (without looks the call waits), TestNoWaitIsRefusedBeforeTheQueue. TestPolicyUnderLoad now asks the same way and knows the own load, with the same bounds.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -130,6 +130,17 @@
 	return Load{InFlight: q.inFlight, Slots: q.Slots(now), Queued: len(q.waiting[0]) + len(q.waiting[1])}
 }
 
+// Occupied reports whether a new request could not start at once.
+func (q *Queue) Occupied(now time.Time) bool {
+	q.Advance(now)
+	return q.inFlight > 0 && !q.free(now)
+}
+
+// free reports whether a slot is free that nobody waits for.
+func (q *Queue) free(now time.Time) bool {
+	return q.inFlight < q.Slots(now) && len(q.waiting[0])+len(q.waiting[1]) == 0
+}
+
 // Submit decides about a new request: Granted, Queued or a refusal.
 func (q *Queue) Submit(now time.Time, t *Ticket) Verdict {
 	q.Advance(now)
@@ -148,7 +159,7 @@
 func (q *Queue) verdict(now time.Time, t *Ticket) Verdict {
 	need := q.service[t.Class].need()
 	slots := q.Slots(now)
-	free := q.inFlight < slots && len(q.waiting[0])+len(q.waiting[1]) == 0
+	free := q.free(now)
 	switch {
 	case q.closed:
 		return Closed
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -27,6 +27,8 @@
 	HeaderAttempt = "Mangoshed-Attempt"
 	// HeaderDispatch marks a keyed call that the key's owner dispatches.
 	HeaderDispatch = "Mangoshed-Dispatch"
+	// HeaderNoWait marks a forwarded call that is to be refused with NoSlot rather than queued.
+	HeaderNoWait = "Mangoshed-No-Wait"
 	// HeaderService carries the service of a forwarded call.
 	HeaderService = "Mangoshed-Service"
 	// HeaderLoad carries the load of an upstream as inflight/slots/queued.
@@ -58,6 +60,8 @@
 	UpstreamFailed Kind = "upstream_failed"
 	Cut            Kind = "cut"
 	TooLarge       Kind = "too_large"
+	// NoSlot answers HeaderNoWait between daemons; callers do not see it.
+	NoSlot Kind = "no_slot"
 )
 
 // Run says whether the request can have reached the upstream's application.
@@ -106,6 +110,7 @@
 	NotOwner: http.StatusServiceUnavailable, InternalOnly: http.StatusForbidden,
 	BadRequest: http.StatusBadRequest, UpstreamFailed: http.StatusBadGateway,
 	Cut: http.StatusBadGateway, TooLarge: http.StatusRequestHeaderFieldsTooLarge,
+	NoSlot: http.StatusServiceUnavailable,
 }
 
 // StatusCode returns the HTTP status code of the refusal.
--- a/core/routing/policy_test.go
+++ b/core/routing/policy_test.go
@@ -91,6 +91,7 @@
 
 type simJob struct {
 	deadline time.Duration
+	noWait   bool
 	done     func(ok bool, refused refusal.Kind, load Load)
 }
 
@@ -109,6 +110,8 @@
 	switch {
 	case s.dead != nil && s.dead(u.number, s.now):
 		j.done(false, refusal.UpstreamFailed, Load{})
+	case s.ours && j.noWait && u.queue.Occupied(s.clock()):
+		j.done(false, refusal.NoSlot, s.loadOf(u))
 	case s.ours:
 		ticket := &admission.Ticket{Class: admission.NonRepeatable, Deadline: start.Add(j.deadline)}
 		settle := func(v admission.Verdict) {
@@ -176,16 +179,32 @@
 		s.calls++
 	}
 	s.budgets[ingress].Call()
-	s.attempt(ingress, 1, s.now, nil)
+	s.attempt(ingress, 1, s.now, nil, nil)
 }
 
-func (s *sim) attempt(ingress, number int, began time.Duration, exclude []model.InstanceID) {
+// pick is the choice of the ingress: up to three instances are asked for a free slot before
+// the call waits at one.
+func (s *sim) pick(ingress int, exclude, asked []model.InstanceID) (d Decision, noWait, ok bool) {
+	router := s.routers[ingress]
+	router.ObserveSelf(Load(s.byID[router.self.ID].queue.Load(s.clock())), s.clock())
+	d, refused := router.Pick(Query{Service: "shifts", Exclude: append(slices.Clone(exclude), asked...)}, s.clock())
+	room := refused == nil && d.Reason != Full && d.Reason != Suspects && d.Reason != Probe
+	if len(asked) > 0 && !room {
+		router.Report(d, Outcome{Cancelled: true}, s.clock())
+		d, refused = router.Pick(Query{Service: "shifts", Exclude: exclude}, s.clock())
+		return d, false, refused == nil
+	}
+	return d, room && len(asked) < 3, refused == nil
+}
+
+func (s *sim) attempt(ingress, number int, began time.Duration, exclude, asked []model.InstanceID) {
 	var u *simUpstream
 	var d Decision
+	noWait := false
 	deadline := began + simDeadline
 	if s.ours {
-		var refused *refusal.Refusal
-		if d, refused = s.routers[ingress].Pick(Query{Service: "shifts", Exclude: exclude}, s.clock()); refused != nil {
+		var ok bool
+		if d, noWait, ok = s.pick(ingress, exclude, asked); !ok {
 			return
 		}
 		u = s.byID[d.Instance.ID]
@@ -219,15 +238,19 @@
 		}
 		if !s.ours {
 			if number <= 3 {
-				s.attempt(ingress, number+1, began, nil)
+				s.attempt(ingress, number+1, began, nil, nil)
 			}
 			return
 		}
+		if kind == refusal.NoSlot {
+			s.attempt(ingress, number, began, exclude, append(slices.Clone(asked), u.inst.ID))
+			return
+		}
 		verdict := retry.Decide(retry.Attempt{
 			Number: number, Kind: kind, Run: refusal.NotRun, Replayable: true, Remaining: deadline - s.now,
 		}, s.budgets[ingress], s.random.Uint64())
 		if verdict.Retry() {
-			s.after(verdict.Wait, func() { s.attempt(ingress, number+1, began, append(exclude, u.inst.ID)) })
+			s.after(verdict.Wait, func() { s.attempt(ingress, number+1, began, append(exclude, u.inst.ID), nil) })
 		}
 	}
 	s.after(deadline-s.now, func() {
@@ -237,7 +260,7 @@
 		open = false
 	})
 	s.after(wire, func() {
-		s.arrive(u, &simJob{deadline: deadline - wire, done: func(ok bool, kind refusal.Kind, load Load) {
+		s.arrive(u, &simJob{deadline: deadline - wire, noWait: noWait, done: func(ok bool, kind refusal.Kind, load Load) {
 			s.after(wire, func() { settle(ok, kind, load) })
 		}})
 	})
--- a/pkg/caller/dispatch.go
+++ b/pkg/caller/dispatch.go
@@ -23,6 +23,10 @@
 	Owners(service, key string) []model.Instance
 }
 
+// maxLooks bounds the instances that one attempt asks for a free slot before it waits at one.
+// Three cover an own data centre of two instances and one of the next data centre.
+const maxLooks = 3
+
 // maxOwners bounds the ranked owners that one attempt asks. Three cover two starting
 // instances at the head of a key's order.
 const maxOwners = 3
@@ -57,6 +61,7 @@
 	request    *http.Request
 	exclude    [retry.MaxAttempts]model.InstanceID
 	passes     int // times that the request was handed on
+	noWait     bool
 }
 
 // RoundTrip sends a keyed request that the local daemon owns to a routed instance, with
@@ -172,25 +177,74 @@
 	Kind: refusal.NoInstance, Run: refusal.NotRun, Remedy: "every instance of the service has refused or failed the call; try again", RetryAfter: time.Second,
 }
 
-// attempt sends the call once.
+// attempt sends the call once: to an instance that has a free slot as far as is known, and
+// if it has none, which other daemons may have caused meanwhile, to the next one. A call waits
+// where nobody is known to have a free slot. Asking takes nothing from the retry budget,
+// because a request that found no slot has run nowhere.
 func (d *Dispatcher) attempt(ctx context.Context, c *call, number int) (*http.Response, error) {
 	if c.key != "" {
 		return d.askOwners(ctx, c, number)
 	}
+	tried := append(make([]model.InstanceID, 0, len(c.exclude)+maxLooks), c.exclude[:number-1]...)
+	for look := 0; ; look++ {
+		decision, refused := d.pick(c, tried)
+		if look > 0 && (refused != nil || !hasRoom(decision.Reason)) { // none is left to ask
+			d.router.Report(decision, routing.Outcome{Cancelled: true}, time.Now())
+			decision, refused = d.pick(c, tried[:number-1])
+			look = maxLooks
+		}
+		if refused != nil {
+			if number > 1 && refused.Kind == refusal.NoInstance {
+				refused = errNoOther
+			}
+			return nil, refused
+		}
+		c.exclude[number-1] = decision.Instance.ID
+		resp, err := d.try(ctx, c, number, decision, look < maxLooks && hasRoom(decision.Reason) && c.mayLook())
+		if failed := failureOf(resp, err); failed == nil || failed.Kind != refusal.NoSlot {
+			return resp, err
+		}
+		discard(resp)
+		if !c.body.replayable() || ctx.Err() != nil {
+			return nil, noSlot
+		}
+		tried = append(tried, decision.Instance.ID)
+	}
+}
+
+// noSlot is what callers get for a call that found no slot and cannot be sent again.
+var noSlot = &refusal.Refusal{
+	Kind: refusal.Overloaded, Run: refusal.NotRun, RetryAfter: time.Second, Remedy: "the instances that were asked have no free slot; try again",
+}
+
+// pick chooses an instance by the present load.
+func (d *Dispatcher) pick(c *call, exclude []model.InstanceID) (routing.Decision, *refusal.Refusal) {
 	if d.load != nil && c.service == d.self.Service {
 		d.router.ObserveSelf(d.load(), time.Now())
 	}
-	decision, refused := d.router.Pick(routing.Query{Service: c.service, Exclude: c.exclude[:number-1]}, time.Now())
-	if refused != nil {
-		if number > 1 && refused.Kind == refusal.NoInstance {
-			refused = errNoOther
-		}
-		return nil, refused
-	}
-	c.exclude[number-1] = decision.Instance.ID
+	return d.router.Pick(routing.Query{Service: c.service, Exclude: exclude}, time.Now())
+}
+
+// hasRoom reports whether an instance that was chosen for the reason is thought to have a free
+// slot.
+func hasRoom(reason routing.Reason) bool {
+	return reason != routing.Full && reason != routing.Suspects && reason != routing.Probe
+}
+
+// mayLook reports whether an instance may refuse the call rather than queue it: the body can
+// be sent again.
+func (c *call) mayLook() bool {
+	return c.body == nil || c.body.length >= 0 && c.body.length <= replayBytes && c.body.replayable()
+}
+
+// try sends the call to the chosen instance. With noWait it is refused with NoSlot rather
+// than queued.
+func (d *Dispatcher) try(ctx context.Context, c *call, number int, decision routing.Decision, noWait bool) (*http.Response, error) {
 	d.chosen[decision.Reason].Inc()
 	started := time.Now()
+	c.noWait = noWait
 	resp, err := d.pass(ctx, c, number, &decision.Instance)
+	c.noWait = false
 	outcome := routing.Outcome{Latency: time.Since(started)}
 	if failed := failureOf(resp, err); failed != nil {
 		outcome.Refused = failed.Kind
@@ -270,6 +324,10 @@
 	if c.dispatch {
 		out.Header[refusal.HeaderDispatch] = attemptValues[0]
 	}
+	delete(out.Header, refusal.HeaderNoWait)
+	if c.noWait {
+		out.Header[refusal.HeaderNoWait] = attemptValues[0]
+	}
 	if inst.ID == d.self.ID {
 		forward.SetRemaining(ctx, out.Header, time.Now())
 		return d.local.RoundTrip(out)
--- a/pkg/caller/dispatch_test.go
+++ b/pkg/caller/dispatch_test.go
@@ -212,6 +212,71 @@
 	require.NotZero(t, served["a"])
 }
 
+// Guards against calls that wait at an instance beside one with a free slot, because several
+// daemons sent it calls at the same moment; against a call that finds no slot anywhere and is
+// refused; and against looks that use up the retry budget or reach callers.
+func TestCallLooksForAFreeSlot(t *testing.T) {
+	free := map[model.InstanceID]bool{}
+	asked, waited := 0, 0
+	server, addr := start(t, Config{
+		Router: newRouter(t, instance("b"), instance("c"), instance("d"), instance("e")),
+		Remote: remoteFunc(func(inst *model.Instance, r *http.Request) (*http.Response, error) {
+			body, err := io.ReadAll(r.Body)
+			require.NoError(t, err)
+			require.LessOrEqual(t, len(body), replayBytes+1)
+			if free[inst.ID] {
+				return answer(200, string(inst.ID)), nil
+			}
+			if r.Header.Get(refusal.HeaderNoWait) != "" {
+				asked++
+				resp := answer(503, "")
+				refused := &refusal.Refusal{Kind: refusal.NoSlot, Run: refusal.NotRun}
+				resp.Header.Set(refusal.HeaderKind, string(refused.Kind))
+				resp.Header.Set(refusal.HeaderRun, refused.Run.String())
+				return resp, nil
+			}
+			waited++
+			return answer(200, "waited"), nil
+		}),
+	})
+	before := server.budget.Retries()
+	for name, c := range map[string]struct {
+		free          []model.InstanceID
+		body          string
+		asked, waited int
+		got           string
+	}{
+		"one has a free slot":       {[]model.InstanceID{"b", "c", "d", "e"}, "", 0, 0, ""},
+		"none has a free slot":      {nil, "body", maxLooks, 1, "waited"},
+		"body too large for a look": {nil, strings.Repeat("x", replayBytes+1), 0, 1, "waited"},
+	} {
+		asked, waited = 0, 0
+		clear(free)
+		for _, id := range c.free {
+			free[id] = true
+		}
+		got, err := ask(t, addr, fmt.Sprintf("POST / HTTP/1.1\r\nHost: shifts\r\nContent-Length: %d\r\n\r\n%s", len(c.body), c.body))
+		require.NoError(t, err)
+		require.Equal(t, 200, got.StatusCode, name)
+		require.Equal(t, c.asked, asked, name)
+		require.Equal(t, c.waited, waited, name)
+		if c.got != "" {
+			require.Equal(t, c.got, got.body, name)
+		}
+	}
+	for range 50 {
+		clear(free)
+		free["e"] = true
+		asked, waited = 0, 0
+		got, err := ask(t, addr, get("shifts", "/"))
+		require.NoError(t, err)
+		require.Equal(t, "e", got.body)
+		require.LessOrEqual(t, asked, maxLooks)
+		require.Zero(t, waited)
+	}
+	require.GreaterOrEqual(t, server.budget.Retries(), before)
+}
+
 // Guards against calls that wait at an instance when it is told to stop and whose callers
 // get 503, although another instance would run them.
 func TestCallsThatWaitAtAStoppingInstanceRunElsewhere(t *testing.T) {
--- a/pkg/upstream/guard_test.go
+++ b/pkg/upstream/guard_test.go
@@ -96,6 +96,34 @@
 	}
 }
 
+// Guards against a call that asks not to wait and is queued, or takes a token of the limits or
+// a byte to the upstream.
+func TestNoWaitIsRefusedBeforeTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fake{script: say(fine)}
+		g, end := newGuard(t, f, nil)
+		defer end()
+		resp, refused, err := call(g, request(context.Background(), "GET", "", refusal.HeaderNoWait, "1"))
+		require.Nil(t, refused)
+		require.NoError(t, err)
+		require.NotNil(t, resp, "a free slot is taken")
+		f.set(hang)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _, _, _ = call(g, request(ctx, "GET", "")) }() // holds the only slot
+		synctest.Wait()
+		seen := f.seen.Load()
+		for range 100 {
+			_, refused, _ = call(g, request(context.Background(), "POST", "b", refusal.HeaderNoWait, "1"))
+			require.Equal(t, refusal.NoSlot, refused.Kind)
+			require.Equal(t, refusal.NotRun, refused.Run)
+		}
+		require.Equal(t, seen, f.seen.Load())
+		require.Zero(t, g.LoadNow().Queued)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against a second execution by net/http when a reused connection breaks, and against
 // a change of net/http that makes this test pass for another reason.
 func TestBrokenReusedConnection(t *testing.T) {
--- a/pkg/upstream/local.go
+++ b/pkg/upstream/local.go
@@ -39,6 +39,9 @@
 	if g.closed() {
 		return nil, refusalOf(admission.Closed)
 	}
+	if req.Header.Get(refusal.HeaderNoWait) != "" && g.occupied() {
+		return nil, notRun(refusal.NoSlot, "ask another instance, or send the request without "+refusal.HeaderNoWait)
+	}
 	fingerprint, err := g.peek(req)
 	if err != nil {
 		return nil, notRun(refusal.Cut, "the request's body ended early: "+err.Error())
@@ -60,6 +63,14 @@
 	return g.draining
 }
 
+// occupied reports whether a request would have to wait. It is asked before the request takes
+// a token of the limits.
+func (g *Guard) occupied() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.down && g.queue.Occupied(time.Now())
+}
+
 // peek reads the start of the body for the fingerprint, before the request holds a slot.
 func (g *Guard) peek(req *http.Request) (quarantine.Fingerprint, error) {
 	var head []byte
