--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -57,6 +58,36 @@
 	require.False(t, q.Cancel(waiting))
 }
 
+// Guards against a queue that calls itself free although a request would wait, as beside
+// waiting ones or in the ramp, and against one that turns a request away from a free slot.
+func TestOccupiedTellsWhetherARequestWaits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewQueue(Config{Slots: rapid.IntRange(1, 4).Draw(t, "slots")}, start)
+		now := start
+		var running []*Ticket
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "release") && len(running) > 0 {
+				q.Release(now, running[0], false)
+				running = running[1:]
+				continue
+			}
+			occupied := q.Occupied(now)
+			submitted := &Ticket{Class: Class(rapid.IntRange(0, 1).Draw(t, "class")), Deadline: now.Add(time.Hour)}
+			submitted.Decide = func(v Verdict) {
+				if v == Granted {
+					running = append(running, submitted)
+				}
+			}
+			verdict := q.Submit(now, submitted)
+			require.Equal(t, occupied, verdict != Granted)
+			if verdict == Granted {
+				running = append(running, submitted)
+			}
+		}
+	})
+}
+
 // Guards against full load on a cold upstream and against a ramp that never ends.
 func TestRamp(t *testing.T) {
 	q := NewQueue(Config{}, start)
