--- a/core/routing/node.go
+++ b/core/routing/node.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"mangoshed.example/mangoshed/core/admission"
 	"mangoshed.example/mangoshed/core/model"
 )
 
@@ -66,12 +67,12 @@
 // node is what an ingress learns about an instance. It outlives route tables. Times
 // are nanoseconds since the base of the route tables.
 type node struct {
-	rampFrom int64 // start of the ramp; never changes
-	settled  bool  // known from the first update on, so without a ramp
+	rampFrom atomic.Int64 // start of the ramp
 
 	inFlight   atomic.Int64 // own calls
 	reported   atomic.Uint64
 	loadAt     atomic.Int64
+	firstHand  atomic.Bool  // the load is that of the own guard, which does not lag
 	answeredAt atomic.Int64 // any answer, refusals included
 	latency    atomic.Int64 // moving average in nanoseconds, 0 if unknown
 	latencyAt  atomic.Int64
@@ -120,17 +121,46 @@
 	return float64(n.latency.Load())
 }
 
+// slots returns the slots that the instance is taken to have. Until it reports its own,
+// these are the default ones, fewer while it ramps up; an old report from its ramp is a
+// lower bound.
+func (n *node) slots(now int64) int {
+	_, reported, fresh := n.load(now)
+	if reported > 0 && (fresh || n.ramp(n.loadAt.Load()) >= 1) {
+		return reported
+	}
+	return max(1, reported, int(n.ramp(now)*admission.DefaultSlots))
+}
+
 func (n *node) full(now int64) bool {
-	calls, slots, _ := n.load(now)
-	return slots > 0 && calls >= float64(slots)
+	calls, _, _ := n.load(now)
+	return calls >= float64(n.slots(now))
+}
+
+// crowded reports whether the instance is full for certain: the own calls alone fill it,
+// which are known before the first of them is answered, or its load is known at first hand.
+func (n *node) crowded(now int64) bool {
+	return int(n.inFlight.Load()) >= n.slots(now) || n.firstHand.Load() && n.full(now)
+}
+
+// newNode returns a node whose ramp starts at the given time.
+func newNode(rampFrom int64) *node {
+	n := &node{}
+	n.rampFrom.Store(rampFrom)
+	return n
+}
+
+// born takes the start of the instance from its announcement. An instance can be listed
+// before it is announced, so that it looked settled at first.
+func (n *node) born(at, now int64) {
+	if at <= now && now-at < int64(RampUp) {
+		n.rampFrom.Store(max(n.rampFrom.Load(), at))
+	}
 }
 
 // ramp returns the part of its share that the instance gets, up to 1.
 func (n *node) ramp(now int64) float64 {
-	if n.settled {
-		return 1
-	}
-	age := now - n.rampFrom
+	age := now - n.rampFrom.Load()
 	if age >= int64(RampUp) {
 		return 1
 	}
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -168,6 +168,117 @@
 	require.Greater(t, share(joined.Add(RampUp)), 900)
 }
 
+// Guards against a burst that one daemon sends to one instance, where it waits beside free
+// slots, because no answer has reported the load yet.
+func TestUnansweredCallsFillInstances(t *testing.T) {
+	const settled, young = -int64(RampUp), 0
+	for name, c := range map[string]struct {
+		rampFrom []int64 // of the instances of the own data centre
+		at       time.Duration
+		calls    int
+		local    []int // calls at the instances of the own data centre
+	}{
+		"cold ones take one each":          {[]int64{young, young}, 0, 6, []int{1, 1}},
+		"as many as their ramp allows":     {[]int64{young, young}, RampUp / 2, 15, []int{4, 4}},
+		"nine at settled ones":             {[]int64{settled, settled, settled}, 0, 36, []int{9, 9, 9}},
+		"a young one beside a settled one": {[]int64{settled, young}, RampUp / 2, 22, []int{9, 4}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			members := []model.Instance{instance("shifts", north2, 0)}
+			for i := range c.rampFrom {
+				members = append([]model.Instance{instance("shifts", north1, len(c.rampFrom)-1-i)}, members...)
+			}
+			r := newRouter(members, row("shifts", 1, 1, 1, 1, 1))
+			for i, from := range c.rampFrom {
+				r.nodeOf(members[i].ID).rampFrom.Store(from)
+			}
+			served, regional := map[model.InstanceID]int{}, 0
+			for range c.calls {
+				d, why := r.Pick(Query{Service: "shifts"}, start.Add(c.at))
+				require.Nil(t, why)
+				served[d.Instance.ID]++
+				if d.Reason == Region {
+					regional++
+				}
+			}
+			for i, want := range c.local {
+				require.Equal(t, want, served[members[i].ID], members[i].ID)
+				c.calls -= want
+			}
+			require.Equal(t, c.calls, regional, "the rest goes to the next data centre")
+		})
+	}
+}
+
+// Guards against calls that a daemon places at its own instance although those of other
+// daemons hold its slots.
+func TestOwnInstanceCountsTheCallsOfOthers(t *testing.T) {
+	members := sixteen()[:2]
+	r := New(members[1], 1)
+	r.ObserveSelf(Load{InFlight: 9, Slots: 9}, start) // before the first update: no effect
+	r.swap(1, tableOf(row("shifts", 1, 1, 1, 1, 1)), members, start)
+	own := r.nodeOf(members[1].ID)
+	require.False(t, own.full(0))
+	own.inFlight.Store(2)
+	r.ObserveSelf(Load{InFlight: 7, Slots: 9, Queued: 1}, start)
+	calls, slots, fresh := own.load(0)
+	require.Equal(t, 8.0, calls, "own calls count once")
+	require.Equal(t, 9, slots)
+	require.True(t, fresh)
+	r.ObserveSelf(Load{InFlight: 9, Slots: 9}, start)
+	require.True(t, own.full(0))
+	for range 9 {
+		d, why := r.Pick(Query{Service: "shifts"}, start)
+		require.Nil(t, why)
+		require.Equal(t, members[0].ID, d.Instance.ID)
+	}
+	other := New(model.Instance{ID: "files-1", Service: "files", Place: north1}, 1)
+	other.swap(1, tableOf(row("shifts", 1, 1, 1, 1, 1)), members, start)
+	other.ObserveSelf(Load{InFlight: 9, Slots: 9}, start) // has no row: no effect
+}
+
+// Guards against an instance that keeps the few slots of its ramp for as long as its calls
+// last, and against more slots than a settled one has reported.
+func TestOldReportsOfARampAreLowerBounds(t *testing.T) {
+	n := newNode(0)
+	n.report(Load{Slots: 1}, 0)
+	require.Equal(t, 1, n.slots(0))
+	require.Equal(t, 4, n.slots(int64(RampUp/2)))
+	require.Equal(t, 9, n.slots(int64(RampUp)))
+	n.report(Load{Slots: 3}, int64(RampUp))
+	require.Equal(t, 3, n.slots(int64(RampUp+time.Hour)))
+	n.report(Load{Slots: 40}, 0)
+	require.Equal(t, 40, n.slots(int64(RampUp)))
+}
+
+// Guards against a full share for an instance that has just started, because the list
+// named it before its announcement arrived.
+func TestLateAnnouncementStartsTheRamp(t *testing.T) {
+	for name, c := range map[string]struct {
+		started time.Duration // before the own start; after it if negative
+		ramp    float64
+	}{
+		"just started": {time.Second, rampStart + (1-rampStart)*1.5/RampUp.Seconds()},
+		"since then":   {-250 * time.Millisecond, rampStart + (1-rampStart)*0.25/RampUp.Seconds()},
+		"long ago":     {time.Hour, 1},
+		"clock ahead":  {-time.Minute, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			members := sixteen()
+			r := newRouter(members, row("shifts", 1, 1, 1, 1, 1))
+			n := r.nodeOf(members[0].ID)
+			require.Equal(t, 1.0, n.ramp(0))
+			n.inFlight.Add(1)
+			announced := sixteen()
+			announced[0].Incarnation = uint64(start.Add(-c.started).UnixMilli())
+			at := start.Add(500 * time.Millisecond)
+			r.swap(1, tableOf(row("shifts", 1, 1, 1, 1, 1)), announced, at)
+			require.Same(t, n, r.nodeOf(members[0].ID), "calls in flight still count")
+			require.InDelta(t, c.ramp, n.ramp(int64(at.Sub(start))), 1e-9)
+		})
+	}
+}
+
 // Guards against more than one call that tests a suspect, and against a suspicion that
 // never ends or does not grow.
 func TestSuspectGetsOneProbe(t *testing.T) {
@@ -288,7 +399,7 @@
 
 // Guards against stale load: it fades within 1 s down to the own calls.
 func TestLoadFades(t *testing.T) {
-	n := &node{settled: true}
+	n := newNode(-int64(RampUp))
 	n.inFlight.Store(2)
 	n.report(Load{InFlight: 8, Slots: 9, Queued: 4}, 0)
 	for _, step := range []struct {
--- a/pkg/caller/dispatch_test.go
+++ b/pkg/caller/dispatch_test.go
@@ -14,12 +14,14 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/refusal"
 	"mangoshed.example/mangoshed/core/retry"
+	"mangoshed.example/mangoshed/core/routing"
 )
 
 // Guards against a request that runs twice, a retry with a part of the body, and a
@@ -182,6 +184,136 @@
 	require.Positive(t, counts["mangoshed_retry_decisions_total budget"])
 }
 
+// Guards against calls that queue at the own instance, which others fill, beside a free one.
+func TestOwnInstanceFilledByOthersIsPassedBy(t *testing.T) {
+	load := routing.Load{InFlight: 9, Slots: 9, Queued: 3}
+	_, addr := start(t, Config{
+		Router:    newRouter(t, instance("a"), instance("b")),
+		LocalLoad: func() routing.Load { return load },
+		Local:     guardFunc(func(*http.Request) (*http.Response, error) { return answer(200, "a"), nil }),
+		Remote: remoteFunc(func(inst *model.Instance, _ *http.Request) (*http.Response, error) {
+			return answer(200, string(inst.ID)), nil
+		}),
+	})
+	served := map[string]int{}
+	for range 200 {
+		got, err := ask(t, addr, get("shifts", "/"))
+		require.NoError(t, err)
+		served[got.body]++
+	}
+	require.Equal(t, map[string]int{"b": 200}, served)
+	load = routing.Load{Slots: 9}
+	served = map[string]int{}
+	for range 200 {
+		got, err := ask(t, addr, get("shifts", "/"))
+		require.NoError(t, err)
+		served[got.body]++
+	}
+	require.NotZero(t, served["a"])
+}
+
+// Guards against calls that wait at an instance beside one with a free slot, because several
+// daemons sent it calls at the same moment; against a call that finds no slot anywhere and is
+// refused; and against looks that use up the retry budget or reach callers.
+func TestCallLooksForAFreeSlot(t *testing.T) {
+	free := map[model.InstanceID]bool{}
+	asked, waited := 0, 0
+	server, addr := start(t, Config{
+		Router: newRouter(t, instance("b"), instance("c"), instance("d"), instance("e")),
+		Remote: remoteFunc(func(inst *model.Instance, r *http.Request) (*http.Response, error) {
+			body, err := io.ReadAll(r.Body)
+			require.NoError(t, err)
+			require.LessOrEqual(t, len(body), replayBytes+1)
+			if free[inst.ID] {
+				return answer(200, string(inst.ID)), nil
+			}
+			if r.Header.Get(refusal.HeaderNoWait) != "" {
+				asked++
+				resp := answer(503, "")
+				refused := &refusal.Refusal{Kind: refusal.NoSlot, Run: refusal.NotRun}
+				resp.Header.Set(refusal.HeaderKind, string(refused.Kind))
+				resp.Header.Set(refusal.HeaderRun, refused.Run.String())
+				return resp, nil
+			}
+			waited++
+			return answer(200, "waited"), nil
+		}),
+	})
+	before := server.budget.Retries()
+	for name, c := range map[string]struct {
+		free          []model.InstanceID
+		body          string
+		asked, waited int
+		got           string
+	}{
+		"one has a free slot":       {[]model.InstanceID{"b", "c", "d", "e"}, "", 0, 0, ""},
+		"none has a free slot":      {nil, "body", maxLooks, 1, "waited"},
+		"body too large for a look": {nil, strings.Repeat("x", replayBytes+1), 0, 1, "waited"},
+	} {
+		asked, waited = 0, 0
+		clear(free)
+		for _, id := range c.free {
+			free[id] = true
+		}
+		got, err := ask(t, addr, fmt.Sprintf("POST / HTTP/1.1\r\nHost: shifts\r\nContent-Length: %d\r\n\r\n%s", len(c.body), c.body))
+		require.NoError(t, err)
+		require.Equal(t, 200, got.StatusCode, name)
+		require.Equal(t, c.asked, asked, name)
+		require.Equal(t, c.waited, waited, name)
+		if c.got != "" {
+			require.Equal(t, c.got, got.body, name)
+		}
+	}
+	for range 50 {
+		clear(free)
+		free["e"] = true
+		asked, waited = 0, 0
+		got, err := ask(t, addr, get("shifts", "/"))
+		require.NoError(t, err)
+		require.Equal(t, "e", got.body)
+		require.LessOrEqual(t, asked, maxLooks)
+		require.Zero(t, waited)
+	}
+	require.GreaterOrEqual(t, server.budget.Retries(), before)
+}
+
+// Guards against calls that wait at an instance when it is told to stop and whose callers
+// get 503, although another instance would run them.
+func TestCallsThatWaitAtAStoppingInstanceRunElsewhere(t *testing.T) {
+	const calls = 12
+	router := newRouter(t, instance("b"))
+	waiting, stopped := make(chan struct{}, calls), make(chan struct{})
+	_, addr := start(t, Config{
+		Router: router,
+		Remote: remoteFunc(func(inst *model.Instance, _ *http.Request) (*http.Response, error) {
+			if inst.ID == "c" {
+				return answer(200, "c"), nil
+			}
+			waiting <- struct{}{}
+			<-stopped
+			return nil, &refusal.Refusal{Kind: refusal.Leaving, Run: refusal.NotRun}
+		}),
+	})
+	answers := make(chan reply, calls)
+	for n := range calls {
+		go func() {
+			got, err := ask(t, addr, []string{"GET", "POST"}[n%2]+" / HTTP/1.1\r\nHost: shifts\r\nContent-Length: 0\r\n\r\n")
+			assert.NoError(t, err)
+			answers <- got
+		}()
+	}
+	for range calls {
+		<-waiting
+	}
+	router.Update(routes(t), []model.Instance{instance("b"), instance("c")}, time.Now())
+	close(stopped)
+	for range calls {
+		got := <-answers
+		require.Equal(t, 200, got.StatusCode, got.Header)
+		require.Equal(t, "c", got.body)
+	}
+}
+
 // Guards against keyed requests that miss the owner of the key.
 func TestKeyedRequestGoesToOwner(t *testing.T) {
 	ran := make(chan model.InstanceID, 1)
