Answer requests that become complete while a stopping daemon closes its servers

Callers saw: a request to a stopping daemon ended with a closed connection although the daemon had read it whole and could say that it had not run. Other daemons saw the same for jobs, which then count as may-have-run.

Cause: http.Server.Shutdown drops every request whose header is complete only after it was called (conn.serve returns when the server is shutting down), also the first one of a connection that was accepted before; and it takes a connection for idle until a whole header has been parsed, so that it closes connections on which a request has arrived or is arriving.

Change: the daemon's servers close by themselves. They accept no more connections, end those on which nothing has arrived since the last answer (neither read nor waiting in the socket), and go on to answer on the others until the time for the last answers is over. What is left then is cut and counted in connections_cut.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -83,6 +83,12 @@
 	return ok && (err == nil && n == 0 || err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR))
 }
 
+// Unread reports whether bytes that have arrived on a connection were not read yet.
+func Unread(c net.Conn) bool {
+	n, err, ok := peek(c)
+	return ok && err == nil && n > 0
+}
+
 // peek looks at the next byte that has arrived; ok is false for connections without a socket.
 func peek(c net.Conn) (n int, failed error, ok bool) {
 	tcp, isSocket := c.(syscall.Conn)
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -80,13 +80,6 @@
 	end      context.CancelCauseFunc
 }
 
-// server is one HTTP server with its listener.
-type server struct {
-	name     string
-	http     *http.Server
-	listener net.Listener
-}
-
 // SocketError reports an address that cannot be bound.
 type SocketError struct {
 	Key     string
@@ -193,10 +186,10 @@
 		if err != nil {
 			return &SocketError{Key: s.key, Address: s.address, Err: err}
 		}
-		d.servers = append(d.servers, &server{name: s.key, listener: listener, http: &http.Server{
+		d.servers = append(d.servers, newServer(s.key, listener, &http.Server{
 			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: s.idle, MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.errorLog(s.key),
 			DisableGeneralOptionsHandler: true, ConnContext: withConn, BaseContext: func(net.Listener) context.Context { return d.requests },
-		}})
+		}))
 	}
 	return nil
 }
@@ -225,11 +218,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
 	for _, s := range d.servers {
-		d.tasks.Go(func() {
-			if err := s.http.Serve(s.listener); err != nil && err != http.ErrServerClosed {
-				d.log.Error("server_failed", zap.String("server", s.name), zap.Error(err))
-			}
-		})
+		d.tasks.Go(func() { s.serve(d.log) })
 	}
 	d.tasks.Go(func() { d.follower.Run(ctx) })
 	d.tasks.Go(func() { d.housekeep(ctx) })
--- a/pkg/mesh/drain.go
+++ b/pkg/mesh/drain.go
@@ -66,16 +66,13 @@
 // busy reports whether a request of a caller or a job of another daemon is not answered yet.
 func (d *Daemon) busy() bool { return d.guard.Active() > 0 || d.ingress.active.Load() > 0 }
 
-// shutdown closes the servers. Connections that still carry a request at the end are cut.
+// shutdown closes the servers. Connections that are not idle at the end are cut.
 func (d *Daemon) shutdown(end time.Time) {
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
 	var closers sync.WaitGroup
 	for _, s := range d.servers {
 		closers.Go(func() {
-			if err := s.http.Shutdown(ctx); err != nil {
-				d.log.Warn("connections_cut", zap.String("server", s.name), zap.Error(err))
-				_ = s.http.Close()
+			if cut := s.close(end); cut > 0 {
+				d.log.Warn("connections_cut", zap.String("server", s.name), zap.Int("connections", cut))
 			}
 		})
 	}
--- /dev/null
+++ b/pkg/mesh/server_test.go
@@ -0,0 +1,147 @@
+package mesh
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"regexp"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"mangoshed.example/mangoshed/core/refusal"
+	"mangoshed.example/mangoshed/pkg/exchange"
+)
+
+// farEnd is an end of a stop that no test reaches.
+const farEnd = time.Minute
+
+// leavingDaemon starts a daemon that refuses requests because it stops, and returns its address.
+func leavingDaemon(t *testing.T) (*Daemon, string) {
+	text := regexp.MustCompile(`127\.0\.0\.1:80\d\d`).ReplaceAllString(Example(), "127.0.0.1:0")
+	s, err := ParseSettings("example", []byte(text))
+	require.NoError(t, err)
+	d, err := New(s, Platform{Store: emptyStore{}, Headers: Headers{Remaining: "Left"}}, zap.NewNop())
+	require.NoError(t, err)
+	d.Start()
+	t.Cleanup(d.Close)
+	d.ingress.plan.Store(closedPlan())
+	return d, d.servers[0].listener.Addr().String()
+}
+
+// caller is a connection to a daemon.
+type caller struct {
+	t    *testing.T
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func dialDaemon(t *testing.T, address string) *caller {
+	conn, err := net.Dial("tcp4", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.SetDeadline(time.Now().Add(farEnd)))
+	return &caller{t: t, conn: conn, in: bufio.NewReader(conn)}
+}
+
+func (c *caller) write(text string) {
+	_, err := c.conn.Write([]byte(text))
+	require.NoError(c.t, err)
+}
+
+// refused reads an answer that says that the request has not run.
+func (c *caller) refused() {
+	resp, err := http.ReadResponse(c.in, nil)
+	require.NoError(c.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	require.Equal(c.t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Equal(c.t, refusal.NotRun.String(), resp.Header.Get(refusal.HeaderRun))
+}
+
+// shutDown closes the daemon's servers and returns when no connection is accepted any more.
+func shutDown(t *testing.T, d *Daemon, address string) (ended chan struct{}) {
+	ended = make(chan struct{})
+	go func() {
+		defer close(ended)
+		d.shutdown(time.Now().Add(farEnd))
+	}()
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp4", address)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	}, farEnd, time.Millisecond)
+	return ended
+}
+
+// Guards against a request that is read whole when the servers close, on a connection that was
+// open before, and is dropped without an answer.
+func TestFirstRequestOfAConnectionIsAnsweredWhileServersClose(t *testing.T) {
+	d, address := leavingDaemon(t)
+	early := dialDaemon(t, address)
+	// Connections are accepted in turn: an answer on the second shows that the first one is.
+	second := dialDaemon(t, address)
+	second.write("GET /x HTTP/1.1\r\nHost: app\r\n\r\n")
+	second.refused()
+	ended := shutDown(t, d, address)
+	early.write("GET /x HTTP/1.1\r\nHost: app\r\n\r\n")
+	early.refused()
+	<-ended
+}
+
+// Guards against a connection that is taken for idle, and closed, while a request arrives on it.
+func TestRequestThatHasBegunToArriveIsAnsweredWhileServersClose(t *testing.T) {
+	d, address := leavingDaemon(t)
+	d.ingress.plan.Store(nil)
+	late := dialDaemon(t, address)
+	late.write("GET /x HTTP/1.1\r\nHost: app\r\nLeft: 1\r\n\r\n")
+	late.refused() // no table has arrived
+	late.write("GET /y HTTP/1.1\r\nHost: ")
+	d.ingress.plan.Store(closedPlan())
+	ended := shutDown(t, d, address)
+	late.write("app\r\n\r\n")
+	late.refused()
+	<-ended
+}
+
+// Guards against a request that has arrived and is not read yet when its connection is closed as
+// idle.
+func TestConnectionWithUnreadBytesIsNotIdle(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	peer := dialDaemon(t, listener.Addr().String())
+	accepted, err := serverListener{listener}.Accept()
+	require.NoError(t, err)
+	defer func() { _ = accepted.Close() }()
+	conn := accepted.(*serverConn)
+	conn.setIdle(true)
+	peer.write("GET")
+	require.Eventually(t, func() bool { return exchange.Unread(conn) }, farEnd, time.Millisecond)
+	conn.endIfIdle()
+	read := make([]byte, 3)
+	_, err = io.ReadFull(conn, read)
+	require.NoError(t, err)
+
+	conn.setIdle(true)
+	conn.endIfIdle()
+	_, err = conn.Read(read)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
+
+// Guards against a stop that lasts longer because callers keep connections that they do not use.
+func TestIdleConnectionsDoNotDelayTheEnd(t *testing.T) {
+	d, address := leavingDaemon(t)
+	d.ingress.plan.Store(nil)
+	idle := dialDaemon(t, address)
+	idle.write("GET /x HTTP/1.1\r\nHost: app\r\nLeft: 1\r\n\r\n")
+	idle.refused()
+	<-shutDown(t, d, address)
+	_, err := idle.in.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
