Measure the way between daemons and leave time for it

Callers of a service behind a full link got 504 (may have run) at the end of their time for requests that no upstream had seen.

Cause: the time on the way to another daemon was a constant (18 ms between regions). A link between regions that is full takes 100 to 900 ms one way. The daemon beside the instance counts the time left from the arrival of the job, so that it decides after the sender has given up; and a job was sent even if not even a refusal could be back in time.

Change: a result says how long its daemon held the job. What remains of the exchange is the way, kept for each data centre at the value that two of three exchanges do not exceed, so that one host behind a slow link does not speak for the others. It counts in the choice, twice if the body waits for a go-ahead; the deadline and the goal of a job are earlier by it; an instance that could not answer in time is not chosen, and without another the request is refused at once as not run.

--- a/core/placement/learn.go
+++ b/core/placement/learn.go
@@ -15,6 +15,7 @@
 		s.load, s.loadAt, s.sent = r.Load, now, 0
 	}
 	p.pace(now, s, route, r)
+	p.measure(now, c.Instance, r.Way)
 	switch r.Outcome {
 	case Answered:
 		s.strikes, s.outUntil = 0, time.Time{}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -1,7 +1,7 @@
 // Package placement chooses the instance for a request at the daemon that received it.
 //
 // Each answer and refusal of another daemon carries the load of its upstream. The expected
-// time until an answer is the time on the way, the expected wait by the last report and by
+// time until an answer is the measured time on the way, the expected wait by the last report and by
 // what was sent since, and the run time with the measured slowness of the upstream. The
 // expected loss of an instance is the risk of a late answer, which grows with the part of the
 // latency objective that the expected time takes, and the cost of the bytes that cross a link.
@@ -105,6 +105,8 @@
 	Expected time.Duration
 	// Bytes is the size of the answer.
 	Bytes int
+	// Way is the time that the request and its answer took between the daemons, 0 if unknown.
+	Way time.Duration
 }
 
 // stat is what is known of one instance.
@@ -145,6 +147,7 @@
 	// unreachable holds the hosts whose daemons do not answer.
 	unreachable map[string]bool
 	warm        map[model.InstanceID]time.Time
+	ways        map[model.Place]measured
 }
 
 // New returns a placer for requests that arrive at a place. Equal seeds make equal choices.
@@ -152,7 +155,7 @@
 	return &Placer{
 		self: self, costs: costs, random: rand.New(rand.NewPCG(seed, seed)), stats: make(map[model.InstanceID]*stat),
 		runs: make(map[string]*routeStat), means: make(map[string]float64), groups: make(map[string][]*catalog.Instance), warm: make(map[model.InstanceID]time.Time),
-		unreachable: make(map[string]bool),
+		unreachable: make(map[string]bool), ways: make(map[model.Place]measured),
 	}
 }
 
@@ -225,8 +228,11 @@
 type Query struct {
 	Service string
 	Route   string
-	// Slack is the time that is left until the objective.
-	Slack time.Duration
+	// Slack is the time that is left until the objective, and Left until the caller gives up; 0
+	// sets no bound.
+	Slack, Left time.Duration
+	// Asks says that the body is sent once the instance has a slot, so that the way is taken twice.
+	Asks bool
 	// Bytes is the size of the request.
 	Bytes int
 	// Exclude lists instances that are out of the question.
@@ -240,11 +246,16 @@
 	Expected time.Duration
 	// Wait is the expected wait for a slot, a part of Expected.
 	Wait time.Duration
-	at   time.Time
+	// Way is the time that the request and its answer take between the daemons, a part of
+	// Expected.
+	Way     time.Duration
+	tooLate bool
+	at      time.Time
 }
 
-// Choose returns the instance with the least expected loss among a few, false without any. It
-// counts a request in flight there until Done.
+// Choose returns the instance with the least expected loss among a few. It counts a request in
+// flight there until Done. It returns false without any, and with one that cannot answer before
+// the caller gives up.
 func (p *Placer) Choose(now time.Time, q Query) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -252,12 +263,13 @@
 	least := 0.0
 	for _, inst := range p.candidates(p.usable(now, q)) {
 		c := p.score(now, q, inst)
-		if loss := p.loss(q, c); best.Instance == nil || loss < least {
+		loss := p.loss(q, c)
+		if best.Instance == nil || best.tooLate && !c.tooLate || best.tooLate == c.tooLate && loss < least {
 			best, least = c, loss
 		}
 	}
-	if best.Instance == nil {
-		return Choice{}, false
+	if best.Instance == nil || best.tooLate {
+		return best, false
 	}
 	s := p.stats[best.Instance.ID]
 	best.at = now
@@ -350,11 +362,18 @@
 		slow = max(slow, coldSlow)
 	}
 	wait, busy := p.wait(now, s, inst, run*slow)
-	expected := p.way(inst.Place) + p.transfer(inst, float64(q.Bytes)+known.bytes) + wait + time.Duration(run*slow*(1+busyShare*busy*busy))
+	way := p.way(now, inst)
+	trips := way
+	if q.Asks {
+		trips += way
+	}
+	expected := trips + p.transfer(inst, float64(q.Bytes)+known.bytes) + wait + time.Duration(run*slow*(1+busyShare*busy*busy))
 	expected += time.Duration(s.failures * decay(now.Sub(s.failedAt), failureDecay) * float64(failurePenalty))
 	// A small random part keeps daemons with equal views from choosing alike.
 	expected += time.Duration(p.random.Float64() * run / 16)
-	return Choice{Instance: inst, Expected: expected, Wait: wait}
+	// A usual run takes at least half of the mean.
+	tooLate := q.Left > 0 && trips+time.Duration(run/2) > q.Left
+	return Choice{Instance: inst, Expected: expected, Wait: wait, Way: way, tooLate: tooLate}
 }
 
 // wait returns the expected wait for a slot and the expected occupation from 0 to 1. A report
@@ -417,17 +436,6 @@
 	return time.Duration(p.stat(route).run)
 }
 
-// way returns the time to an instance and back.
-func (p *Placer) way(place model.Place) time.Duration {
-	switch place.DistanceTo(p.self) {
-	case model.SameDataCentre:
-		return p.costs.DataCentre
-	case model.SameRegion:
-		return p.costs.Region
-	}
-	return p.costs.Remote
-}
-
 // transfer returns the time that bytes take over the links to an instance.
 func (p *Placer) transfer(inst *catalog.Instance, bytes float64) time.Duration {
 	if inst.Host() == p.host {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -230,3 +230,58 @@
 		require.Less(t, n, 90, id)
 	}
 }
+
+// exchange ends a choice with an answer that spent a time on the way.
+func exchange(p *Placer, at time.Time, c Choice, way time.Duration) {
+	p.Done(at, c, "r", Report{Outcome: Answered, Load: free(), Run: 60 * time.Millisecond, Bytes: 400, Way: way})
+}
+
+// fillLink makes the placer measure a way to the instances of the view.
+func fillLink(t *testing.T, p *Placer, at time.Time, way time.Duration) {
+	for range 40 {
+		exchange(p, at, choose(t, p, at, query()), way)
+	}
+}
+
+// Replays a full link between regions, behind which answers take 200 ms. Guards against a choice by
+// the way that the link takes when it is free, and against leaving the region out for good.
+func TestFullLinkIsAvoidedWhileItIsFull(t *testing.T) {
+	p := placer(view(far))
+	fillLink(t, p, now, 200*time.Millisecond)
+	p.Update(now, view(far, home))
+	visit(t, p, now, map[model.InstanceID]intake.Load{"i01": full(100 * time.Millisecond)})
+	require.Equal(t, home, choose(t, p, now, query()).Instance.Place)
+	require.Equal(t, DefaultCosts.Remote, p.way(now.Add(wayHold+wayLife), &view(far).Instances[0]))
+}
+
+// Guards against a request that is sent although no answer, not even a refusal, can be back before
+// its caller gives up: what would have been not-run has then to count as one that may have run.
+func TestNothingIsChosenThatCannotAnswerInTime(t *testing.T) {
+	p := placer(view(far))
+	fillLink(t, p, now, 200*time.Millisecond)
+	q := query()
+	q.Left = 210 * time.Millisecond
+	c, ok := p.Choose(now, q)
+	require.False(t, ok)
+	require.NotNil(t, c.Instance, "there is one")
+	q.Left = 400 * time.Millisecond
+	c = choose(t, p, now, q)
+	require.InDelta(t, 200, c.Way.Milliseconds(), 40)
+	q.Asks = true
+	_, ok = p.Choose(now, q)
+	require.False(t, ok, "the body is asked for after a way there and back")
+	require.True(t, p.stats["i00"].inFlight == 1, "what is not sent is not in flight")
+}
+
+// Guards against a data centre that is avoided because one of its hosts is behind a slow link.
+func TestOneSlowLinkDoesNotSpeakForItsDataCentre(t *testing.T) {
+	p := placer(view(next, next, next, next))
+	for n := range 200 {
+		way := 3 * time.Millisecond
+		if n%4 == 0 {
+			way = 500 * time.Millisecond
+		}
+		exchange(p, now, choose(t, p, now, query()), way)
+	}
+	require.Less(t, p.way(now, &view(next).Instances[0]), 10*time.Millisecond)
+}
--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -58,7 +58,7 @@
 	if i.plan.Load() != nil {
 		return notRun(refusal.Leaving, "the daemon stops before a run could end; connect again", stoppingRetry)
 	}
-	return notRun(refusal.Deadline, "the time left is shorter than a usual run; allow more", 0)
+	return notRun(refusal.Deadline, "the time left is shorter than a usual run and its way; allow more", 0)
 }
 
 // done reports whether the answer is final. A failure of the upstream itself may be repeated
@@ -119,13 +119,20 @@
 		ends = plan.Ends
 	}
 	choice, ok := i.placer.Choose(now, placement.Query{
-		Service: req.service, Route: req.route.Name, Exclude: req.exclude, Slack: req.goal.Sub(now), Bytes: len(req.job.Body) + headBytes,
+		Service: req.service, Route: req.route.Name, Exclude: req.exclude, Slack: req.goal.Sub(now), Left: req.deadline.Sub(now),
+		Bytes: len(req.job.Body) + headBytes, Asks: req.job.confirm(),
 	})
+	if !ok && choice.Instance != nil {
+		return Result{Refusal: i.tooLate()}, false
+	}
 	if !ok {
 		return Result{Refusal: notRun(refusal.NoInstance, "no live instance of "+req.service+" can be reached; try again", noInstanceRetry)}, false
 	}
 	job := req.job
 	job.Instance, job.SenderEnds = choice.Instance.ID, ends
+	// The other daemon counts from the arrival of the job. What it decides has to be back in time,
+	// a refusal as well: without it the request may have run.
+	job.Deadline, job.Goal = job.Deadline.Add(-choice.Way), job.Goal.Add(-choice.Way)
 	// An instance that is known to be full and is the best choice all the same may let the
 	// request wait; one that seems to have a free slot is only asked for that. A request that
 	// has failed before is not worth a place in a queue: what failed it is mostly a lack of room.
@@ -133,7 +140,7 @@
 	res := i.sender.Send(ctx, &job, choice.Instance)
 	i.count(req, &job, &res)
 	i.placer.Done(time.Now(), choice, req.route.Name, placement.Report{
-		Outcome: outcome(ctx, &res), Load: res.Load, Run: res.Run, Expected: res.Expected, Bytes: res.bytes(),
+		Outcome: outcome(ctx, &res), Load: res.Load, Run: res.Run, Expected: res.Expected, Bytes: res.bytes(), Way: res.Way,
 	})
 	return res, true
 }
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -315,7 +315,7 @@
 		// The connection ends with the daemon: a job that crosses its end may have run.
 		w.Header().Set("Connection", "close")
 	}
-	writeResult(w, &res, sender{d.fleet.View().Revision, d.guard.suspects.gossip(time.Now())})
+	writeResult(w, &res, sender{d.fleet.View().Revision, d.guard.suspects.gossip(time.Now())}, time.Since(now))
 }
 
 // servePeerCall answers what daemons ask each other besides jobs.
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -20,6 +20,8 @@
 	headerResult = refusal.HeaderPrefix + "Result"
 	// headerEnds carries Job.SenderEnds as milliseconds from now, only if that is known.
 	headerEnds = refusal.HeaderPrefix + "Ends"
+	// headerHeld carries the microseconds from the arrival of a job to its result.
+	headerHeld = refusal.HeaderPrefix + "Held"
 )
 
 // Flags of a job.
@@ -73,6 +75,8 @@
 	Run time.Duration
 	// Expected is the time that a run of the route is expected to take there now; 0 if unknown.
 	Expected time.Duration
+	// Way is the time that the job and its result took between the daemons; 0 if unknown.
+	Way time.Duration
 	// Arrived says that the upstream itself saw the request, also if it refused it.
 	Arrived bool
 	// Unreachable says that the daemon beside the instance gave no answer.
@@ -204,8 +208,9 @@
 }
 
 // writeResult answers another daemon.
-func writeResult(w http.ResponseWriter, res *Result, from sender) {
+func writeResult(w http.ResponseWriter, res *Result, from sender, held time.Duration) {
 	h := w.Header()
+	h[headerHeld] = []string{strconv.FormatInt(held.Microseconds(), 10)}
 	h["Date"] = nil
 	arrived, kind, ran, retry := "", "", "", ""
 	if res.Arrived {
@@ -285,6 +290,20 @@
 	return res, from
 }
 
+// wayBytes is the size of an answer up to which its time on the way does not depend on it: the
+// first window of a connection.
+const wayBytes = 10 << 10
+
+// wayOf returns the time that a job and its result took between the daemons, 0 if the answer does
+// not tell: a new connection, or a large answer, takes the way more than once.
+func wayOf(resp *exchange.Response, took time.Duration) time.Duration {
+	us, err := strconv.ParseInt(resp.Header.Get(headerHeld), 10, 64)
+	if err != nil || us < 0 || !resp.Reused || len(resp.Body) > wayBytes {
+		return 0
+	}
+	return max(0, took-time.Duration(us)*time.Microsecond)
+}
+
 // encodeLoad writes a load as running/slots/queued/next/wait, the times in milliseconds.
 func encodeLoad(l intake.Load) string {
 	return strconv.Itoa(l.Running) + "/" + strconv.Itoa(l.Slots) + "/" + strconv.Itoa(l.Queued) + "/" + millis(l.Next) + "/" + millis(l.Wait)
--- /dev/null
+++ b/pkg/mesh/way_test.go
@@ -0,0 +1,142 @@
+package mesh
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"mangoshed.example/mangoshed/core/catalog"
+	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/core/placement"
+	"mangoshed.example/mangoshed/core/refusal"
+	"mangoshed.example/mangoshed/core/retry"
+	"mangoshed.example/mangoshed/pkg/exchange"
+)
+
+// farDaemons stands for daemons behind a link: each job and each result takes a time on the way.
+type farDaemons struct {
+	way    time.Duration // one way
+	decide func(j *Job) Result
+}
+
+func (d farDaemons) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go d.serve(far)
+	return near, nil
+}
+
+func (d farDaemons) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		time.Sleep(d.way)
+		w := httptest.NewRecorder()
+		arrived := time.Now()
+		j, _, ok := decodeJob(r, arrived)
+		if !ok {
+			return
+		}
+		res := d.decide(j)
+		writeResult(w, &res, sender{}, time.Since(arrived))
+		time.Sleep(d.way)
+		answer := w.Result()
+		answer.ContentLength = int64(w.Body.Len())
+		if answer.Write(c) != nil {
+			return
+		}
+	}
+}
+
+// farIngress returns an ingress whose only instances are beside such daemons.
+func farIngress(t *testing.T, daemons farDaemons) *Ingress {
+	i := closingIngress(t)
+	var instances []catalog.Instance
+	for n, id := range []model.InstanceID{"1", "2", "3"} {
+		inst := catalog.Instance{Slots: 9}
+		inst.ID, inst.Service, inst.ForwardAddr = id, "back", net.JoinHostPort([]string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}[n], "1")
+		inst.Place = model.Place{Region: "far", DataCentre: "far-a"}
+		instances = append(instances, inst)
+	}
+	now := time.Now()
+	view := &catalog.View{Table: i.fleet.View().Table, Instances: instances}
+	i.fleet.view.Store(view)
+	i.placer = placement.New(model.Place{Region: "near", DataCentre: "near-a"}, placement.DefaultCosts, 1)
+	i.placer.Update(now, view)
+	i.log = newDecisions(zap.NewNop(), 1)
+	i.budget = retry.NewFleetBudget(retry.FleetRules{Ratio: 0.1, Allowance: 10, Window: time.Second}, now)
+	var err error
+	i.metrics, err = newMetrics(prometheus.NewRegistry())
+	require.NoError(t, err)
+	i.sender = NewSender("10.0.0.9:1", i.sender.guard, i.fleet, nil, func() []string { return nil })
+	i.sender.client = exchange.NewClient(exchange.Config{Dial: daemons.dial})
+	i.sender.reach = newReachability(now, "10.0.0.9", 1, i.sender.client, i.placer, zap.NewNop())
+	return i
+}
+
+// place sends a request of a caller that waits for a second.
+func place(t *testing.T, i *Ingress) (Result, time.Duration) {
+	req, refused := accept(i, "id", nil)
+	require.Nil(t, refused)
+	ctx, cancel := context.WithDeadline(context.Background(), req.deadline)
+	defer cancel()
+	return i.send(ctx, req), time.Until(req.deadline)
+}
+
+// Replays a full link between regions with full instances behind it: each question takes 200 ms.
+// Guards against a request that is sent when not even a refusal can be back in time, so that its
+// caller gets "may have run" at the end of its time instead of "not run" before.
+func TestRefusalsBehindAFullLinkArriveInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := farIngress(t, farDaemons{way: 100 * time.Millisecond, decide: func(*Job) Result {
+			return Result{Refusal: notRun(refusal.Overloaded, "full", time.Second)}
+		}})
+		for range 10 { // measures the way
+			place(t, i)
+		}
+		for range 10 {
+			res, left := place(t, i)
+			require.Equal(t, refusal.NotRun, res.Refusal.Run)
+			require.Equal(t, http.StatusServiceUnavailable, res.Refusal.StatusCode())
+			require.Positive(t, left)
+		}
+		i.sender.client.Close()
+	})
+}
+
+// Guards against a daemon that keeps a job waiting for as long as its sender waits: its refusal is
+// back only when the sender has given up.
+func TestJobsLeaveTimeForTheWayBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var waits atomic.Bool
+		i := farIngress(t, farDaemons{way: 100 * time.Millisecond, decide: func(j *Job) Result {
+			if waits.Load() {
+				time.Sleep(time.Until(j.Deadline.Add(-time.Millisecond)))
+			}
+			return Result{Refusal: notRun(refusal.Overloaded, "no slot came free", time.Second)}
+		}})
+		for range 10 { // measures the way
+			place(t, i)
+		}
+		waits.Store(true)
+		for range 10 {
+			res, left := place(t, i)
+			require.Equal(t, refusal.NotRun, res.Refusal.Run)
+			require.GreaterOrEqual(t, left, time.Duration(0))
+		}
+		i.sender.client.Close()
+	})
+}
