Bound the measured way between daemons

A daemon that had been paused for seconds would have taken the pause for the way of all exchanges that were under way, chosen no instance for requests of a second, and measured nothing until the value decayed (up to 3 s).

Evidence: TestWayIsMeasuredAgainAfterAPause fails without the bound.

Change: a measured way is at most 500 ms.

--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -285,3 +285,16 @@
 	}
 	require.Less(t, p.way(now, &view(next).Instances[0]), 10*time.Millisecond)
 }
+
+// Replays a pause of the process with many exchanges under way. Guards against a daemon that
+// refuses everything after it, because no way seems short enough and none is measured any more.
+func TestWayIsMeasuredAgainAfterAPause(t *testing.T) {
+	p := placer(view(far))
+	fillLink(t, p, now, 5*time.Second)
+	q := query()
+	q.Left = 900 * time.Millisecond
+	for range 40 {
+		exchange(p, now, choose(t, p, now, q), 18*time.Millisecond)
+	}
+	require.Equal(t, DefaultCosts.Remote, p.way(now, &view(far).Instances[0]))
+}
--- a/core/placement/way.go
+++ b/core/placement/way.go
@@ -17,6 +17,9 @@
 	// within seconds once requests avoid it.
 	wayHold = time.Second
 	wayLife = 2 * time.Second
+	// maxWay bounds a measured way: requests with a timeout of a second go on to measure it, also
+	// after a pause of the process that all exchanges under way seem to have spent on the way.
+	maxWay = 500 * time.Millisecond
 )
 
 // measured is the time to a data centre and back by the last exchanges.
@@ -54,7 +57,7 @@
 	if took <= 0 || inst.Host() == p.host {
 		return
 	}
-	way := p.way(now, inst)
+	took, way := min(took, maxWay), p.way(now, inst)
 	if took > way {
 		way += min(time.Duration(wayRise*float64(way)), took-way)
 	} else {
