Count a body that was not asked for as not sent

A caller of a route that may not be repeated would have got 502 (may have run) when the refusal of the daemon beside the instance broke off, although that daemon had not asked for the body.

Cause: an exchange that was answered without the go-ahead reported Sent when the answer then failed, against what Error.Sent promises.

Evidence: TestBodyThatWasNotAskedForIsNotSent fails on the code before.

Change: Sent stays false as long as the body is held back.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -194,7 +194,7 @@
 	if ctx.Err() != nil {
 		err = ctx.Err()
 	}
-	return nil, &Error{Sent: true, Reused: x.conn.used, Began: began, Err: err}
+	return nil, &Error{Sent: !x.held, Reused: x.conn.used, Began: began, Err: err}
 }
 
 // write sends the request. Its error arrives on the channel; join waits for the writer.
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -250,6 +250,25 @@
 	}
 }
 
+// Guards against a request that counts as one that may have run because the refusal of a peer that
+// did not ask for its body breaks off.
+func TestBodyThatWasNotAskedForIsNotSent(t *testing.T) {
+	address := peer(t, func(c net.Conn, r *bufio.Reader) {
+		_, err := http.ReadRequest(r)
+		require.NoError(t, err)
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 10\r\n\r\nno")
+	})
+	x := client()
+	defer x.Close()
+	r := get(address, "1")
+	r.Method, r.Body, r.HasBody, r.Confirm = http.MethodPost, []byte("the body"), true, true
+	_, err := x.Do(context.Background(), r)
+	var failed *Error
+	require.ErrorAs(t, err, &failed)
+	require.False(t, failed.Sent)
+	require.True(t, failed.Began)
+}
+
 // Guards against reporting a request as sent that never left, and against a cancelled one
 // that keeps its connection.
 func TestSaysWhatWasSent(t *testing.T) {
