mesh: Keep a reader until another one is current

Cause: a daemon that followed a current reader left it ("the reader has left its role") as soon as the order named another one, then asked that one. The order did so every ten seconds, when the decliners that it had inferred were forgotten, and those declined again, one connection after the other over a link full of large answers.

Change: a feed whose frames are current goes on; a better reader is asked beside it, one at a time, and replaces it with its first current frame. Without a current feed two are asked at the same time, 50 ms apart, the one that a decliner follows before all others. A delta that does not fit, since another feed was faster, no longer counts as the loss of a reader.

--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -45,6 +45,14 @@
 	// before it in the order have probably declined as well, and are not asked for inferredRest.
 	headerReader = refusal.HeaderPrefix + "Reader"
 	inferredRest = 10 * time.Second
+	// maxAsked is the number of readers that a daemon without a current feed asks at the same
+	// time, and askedApart the time between the first question and the next: an answer within a
+	// data centre takes some 10 ms.
+	maxAsked   = 2
+	askedApart = 50 * time.Millisecond
+	// lookPause is the time between two looks for a better reader beside one whose frames are
+	// current; nothing is urgent then.
+	lookPause = 500 * time.Millisecond
 	// feedWrite bounds the write of a frame.
 	feedWrite = 2 * time.Second
 	// maxFrame bounds a frame in bytes: the view of 19,000 instances is 4 MB before it is compressed.
@@ -250,17 +258,43 @@
 	fleet       *Fleet
 	// decline says that the daemon itself does not read for others.
 	decline bool
+	// dial connects to another daemon.
+	dial dialFunc
 
 	mu   sync.Mutex
 	lost map[string]time.Time
 	// declined holds until when a daemon is not asked.
 	declined map[string]time.Time
+	// attempts are the readers that are followed or asked.
+	attempts map[string]attempt
 	// following is the reader that is followed, empty without one.
 	following string
+	// hint is the reader that the last decliner follows, empty without one.
+	hint string
+	// lookAt is the time from which on a better reader than the one followed may be asked.
+	lookAt time.Time
+}
+
+// attempt is a reader that is followed or asked.
+type attempt struct {
+	since  time.Time
+	cancel context.CancelCauseFunc
+}
+
+// dialFunc connects to a daemon; it ends with the context or with peerDial.
+type dialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// dialPeer is the dialFunc of daemons.
+func dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: peerDial, KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp4", address)
 }
 
 func newFeeds(region, own string, fleet *Fleet, decline bool) *feeds {
-	return &feeds{region: region, own: own, fleet: fleet, decline: decline, lost: make(map[string]time.Time), declined: make(map[string]time.Time)}
+	return &feeds{
+		region: region, own: own, fleet: fleet, decline: decline, dial: dialPeer,
+		lost: make(map[string]time.Time), declined: make(map[string]time.Time), attempts: make(map[string]attempt),
+	}
 }
 
 // feeders returns the readers that feed this daemon; false if it is one of them. The list then
@@ -273,24 +307,79 @@
 		if address == f.own {
 			return f.decline
 		}
-		at, lost := f.lost[address]
-		return lost && now.Sub(at) < feederRest || now.Before(f.declined[address])
+		return f.passedOver(now, address)
 	})
 }
 
+// passedOver reports whether a daemon is not asked. The caller holds the mutex.
+func (f *feeds) passedOver(now time.Time, address string) bool {
+	at, lost := f.lost[address]
+	return lost && now.Sub(at) < feederRest || now.Before(f.declined[address])
+}
+
 // fed reports whether others read for this daemon.
 func (f *feeds) fed(now time.Time) bool {
 	_, fed := f.feeders(now)
 	return fed
 }
 
-// next returns the reader to follow, false if all of them are lost.
-func (f *feeds) next(now time.Time) (string, bool) {
+// next returns a reader to ask, false if there is none or enough are asked. old says that the
+// proof of the view is old.
+func (f *feeds) next(now time.Time, old bool) (string, bool) {
 	feeders, _ := f.feeders(now)
-	if len(feeders) == 0 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	search := f.following == "" || old
+	if !search && (slices.Contains(feeders, f.following) || now.Before(f.lookAt)) || !f.mayAsk(now, search) {
 		return "", false
 	}
-	return feeders[0], true
+	if search && f.hint != "" {
+		feeders = append([]string{f.hint}, feeders...)
+	}
+	for _, address := range feeders {
+		if _, asked := f.attempts[address]; !asked && !f.passedOver(now, address) {
+			f.lookAt = now.Add(lookPause)
+			return address, true
+		}
+	}
+	return "", false
+}
+
+// mayAsk reports whether another reader may be asked beside those that have not answered yet. The
+// caller holds the mutex.
+func (f *feeds) mayAsk(now time.Time, search bool) bool {
+	asked := 0
+	for address, a := range f.attempts {
+		if address == f.following {
+			continue
+		}
+		if asked++; !search || asked >= maxAsked || now.Sub(a.since) < askedApart {
+			return false
+		}
+	}
+	return true
+}
+
+// begin notes that a reader is asked.
+func (f *feeds) begin(now time.Time, address string, cancel context.CancelCauseFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.attempts[address] = attempt{now, cancel}
+}
+
+// chosen takes a reader whose frames are current and ends the feeds of all others.
+func (f *feeds) chosen(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.following == address {
+		return
+	}
+	f.following, f.hint = address, ""
+	for other, a := range f.attempts {
+		if other != address {
+			a.cancel(errReplaced)
+		}
+	}
 }
 
 // infer takes the reader that a daemon follows which has declined.
@@ -311,17 +400,21 @@
 	}
 }
 
-// reader returns the address of the reader that is followed, empty without one.
-func (f *feeds) reader() string {
+// suggest takes the reader that a daemon follows which has declined.
+func (f *feeds) suggest(reader string) {
+	known := reader != f.own && slices.Contains(f.fleet.View().Ranking(f.region), reader)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.following
+	if known {
+		f.hint = reader
+	}
 }
 
-func (f *feeds) setReader(address string) {
+// reader returns the address of the reader that is followed, empty without one.
+func (f *feeds) reader() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.following = address
+	return f.following
 }
 
 // errFeed are the reasons to leave a reader.
@@ -329,7 +422,7 @@
 	errNotFresh   = errors.New("the reader does not follow the store")
 	errNotNeeded  = errors.New("the daemon reads the store itself")
 	errBehind     = errors.New("other daemons know more than the reader")
-	errNotReader  = errors.New("the reader has left its role")
+	errReplaced   = errors.New("another reader is followed")
 	errFeedStatus = errors.New("the reader refused the feed")
 	errDeclined   = errors.New("the daemon does not read for others")
 	errFrame      = &exchange.BoundError{Limit: maxFrame, What: "bytes of a frame of a feed", Remedy: "see the log of the reader"}
@@ -347,8 +440,7 @@
 func (f *feeds) follow(ctx context.Context, address string, events feedEvents) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	dialer := net.Dialer{Timeout: peerDial, KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp4", address)
+	conn, err := f.dial(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -385,12 +477,11 @@
 	case http.StatusOK:
 	case declinedStatus:
 		f.infer(time.Now(), address, resp.Header.Get(headerReader))
+		f.suggest(resp.Header.Get(headerReader))
 		return errDeclined
 	default:
 		return errFeedStatus
 	}
-	f.setReader(address)
-	defer f.setReader("")
 	events.accepted()
 	return f.receive(conn, source, cbor.NewDecoder(resp.Body), address, events)
 }
@@ -420,8 +511,7 @@
 		} else {
 			f.fleet.Apply(state, address)
 		}
-		now := time.Now()
-		if err := events.proved(now, time.Duration(next.Age)*time.Millisecond); err != nil {
+		if err := events.proved(time.Now(), time.Duration(next.Age)*time.Millisecond); err != nil {
 			return err
 		}
 		select {
@@ -429,24 +519,28 @@
 			return errBehind
 		default:
 		}
-		if feeders, _ := f.feeders(now); !slices.Contains(feeders, address) {
-			return errNotReader
-		}
 	}
 }
 
-// lose leaves out a reader for a time.
+// lose takes the end of a feed. The reader is left out for a time, unless it was not at fault.
 func (f *feeds) lose(now time.Time, address string, why error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if errors.Is(why, errNotNeeded) || errors.Is(why, errNotReader) {
-		return
+	delete(f.attempts, address)
+	if f.following == address {
+		f.following = ""
+	}
+	if f.hint == address {
+		f.hint = ""
 	}
-	if errors.Is(why, errDeclined) {
+	var base *route.BaseError
+	switch {
+	case errors.Is(why, errNotNeeded), errors.Is(why, errReplaced), errors.As(why, &base):
+	case errors.Is(why, errDeclined):
 		f.declined[address] = now.Add(declinedRest)
-		return
+	default:
+		f.lost[address] = now
 	}
-	f.lost[address] = now
 }
 
 // isPeerCall reports whether a path belongs to the calls between daemons.
--- a/pkg/mesh/feed_test.go
+++ b/pkg/mesh/feed_test.go
@@ -68,11 +68,11 @@
 	ranking := fleet.View().Ranking("a")
 	own, reader := ranking[19], ranking[12]
 	f := newFeeds("a", own, fleet, true)
-	first, ok := f.next(now)
+	first, ok := f.next(now, false)
 	require.True(t, ok)
 	f.infer(now, first, reader)
 	f.lose(now, first, errDeclined)
-	next, ok := f.next(now)
+	next, ok := f.next(now, false)
 	require.True(t, ok)
 	require.Contains(t, []string{reader, ranking[13]}, next, "the reader and the one after it feed this daemon")
 	// What was only inferred does not last.
--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -91,10 +91,10 @@
 	// Seed says that daemons that start ask this one.
 	Seed bool
 
+	dial      dialFunc // in place of dialPeer; nil outside of tests
 	feeds     atomic.Pointer[feeds]
 	proof     proof
 	answering atomic.Bool // an answer of the store is arriving
-	following atomic.Bool // a reader is followed
 	listed    bool
 	failedAt  time.Time // of the first failure in a row
 	failures  int
@@ -107,7 +107,11 @@
 // and reads the store as one of them, or while none of them is current. Both go on at the same
 // time while one way takes over from the other.
 func (f *Follower) Run(ctx context.Context) {
-	f.feeds.Store(newFeeds(f.Region, f.Own, f.Fleet, f.Decline))
+	feeds := newFeeds(f.Region, f.Own, f.Fleet, f.Decline)
+	if f.dial != nil {
+		feeds.dial = f.dial
+	}
+	f.feeds.Store(feeds)
 	var feeding sync.WaitGroup
 	if f.Own != "" {
 		feeding.Go(func() { f.followReaders(ctx) })
@@ -336,48 +340,67 @@
 	return ""
 }
 
-// followReaders follows one reader after the other until the context ends.
+// followReaders keeps a feed until the context ends. A feed that is current goes on until
+// another one is.
 func (f *Follower) followReaders(ctx context.Context) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	ended := make(chan struct{}, 1)
 	for ctx.Err() == nil {
-		now := time.Now()
-		address, ok := "", false
-		if f.Fleet.View().Table != nil && f.fromOthers(now) {
-			address, ok = f.feeds.Load().next(now)
-		}
-		if !ok {
-			sleep(ctx, roleTick)
-			continue
-		}
-		err := f.followReader(ctx, address)
-		if ctx.Err() == nil {
-			f.feeds.Load().lose(time.Now(), address, err)
-			f.Log.Info("feed_ended", zap.String("reader", address), zap.Uint64("revision", f.Fleet.Revision()), zap.Error(err))
+		if address, ok := f.nextReader(time.Now()); ok {
+			asked, cancel := context.WithCancelCause(ctx)
+			f.feeds.Load().begin(time.Now(), address, cancel)
+			running.Go(func() {
+				defer cancel(nil)
+				f.followReader(asked, address)
+				select {
+				case ended <- struct{}{}:
+				default: // it is told already
+				}
+			})
 		}
+		await(ctx, ended, roleTick)
 	}
 }
 
-// followReader follows a reader until it is lost, has left its role, or is not needed.
-func (f *Follower) followReader(ctx context.Context, address string) error {
-	defer f.following.Store(false)
-	var since time.Time
-	return f.feeds.Load().follow(ctx, address, feedEvents{
+// nextReader returns a reader to ask, if one is needed.
+func (f *Follower) nextReader(now time.Time) (string, bool) {
+	if f.Fleet.View().Table == nil || !f.fromOthers(now) {
+		return "", false
+	}
+	return f.feeds.Load().next(now, !f.Fresh())
+}
+
+// followReader follows a reader until it is lost, is replaced, or is not needed.
+func (f *Follower) followReader(ctx context.Context, address string) {
+	feeds, since := f.feeds.Load(), time.Time{}
+	err := feeds.follow(ctx, address, feedEvents{
 		accepted: func() {
-			f.following.Store(true)
 			since = time.Now()
 			f.Log.Info("feed_started", zap.String("reader", address), zap.Uint64("revision", f.Fleet.Revision()))
 		},
 		proved: func(now time.Time, age time.Duration) error {
 			f.proof.told(now.Add(-age))
 			f.pulse.note(now, f.Fleet.View())
+			old := age > freshTime+feedGrace
 			switch {
-			case age > freshTime+feedGrace && now.Sub(since) > takeOverTime:
+			case old && now.Sub(since) > takeOverTime:
 				return errNotFresh
 			case !f.fromOthers(now):
 				return errNotNeeded
+			case !old:
+				feeds.chosen(address)
 			}
 			return nil
 		},
 	})
+	if cause := context.Cause(ctx); errors.Is(cause, errReplaced) {
+		err = cause
+	}
+	feeds.lose(time.Now(), address, err)
+	if !errors.Is(err, context.Canceled) {
+		f.Log.Info("feed_ended", zap.String("reader", address), zap.Uint64("revision", f.Fleet.Revision()), zap.Error(err))
+	}
 }
 
 // step reads the whole state, or waits for the next change.
@@ -478,6 +501,17 @@
 // askTimeout bounds the read of another daemon's state.
 const askTimeout = 700 * time.Millisecond
 
+// await waits for a signal, at most for a time.
+func await(ctx context.Context, signal <-chan struct{}, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-signal:
+	case <-ctx.Done():
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/pkg/mesh/status.go
+++ b/pkg/mesh/status.go
@@ -30,7 +30,7 @@
 func (d *Daemon) View() *catalog.View { return d.fleet.View() }
 
 // Fed reports whether a reader of the region feeds the daemon.
-func (d *Daemon) Fed() bool { return d.follower.following.Load() }
+func (d *Daemon) Fed() bool { return d.follower.Reader() != "" }
 
 // Status returns the daemon's present status.
 func (d *Daemon) Status() Status {
