mesh: Tell which daemons decline to read for others

Cause: that a daemon declines was inferred: all that stand before the reader that a decliner names were taken for decliners. A region has two readers, so that half of the decliners name the second one, and the first was left out with them. What was inferred was forgotten after 10 s, and the same daemons were asked again.

Change: a daemon that declines says so when it asks, and readers and decliners tell others whom they know, in the frames of the feed and in the answer that declines. What is told further keeps its end of at most five minutes. Nothing is inferred. A daemon that is fed also looks once whether the second reader of its order feeds others, so that it knows where to turn.

--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -147,7 +147,9 @@
 		Decline: s.Limits.weak(), Seed: len(s.Seeds) == 0 || slices.Contains(s.Seeds, s.Listen.SeedAddress),
 		Calls: func(call, outcome string) { d.metrics.storeCalls.WithLabelValues(call, outcome).Inc() },
 	}
-	d.feed = &feedServer{fleet: d.fleet, age: d.follower.Age, reader: d.follower.Reader, decline: s.Limits.weak(), stopped: d.leaving}
+	d.feed = &feedServer{
+		fleet: d.fleet, age: d.follower.Age, reader: d.follower.Reader, decline: s.Limits.weak(), declines: &d.follower.declines, stopped: d.leaving,
+	}
 }
 
 // hostOf returns the IP of an address.
--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -37,21 +38,17 @@
 	takeOverTime = 400 * time.Millisecond
 	// feederRest is the time for which a reader that was lost is not asked again.
 	feederRest = 1500 * time.Millisecond
-	// declinedStatus answers a daemon that asks one which does not read for others; it is not
-	// asked again for declinedRest.
+	// declinedStatus answers a daemon that asks one which does not read for others. headerReader
+	// then names the reader that this one follows, and the body holds the declines that it knows.
 	declinedStatus = http.StatusNotImplemented
-	declinedRest   = 5 * time.Minute
-	// headerReader names the reader that a daemon follows which does not read for others. Those
-	// before it in the order have probably declined as well, and are not asked for inferredRest.
-	headerReader = refusal.HeaderPrefix + "Reader"
-	inferredRest = 10 * time.Second
+	headerReader   = refusal.HeaderPrefix + "Reader"
 	// maxAsked is the number of readers that a daemon without a current feed asks at the same
 	// time, and askedApart the time between the first question and the next: an answer within a
 	// data centre takes some 10 ms.
 	maxAsked   = 2
 	askedApart = 50 * time.Millisecond
-	// lookPause is the time between two looks for a better reader beside one whose frames are
-	// current; nothing is urgent then.
+	// lookPause is the time between two looks for a better reader, or for one to turn to if the
+	// one that is followed is lost, while its frames are current; nothing is urgent then.
 	lookPause = 500 * time.Millisecond
 	// feedWrite bounds the write of a frame.
 	feedWrite = 2 * time.Second
@@ -67,6 +64,8 @@
 	Age int64 `cbor:"2,keyasint,omitempty"`
 	// Change is a compressed change; empty without news.
 	Change []byte `cbor:"3,keyasint,omitempty"`
+	// Declines are the daemons that do not read for others, as far as they have not been told.
+	Declines declines `cbor:"4,keyasint,omitempty"`
 }
 
 // change is what a frame changes in the view.
@@ -201,6 +200,8 @@
 	// it follows itself, if any.
 	decline bool
 	reader  func() string
+	// declines are the daemons known to decline.
+	declines *decliners
 	// stopped is closed when the daemon begins to stop.
 	stopped <-chan struct{}
 }
@@ -214,9 +215,10 @@
 		http.Error(w, "name the revision and the version that are held", http.StatusBadRequest)
 		return
 	}
+	asker := query.Get("declines")
 	if s.decline {
-		w.Header().Set(headerReader, s.reader())
-		http.Error(w, "this daemon does not read for others", declinedStatus)
+		s.noteAsker(asker)
+		s.refuse(w)
 		return
 	}
 	sent, reached, changed := s.fleet.Follow()
@@ -230,8 +232,11 @@
 	encoder := cbor.NewEncoder(w)
 	ticker := time.NewTicker(beaconTime)
 	defer ticker.Stop()
+	var told uint64
 	for {
+		s.noteAsker(asker)
 		next := frame{Revision: reached, Age: s.age().Milliseconds(), Change: data}
+		next.Declines, told = s.declines.since(time.Now(), told)
 		if control.SetWriteDeadline(time.Now().Add(feedWrite)) != nil || encoder.Encode(next) != nil || control.Flush() != nil {
 			return // the other daemon has left, or reads no more
 		}
@@ -252,6 +257,21 @@
 	}
 }
 
+// noteAsker takes that a daemon which asks declines itself; the address is empty if it does not.
+func (s *feedServer) noteAsker(address string) {
+	if address != "" {
+		s.declines.note(time.Now(), address, declinedRest)
+	}
+}
+
+// refuse answers that the daemon does not read for others.
+func (s *feedServer) refuse(w http.ResponseWriter) {
+	known, _ := s.declines.since(time.Now(), 0)
+	w.Header().Set(headerReader, s.reader())
+	w.WriteHeader(declinedStatus)
+	_ = cbor.NewEncoder(w).Encode(known) // the other daemon has left if this fails
+}
+
 // feeds chooses the readers that feed this daemon. It is safe for concurrent use.
 type feeds struct {
 	region, own string
@@ -260,11 +280,13 @@
 	decline bool
 	// dial connects to another daemon.
 	dial dialFunc
+	// declines are the daemons known to decline.
+	declines *decliners
 
 	mu   sync.Mutex
 	lost map[string]time.Time
-	// declined holds until when a daemon is not asked.
-	declined map[string]time.Time
+	// seen holds until when a reader beside the one that is followed is known to feed others.
+	seen map[string]time.Time
 	// attempts are the readers that are followed or asked.
 	attempts map[string]attempt
 	// following is the reader that is followed, empty without one.
@@ -290,10 +312,10 @@
 	return dialer.DialContext(ctx, "tcp4", address)
 }
 
-func newFeeds(region, own string, fleet *Fleet, decline bool) *feeds {
+func newFeeds(region, own string, fleet *Fleet, decline bool, known *decliners) *feeds {
 	return &feeds{
-		region: region, own: own, fleet: fleet, decline: decline, dial: dialPeer,
-		lost: make(map[string]time.Time), declined: make(map[string]time.Time), attempts: make(map[string]attempt),
+		region: region, own: own, fleet: fleet, decline: decline, dial: dialPeer, declines: known,
+		lost: make(map[string]time.Time), seen: make(map[string]time.Time), attempts: make(map[string]attempt),
 	}
 }
 
@@ -314,7 +336,7 @@
 // passedOver reports whether a daemon is not asked. The caller holds the mutex.
 func (f *feeds) passedOver(now time.Time, address string) bool {
 	at, lost := f.lost[address]
-	return lost && now.Sub(at) < feederRest || now.Before(f.declined[address])
+	return lost && now.Sub(at) < feederRest || f.declines.has(now, address)
 }
 
 // fed reports whether others read for this daemon.
@@ -330,14 +352,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	search := f.following == "" || old
-	if !search && (slices.Contains(feeders, f.following) || now.Before(f.lookAt)) || !f.mayAsk(now, search) {
+	if !search && now.Before(f.lookAt) || !f.mayAsk(now, search) {
 		return "", false
 	}
+	spare := !search && slices.Contains(feeders, f.following)
 	if search && f.hint != "" {
 		feeders = append([]string{f.hint}, feeders...)
 	}
 	for _, address := range feeders {
-		if _, asked := f.attempts[address]; !asked && !f.passedOver(now, address) {
+		_, asked := f.attempts[address]
+		known := spare && now.Before(f.seen[address])
+		if !asked && !known && !f.passedOver(now, address) {
 			f.lookAt = now.Add(lookPause)
 			return address, true
 		}
@@ -367,12 +392,18 @@
 	f.attempts[address] = attempt{now, cancel}
 }
 
-// chosen takes a reader whose frames are current and ends the feeds of all others.
-func (f *feeds) chosen(address string) {
+// chosen takes a reader whose frames are current. It ends the feeds of all others, unless the one
+// that is followed is as good; false says that it is. old says that the proof of the view was old.
+func (f *feeds) chosen(now time.Time, address string, old bool) bool {
+	feeders, _ := f.feeders(now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.following == address {
-		return
+	f.seen[address] = now.Add(declinedRest)
+	switch {
+	case f.following == address:
+		return true
+	case f.following != "" && !old && slices.Contains(feeders, f.following):
+		return false
 	}
 	f.following, f.hint = address, ""
 	for other, a := range f.attempts {
@@ -380,24 +411,7 @@
 			a.cancel(errReplaced)
 		}
 	}
-}
-
-// infer takes the reader that a daemon follows which has declined.
-func (f *feeds) infer(now time.Time, decliner, reader string) {
-	ranking := f.fleet.View().Ranking(f.region)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !slices.Contains(ranking, reader) || now.Before(f.declined[reader]) {
-		return
-	}
-	for _, address := range ranking {
-		if address == reader {
-			return
-		}
-		if address != decliner && address != f.own && now.After(f.declined[address]) {
-			f.declined[address] = now.Add(inferredRest)
-		}
-	}
+	return true
 }
 
 // suggest takes the reader that a daemon follows which has declined.
@@ -420,7 +434,7 @@
 // errFeed are the reasons to leave a reader.
 var (
 	errNotFresh   = errors.New("the reader does not follow the store")
-	errNotNeeded  = errors.New("the daemon reads the store itself")
+	errNotNeeded  = errors.New("the daemon has another way to the store")
 	errBehind     = errors.New("other daemons know more than the reader")
 	errReplaced   = errors.New("another reader is followed")
 	errFeedStatus = errors.New("the reader refused the feed")
@@ -460,7 +474,11 @@
 	if err := conn.SetDeadline(time.Now().Add(feedSilence)); err != nil {
 		return err
 	}
-	if _, err := fmt.Fprintf(conn, "GET %s?revision=%d&version=%d HTTP/1.1\r\nHost: %s\r\n\r\n", feedPath, f.fleet.Revision(), version, address); err != nil {
+	target := fmt.Sprintf("%s?revision=%d&version=%d", feedPath, f.fleet.Revision(), version)
+	if f.decline {
+		target += "&declines=" + f.own
+	}
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, address); err != nil {
 		return err
 	}
 	source := exchange.NewSource(conn)
@@ -476,9 +494,8 @@
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case declinedStatus:
-		f.infer(time.Now(), address, resp.Header.Get(headerReader))
 		f.suggest(resp.Header.Get(headerReader))
-		return errDeclined
+		return f.takeDeclines(source, resp.Body)
 	default:
 		return errFeedStatus
 	}
@@ -486,6 +503,18 @@
 	return f.receive(conn, source, cbor.NewDecoder(resp.Body), address, events)
 }
 
+// takeDeclines takes the decliners that one of them knows. It returns errDeclined, whatever the
+// list is worth.
+func (f *feeds) takeDeclines(source *exchange.Source, body io.Reader) error {
+	var known declines
+	source.Bound(errFrame)
+	if err := cbor.NewDecoder(body).Decode(&known); err != nil {
+		return fmt.Errorf("%w; its list of others that do not cannot be read: %w", errDeclined, err)
+	}
+	f.declines.hear(time.Now(), known, f.fleet.View().Ranking(f.region))
+	return errDeclined
+}
+
 // receive applies the frames of a feed.
 func (f *feeds) receive(conn net.Conn, source *exchange.Source, decoder *cbor.Decoder, address string, events feedEvents) error {
 	behind := f.fleet.Behind()
@@ -511,6 +540,9 @@
 		} else {
 			f.fleet.Apply(state, address)
 		}
+		if len(next.Declines) > 0 {
+			f.declines.hear(time.Now(), next.Declines, f.fleet.View().Ranking(f.region))
+		}
 		if err := events.proved(time.Now(), time.Duration(next.Age)*time.Millisecond); err != nil {
 			return err
 		}
@@ -537,7 +569,7 @@
 	switch {
 	case errors.Is(why, errNotNeeded), errors.Is(why, errReplaced), errors.As(why, &base):
 	case errors.Is(why, errDeclined):
-		f.declined[address] = now.Add(declinedRest)
+		f.declines.note(now, address, declinedRest)
 	default:
 		f.lost[address] = now
 	}
--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -93,6 +93,7 @@
 
 	dial      dialFunc // in place of dialPeer; nil outside of tests
 	feeds     atomic.Pointer[feeds]
+	declines  decliners
 	proof     proof
 	answering atomic.Bool // an answer of the store is arriving
 	listed    bool
@@ -107,7 +108,7 @@
 // and reads the store as one of them, or while none of them is current. Both go on at the same
 // time while one way takes over from the other.
 func (f *Follower) Run(ctx context.Context) {
-	feeds := newFeeds(f.Region, f.Own, f.Fleet, f.Decline)
+	feeds := newFeeds(f.Region, f.Own, f.Fleet, f.Decline, &f.declines)
 	if f.dial != nil {
 		feeds.dial = f.dial
 	}
@@ -380,6 +381,7 @@
 			f.Log.Info("feed_started", zap.String("reader", address), zap.Uint64("revision", f.Fleet.Revision()))
 		},
 		proved: func(now time.Time, age time.Duration) error {
+			wasOld := !f.Fresh()
 			f.proof.told(now.Add(-age))
 			f.pulse.note(now, f.Fleet.View())
 			old := age > freshTime+feedGrace
@@ -388,8 +390,8 @@
 				return errNotFresh
 			case !f.fromOthers(now):
 				return errNotNeeded
-			case !old:
-				feeds.chosen(address)
+			case !old && !feeds.chosen(now, address, wasOld):
+				return errNotNeeded
 			}
 			return nil
 		},
