mesh: Read the store in time when no reader can be found

A daemon that finds no reader stays behind for up to 2.5 s and more, or all daemons of a region that decline read the store in the same moment.

Cause: a daemon whose readers were all lost, while all others decline, had an empty list of readers and read the store at once, like every other one. Where the list was not empty it waited for the whole patience, although answers of other daemons showed that it alone was behind, and ceased to read with the first answer, to wait again.

Change: a daemon that declines leaves lost readers the time to come back and reads after its patience, which is random and grows with the fleet. If others have known more for 0.6 s it reads after half of the random part: the store and the readers work then, and few daemons are out of step. Either way it goes on reading until it follows a reader.

--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -339,10 +339,23 @@
 	return lost && now.Sub(at) < feederRest || f.declines.has(now, address)
 }
 
-// fed reports whether others read for this daemon.
+// fed reports whether others read for this daemon. Those that were lost just now may come back, or
+// others take over: a daemon that does not read for others leaves them the time for that.
 func (f *feeds) fed(now time.Time) bool {
-	_, fed := f.feeders(now)
-	return fed
+	feeders, fed := f.feeders(now)
+	return fed || f.decline && len(feeders) == 0 && f.anyLost(now)
+}
+
+// anyLost reports whether a reader has been lost just now.
+func (f *feeds) anyLost(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, at := range f.lost {
+		if now.Sub(at) < feederRest {
+			return true
+		}
+	}
+	return false
 }
 
 // next returns a reader to ask, false if there is none or enough are asked. old says that the
--- a/pkg/mesh/find_feed_test.go
+++ b/pkg/mesh/find_feed_test.go
@@ -16,6 +16,9 @@
 	"mangoshed.example/mangoshed/core/catalog"
 )
 
+// inForceTime is the time within which platforms want a change to be in force.
+const inForceTime = 2 * time.Second
+
 // errNoWay is the error of whatever this daemon does not reach.
 var errNoWay = errors.New("no way there")
 
@@ -149,15 +152,23 @@
 	return catalog.State{}, errNoWay
 }
 
+// weak returns the follower of a daemon of the town that does not read for others.
+func (w *town) weak(own string, store Store) *Follower {
+	f := &Follower{
+		Store: store, Fleet: fleetOf(w.t, len(w.ranking)), Log: zap.NewNop(), Region: "a", Own: own, Decline: true, dial: w.dial,
+	}
+	f.listed = true
+	f.patience = f.newPatience()
+	f.proof.told(time.Now())
+	return f
+}
+
 // play runs the weak daemon of the last rank of a town in virtual time.
 func play(t *testing.T, n int, readers []int, test func(w *town, f *Follower)) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newTown(t, n, readers...)
 		ctx, cancel := context.WithCancel(context.Background())
-		f := &Follower{
-			Store: noStore{}, Fleet: fleetOf(t, n), Log: zap.NewNop(), Region: "a", Own: w.ranking[n-1], Decline: true, dial: w.dial,
-		}
-		f.proof.told(time.Now())
+		f := w.weak(w.ranking[n-1], noStore{})
 		done := make(chan struct{})
 		go func() {
 			f.Run(ctx)
@@ -225,11 +236,7 @@
 // again and again, when one of them can name the others.
 func TestKnownDeclinersAreNotAsked(t *testing.T) {
 	play(t, 60, []int{40, 50}, func(w *town, f *Follower) {
-		for _, address := range w.ranking {
-			if !w.reads[address] {
-				w.declines.note(time.Now(), address, declinedRest)
-			}
-		}
+		w.declineAll()
 		time.Sleep(time.Minute)
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -253,3 +260,137 @@
 		require.LessOrEqual(w.t, age, 2*beaconTime)
 	})
 }
+
+// openStore is a store without news at a revision.
+type openStore struct {
+	revision uint64
+
+	mu    sync.Mutex
+	calls []time.Time
+}
+
+func (s *openStore) called() catalog.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, time.Now())
+	return catalog.State{Revision: s.revision}
+}
+
+func (s *openStore) List(context.Context) (catalog.State, error) { return s.called(), nil }
+
+func (s *openStore) Instances(context.Context) ([]catalog.Instance, error) { return nil, nil }
+
+func (s *openStore) Watch(ctx context.Context, after uint64, hold time.Duration, answering func()) (catalog.State, error) {
+	state := s.called()
+	if after == state.Revision {
+		sleep(ctx, hold)
+	}
+	answering()
+	return state, ctx.Err()
+}
+
+// change moves the store to the next revision.
+func (s *openStore) change() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+}
+
+// forget forgets the calls so far.
+func (s *openStore) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = nil
+}
+
+// most returns the highest number of calls within a time.
+func (s *openStore) most(within time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most, first := 0, 0
+	for i, at := range s.calls {
+		for at.Sub(s.calls[first]) >= within {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// declineAll lets the daemons of a town know which of them decline.
+func (w *town) declineAll() {
+	for _, address := range w.ranking {
+		if !w.reads[address] {
+			w.declines.note(time.Now(), address, declinedRest)
+		}
+	}
+}
+
+// Replays the end of all readers of a region whose other daemons decline. Guards against all of
+// them reading the store at once, which fills the link that the next readers need, and against
+// daemons that stay without a current view.
+func TestLastResortIsScattered(t *testing.T) {
+	const n, weak = 80, 60
+	synctest.Test(t, func(t *testing.T) {
+		w, store := newTown(t, n, n-2, n-1), &openStore{revision: 1}
+		w.declineAll()
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		var all []*Follower
+		for _, own := range w.ranking[:weak] {
+			f := w.weak(own, store)
+			all = append(all, f)
+			running.Go(func() { f.Run(ctx) })
+		}
+		defer func() {
+			cancel()
+			running.Wait()
+			w.close()
+		}()
+		time.Sleep(10 * time.Second)
+		w.stop(w.ranking[n-2])
+		w.stop(w.ranking[n-1])
+		store.forget()
+		time.Sleep(freshTime + feedGrace + takeOverTime + n*patienceEach + holdTime)
+		t.Logf("calls within 100 ms: %d", store.most(100*time.Millisecond))
+		require.LessOrEqual(t, store.most(100*time.Millisecond), weak/2)
+		time.Sleep(10 * time.Second)
+		for _, f := range all {
+			require.LessOrEqual(t, f.Age(), freshTime)
+		}
+	})
+}
+
+// Replays a daemon that reaches none of the readers while others know more. Guards against one that
+// leaves the store to them for longer than a change may take to be in force.
+func TestLastResortComesInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, store := newTown(t, 60, 40, 50), &openStore{revision: 1}
+		w.declineAll()
+		f := w.weak(w.ranking[59], store)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			f.Run(ctx)
+			close(done)
+		}()
+		defer func() {
+			cancel()
+			<-done
+			w.close()
+		}()
+		time.Sleep(10 * time.Second)
+		w.slow(time.Second, time.Second)
+		w.stop(f.Reader())
+		store.change()
+		began := time.Now()
+		for f.Fleet.Revision() < 2 && time.Since(began) < time.Minute {
+			f.Fleet.Heard(time.Now(), 2)
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Logf("in step after %v", time.Since(began))
+		require.LessOrEqual(t, time.Since(began), inForceTime)
+		// It goes on reading while it has no reader.
+		require.LessOrEqual(t, oldest(f, 10*time.Second), freshTime)
+	})
+}
--- a/pkg/mesh/fleet.go
+++ b/pkg/mesh/fleet.go
@@ -26,6 +26,10 @@
 	behind chan struct{}
 	// heardHigher is the time since which a higher revision is known to exist; zero if none is.
 	heardHigher time.Time
+	// heard is the highest revision that another daemon is known to have reached, and lagSince
+	// the time since which it is higher than the own one; zero if it is not.
+	heard    uint64
+	lagSince time.Time
 }
 
 // NewFleet returns a fleet without a view. onChange is called with each new view, one at a time.
@@ -87,12 +91,25 @@
 	if take(f.catalog, now, s) {
 		f.publish(now, source)
 	}
+	if f.catalog.Revision() >= f.heard {
+		f.lagSince = time.Time{}
+	}
 	if f.catalog.Revision() > s.Revision {
 		return
 	}
 	f.heardHigher = time.Time{}
 }
 
+// Lag returns the time for which other daemons have known more, 0 if none is known to.
+func (f *Fleet) Lag(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lagSince.IsZero() {
+		return 0
+	}
+	return now.Sub(f.lagSince)
+}
+
 // report logs what cannot be used. The caller holds the mutex.
 func (f *Fleet) report(s catalog.State) {
 	for _, e := range s.Entries {
@@ -148,9 +165,14 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	switch {
-	case revision <= f.catalog.Revision():
+	if revision <= f.catalog.Revision() {
 		return
+	}
+	f.heard = max(f.heard, revision)
+	if f.lagSince.IsZero() {
+		f.lagSince = now
+	}
+	switch {
 	case f.heardHigher.IsZero():
 		f.heardHigher = now
 	case now.Sub(f.heardHigher) > behindTime:
--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -101,6 +101,7 @@
 	failures  int
 	pause     time.Duration
 	patience  time.Duration // see newPatience
+	alone     bool          // the daemon reads the store as the last resort
 	pulse     pulse
 }
 
@@ -138,15 +139,23 @@
 	}
 }
 
-// reads reports whether the daemon is to read the store.
+// reads reports whether the daemon is to read the store. One that is fed by others does so as the
+// last resort, and goes on until it follows a reader again.
 func (f *Follower) reads(now time.Time) bool {
 	if f.Own == "" || f.Fleet.View().Table == nil || !f.feeds.Load().fed(now) {
 		return true
 	}
 	age, _ := f.proof.ages(now)
-	return age > freshTime+feedGrace+f.patience
+	unfed := f.Reader() == ""
+	outrun := unfed && f.Fleet.Lag(now) > behindTime+f.scatter()
+	f.alone = age > freshTime+feedGrace+f.patience || outrun || f.alone && unfed
+	return f.alone
 }
 
+// scatter returns the time for which a daemon without a reader leaves the store alone although
+// others know more. The store and the readers work then, and few daemons are out of step.
+func (f *Follower) scatter() time.Duration { return max(0, f.patience-takeOverTime) / 2 }
+
 // newPatience returns the time for which the daemon leaves the store to the next readers in the
 // order when none is current. It grows with the fleet, so that the reads of many daemons do not
 // fill the link over which the readers read.
