--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -37,14 +38,18 @@
 	takeOverTime = 400 * time.Millisecond
 	// feederRest is the time for which a reader that was lost is not asked again.
 	feederRest = 1500 * time.Millisecond
-	// declinedStatus answers a daemon that asks one which does not read for others; it is not
-	// asked again for declinedRest.
+	// declinedStatus answers a daemon that asks one which does not read for others. headerReader
+	// then names the reader that this one follows, and the body holds the declines that it knows.
 	declinedStatus = http.StatusNotImplemented
-	declinedRest   = 5 * time.Minute
-	// headerReader names the reader that a daemon follows which does not read for others. Those
-	// before it in the order have probably declined as well, and are not asked for inferredRest.
-	headerReader = refusal.HeaderPrefix + "Reader"
-	inferredRest = 10 * time.Second
+	headerReader   = refusal.HeaderPrefix + "Reader"
+	// maxAsked is the number of readers that a daemon without a current feed asks at the same
+	// time, and askedApart the time between the first question and the next: an answer within a
+	// data centre takes some 10 ms.
+	maxAsked   = 2
+	askedApart = 50 * time.Millisecond
+	// lookPause is the time between two looks for a better reader, or for one to turn to if the
+	// one that is followed is lost, while its frames are current; nothing is urgent then.
+	lookPause = 500 * time.Millisecond
 	// feedWrite bounds the write of a frame.
 	feedWrite = 2 * time.Second
 	// maxFrame bounds a frame in bytes: the view of 19,000 instances is 4 MB before it is compressed.
@@ -59,6 +64,8 @@
 	Age int64 `cbor:"2,keyasint,omitempty"`
 	// Change is a compressed change; empty without news.
 	Change []byte `cbor:"3,keyasint,omitempty"`
+	// Declines are the daemons that do not read for others, as far as they have not been told.
+	Declines declines `cbor:"4,keyasint,omitempty"`
 }
 
 // change is what a frame changes in the view.
@@ -193,6 +200,8 @@
 	// it follows itself, if any.
 	decline bool
 	reader  func() string
+	// declines are the daemons known to decline.
+	declines *decliners
 	// stopped is closed when the daemon begins to stop.
 	stopped <-chan struct{}
 }
@@ -206,9 +215,10 @@
 		http.Error(w, "name the revision and the version that are held", http.StatusBadRequest)
 		return
 	}
+	asker := query.Get("declines")
 	if s.decline {
-		w.Header().Set(headerReader, s.reader())
-		http.Error(w, "this daemon does not read for others", declinedStatus)
+		s.noteAsker(asker)
+		s.refuse(w)
 		return
 	}
 	sent, reached, changed := s.fleet.Follow()
@@ -222,8 +232,11 @@
 	encoder := cbor.NewEncoder(w)
 	ticker := time.NewTicker(beaconTime)
 	defer ticker.Stop()
+	var told uint64
 	for {
+		s.noteAsker(asker)
 		next := frame{Revision: reached, Age: s.age().Milliseconds(), Change: data}
+		next.Declines, told = s.declines.since(time.Now(), told)
 		if control.SetWriteDeadline(time.Now().Add(feedWrite)) != nil || encoder.Encode(next) != nil || control.Flush() != nil {
 			return // the other daemon has left, or reads no more
 		}
@@ -244,23 +257,66 @@
 	}
 }
 
+// noteAsker takes that a daemon which asks declines itself; the address is empty if it does not.
+func (s *feedServer) noteAsker(address string) {
+	if address != "" {
+		s.declines.note(time.Now(), address, declinedRest)
+	}
+}
+
+// refuse answers that the daemon does not read for others.
+func (s *feedServer) refuse(w http.ResponseWriter) {
+	known, _ := s.declines.since(time.Now(), 0)
+	w.Header().Set(headerReader, s.reader())
+	w.WriteHeader(declinedStatus)
+	_ = cbor.NewEncoder(w).Encode(known) // the other daemon has left if this fails
+}
+
 // feeds chooses the readers that feed this daemon. It is safe for concurrent use.
 type feeds struct {
 	region, own string
 	fleet       *Fleet
 	// decline says that the daemon itself does not read for others.
 	decline bool
+	// dial connects to another daemon.
+	dial dialFunc
+	// declines are the daemons known to decline.
+	declines *decliners
 
 	mu   sync.Mutex
 	lost map[string]time.Time
-	// declined holds until when a daemon is not asked.
-	declined map[string]time.Time
+	// seen holds until when a reader beside the one that is followed is known to feed others.
+	seen map[string]time.Time
+	// attempts are the readers that are followed or asked.
+	attempts map[string]attempt
 	// following is the reader that is followed, empty without one.
 	following string
+	// hint is the reader that the last decliner follows, empty without one.
+	hint string
+	// lookAt is the time from which on a better reader than the one followed may be asked.
+	lookAt time.Time
 }
 
-func newFeeds(region, own string, fleet *Fleet, decline bool) *feeds {
-	return &feeds{region: region, own: own, fleet: fleet, decline: decline, lost: make(map[string]time.Time), declined: make(map[string]time.Time)}
+// attempt is a reader that is followed or asked.
+type attempt struct {
+	since  time.Time
+	cancel context.CancelCauseFunc
+}
+
+// dialFunc connects to a daemon; it ends with the context or with peerDial.
+type dialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// dialPeer is the dialFunc of daemons.
+func dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: peerDial, KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp4", address)
+}
+
+func newFeeds(region, own string, fleet *Fleet, decline bool, known *decliners) *feeds {
+	return &feeds{
+		region: region, own: own, fleet: fleet, decline: decline, dial: dialPeer, declines: known,
+		lost: make(map[string]time.Time), seen: make(map[string]time.Time), attempts: make(map[string]attempt),
+	}
 }
 
 // feeders returns the readers that feed this daemon; false if it is one of them. The list then
@@ -273,63 +329,127 @@
 		if address == f.own {
 			return f.decline
 		}
-		at, lost := f.lost[address]
-		return lost && now.Sub(at) < feederRest || now.Before(f.declined[address])
+		return f.passedOver(now, address)
 	})
 }
 
-// fed reports whether others read for this daemon.
+// passedOver reports whether a daemon is not asked. The caller holds the mutex.
+func (f *feeds) passedOver(now time.Time, address string) bool {
+	at, lost := f.lost[address]
+	return lost && now.Sub(at) < feederRest || f.declines.has(now, address)
+}
+
+// fed reports whether others read for this daemon. Those that were lost just now may come back, or
+// others take over: a daemon that does not read for others leaves them the time for that.
 func (f *feeds) fed(now time.Time) bool {
-	_, fed := f.feeders(now)
-	return fed
+	feeders, fed := f.feeders(now)
+	return fed || f.decline && len(feeders) == 0 && f.anyLost(now)
 }
 
-// next returns the reader to follow, false if all of them are lost.
-func (f *feeds) next(now time.Time) (string, bool) {
+// anyLost reports whether a reader has been lost just now.
+func (f *feeds) anyLost(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, at := range f.lost {
+		if now.Sub(at) < feederRest {
+			return true
+		}
+	}
+	return false
+}
+
+// next returns a reader to ask, false if there is none or enough are asked. old says that the
+// proof of the view is old.
+func (f *feeds) next(now time.Time, old bool) (string, bool) {
 	feeders, _ := f.feeders(now)
-	if len(feeders) == 0 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	search := f.following == "" || old
+	if !search && now.Before(f.lookAt) || !f.mayAsk(now, search) {
 		return "", false
 	}
-	return feeders[0], true
+	spare := !search && slices.Contains(feeders, f.following)
+	if search && f.hint != "" {
+		feeders = append([]string{f.hint}, feeders...)
+	}
+	for _, address := range feeders {
+		_, asked := f.attempts[address]
+		known := spare && now.Before(f.seen[address])
+		if !asked && !known && !f.passedOver(now, address) {
+			f.lookAt = now.Add(lookPause)
+			return address, true
+		}
+	}
+	return "", false
+}
+
+// mayAsk reports whether another reader may be asked beside those that have not answered yet. The
+// caller holds the mutex.
+func (f *feeds) mayAsk(now time.Time, search bool) bool {
+	asked := 0
+	for address, a := range f.attempts {
+		if address == f.following {
+			continue
+		}
+		if asked++; !search || asked >= maxAsked || now.Sub(a.since) < askedApart {
+			return false
+		}
+	}
+	return true
 }
 
-// infer takes the reader that a daemon follows which has declined.
-func (f *feeds) infer(now time.Time, decliner, reader string) {
-	ranking := f.fleet.View().Ranking(f.region)
+// begin notes that a reader is asked.
+func (f *feeds) begin(now time.Time, address string, cancel context.CancelCauseFunc) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !slices.Contains(ranking, reader) || now.Before(f.declined[reader]) {
-		return
+	f.attempts[address] = attempt{now, cancel}
+}
+
+// chosen takes a reader whose frames are current. It ends the feeds of all others, unless the one
+// that is followed is as good; false says that it is. old says that the proof of the view was old.
+func (f *feeds) chosen(now time.Time, address string, old bool) bool {
+	feeders, _ := f.feeders(now)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seen[address] = now.Add(declinedRest)
+	switch {
+	case f.following == address:
+		return true
+	case f.following != "" && !old && slices.Contains(feeders, f.following):
+		return false
 	}
-	for _, address := range ranking {
-		if address == reader {
-			return
-		}
-		if address != decliner && address != f.own && now.After(f.declined[address]) {
-			f.declined[address] = now.Add(inferredRest)
+	f.following, f.hint = address, ""
+	for other, a := range f.attempts {
+		if other != address {
+			a.cancel(errReplaced)
 		}
 	}
+	return true
 }
 
-// reader returns the address of the reader that is followed, empty without one.
-func (f *feeds) reader() string {
+// suggest takes the reader that a daemon follows which has declined.
+func (f *feeds) suggest(reader string) {
+	known := reader != f.own && slices.Contains(f.fleet.View().Ranking(f.region), reader)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.following
+	if known {
+		f.hint = reader
+	}
 }
 
-func (f *feeds) setReader(address string) {
+// reader returns the address of the reader that is followed, empty without one.
+func (f *feeds) reader() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.following = address
+	return f.following
 }
 
 // errFeed are the reasons to leave a reader.
 var (
 	errNotFresh   = errors.New("the reader does not follow the store")
-	errNotNeeded  = errors.New("the daemon reads the store itself")
+	errNotNeeded  = errors.New("the daemon has another way to the store")
 	errBehind     = errors.New("other daemons know more than the reader")
-	errNotReader  = errors.New("the reader has left its role")
+	errReplaced   = errors.New("another reader is followed")
 	errFeedStatus = errors.New("the reader refused the feed")
 	errDeclined   = errors.New("the daemon does not read for others")
 	errFrame      = &exchange.BoundError{Limit: maxFrame, What: "bytes of a frame of a feed", Remedy: "see the log of the reader"}
@@ -347,8 +467,7 @@
 func (f *feeds) follow(ctx context.Context, address string, events feedEvents) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	dialer := net.Dialer{Timeout: peerDial, KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp4", address)
+	conn, err := f.dial(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -368,7 +487,11 @@
 	if err := conn.SetDeadline(time.Now().Add(feedSilence)); err != nil {
 		return err
 	}
-	if _, err := fmt.Fprintf(conn, "GET %s?revision=%d&version=%d HTTP/1.1\r\nHost: %s\r\n\r\n", feedPath, f.fleet.Revision(), version, address); err != nil {
+	target := fmt.Sprintf("%s?revision=%d&version=%d", feedPath, f.fleet.Revision(), version)
+	if f.decline {
+		target += "&declines=" + f.own
+	}
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, address); err != nil {
 		return err
 	}
 	source := exchange.NewSource(conn)
@@ -384,17 +507,27 @@
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case declinedStatus:
-		f.infer(time.Now(), address, resp.Header.Get(headerReader))
-		return errDeclined
+		f.suggest(resp.Header.Get(headerReader))
+		return f.takeDeclines(source, resp.Body)
 	default:
 		return errFeedStatus
 	}
-	f.setReader(address)
-	defer f.setReader("")
 	events.accepted()
 	return f.receive(conn, source, cbor.NewDecoder(resp.Body), address, events)
 }
 
+// takeDeclines takes the decliners that one of them knows. It returns errDeclined, whatever the
+// list is worth.
+func (f *feeds) takeDeclines(source *exchange.Source, body io.Reader) error {
+	var known declines
+	source.Bound(errFrame)
+	if err := cbor.NewDecoder(body).Decode(&known); err != nil {
+		return fmt.Errorf("%w; its list of others that do not cannot be read: %w", errDeclined, err)
+	}
+	f.declines.hear(time.Now(), known, f.fleet.View().Ranking(f.region))
+	return errDeclined
+}
+
 // receive applies the frames of a feed.
 func (f *feeds) receive(conn net.Conn, source *exchange.Source, decoder *cbor.Decoder, address string, events feedEvents) error {
 	behind := f.fleet.Behind()
@@ -420,8 +553,10 @@
 		} else {
 			f.fleet.Apply(state, address)
 		}
-		now := time.Now()
-		if err := events.proved(now, time.Duration(next.Age)*time.Millisecond); err != nil {
+		if len(next.Declines) > 0 {
+			f.declines.hear(time.Now(), next.Declines, f.fleet.View().Ranking(f.region))
+		}
+		if err := events.proved(time.Now(), time.Duration(next.Age)*time.Millisecond); err != nil {
 			return err
 		}
 		select {
@@ -429,24 +564,28 @@
 			return errBehind
 		default:
 		}
-		if feeders, _ := f.feeders(now); !slices.Contains(feeders, address) {
-			return errNotReader
-		}
 	}
 }
 
-// lose leaves out a reader for a time.
+// lose takes the end of a feed. The reader is left out for a time, unless it was not at fault.
 func (f *feeds) lose(now time.Time, address string, why error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if errors.Is(why, errNotNeeded) || errors.Is(why, errNotReader) {
-		return
+	delete(f.attempts, address)
+	if f.following == address {
+		f.following = ""
 	}
-	if errors.Is(why, errDeclined) {
-		f.declined[address] = now.Add(declinedRest)
-		return
+	if f.hint == address {
+		f.hint = ""
+	}
+	var base *route.BaseError
+	switch {
+	case errors.Is(why, errNotNeeded), errors.Is(why, errReplaced), errors.As(why, &base):
+	case errors.Is(why, errDeclined):
+		f.declines.note(now, address, declinedRest)
+	default:
+		f.lost[address] = now
 	}
-	f.lost[address] = now
 }
 
 // isPeerCall reports whether a path belongs to the calls between daemons.
