Repeat a run that a planned end broke off while there is time

What callers saw: 502 for a request that may be repeated, when the daemon beside its instance ended during the run, though seconds of its time were left.

Cause: a request that has failed once is not let wait anywhere, because what fails one is mostly a lack of room, and the daemons that had refused it before the run counted against it. A daemon that stops as well gave up with two usual runs left, as for a first attempt, and so did the queues.

Change: a request whose run was broken off may wait elsewhere, goes ahead of new ones like one that was refused, and starts its count of refusals anew. A request that may have run is tried again, and begun by a queue, as long as a usual run fits before the end: without that run it has failed.

Not done: other daemons were told with each answer that one stops, and chose its instance last.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -100,6 +100,8 @@
 	Returning bool
 	// Nested says that a run of another upstream waits for the answer.
 	Nested bool
+	// Repeated says that the call may have run elsewhere: it has failed unless this run succeeds.
+	Repeated bool
 	// Goal is the time by which the answer meets its objective; Deadline that after which it
 	// is useless.
 	Goal, Deadline time.Time
--- a/core/intake/startby.go
+++ b/core/intake/startby.go
@@ -37,6 +37,9 @@
 	if end.IsZero() {
 		return end, false
 	}
+	if c.Repeated {
+		return end.Add(-q.expected(c)), true
+	}
 	return drain.StartBy(end, q.expected(c), q.slow(c)), true
 }
 
--- a/core/intake/startby_test.go
+++ b/core/intake/startby_test.go
@@ -214,3 +214,18 @@
 	c, _ := call("r", 1, now, 8000, 10_000)
 	require.Equal(t, 200*time.Millisecond, q.slow(c))
 }
+
+// Guards against a call whose first run was broken off, and that fails because its second one
+// might be as well.
+func TestRepeatedCallStartsIfAUsualRunFits(t *testing.T) {
+	q := New(1)
+	teach(q, "r", 500)
+	c, _ := call("r", 1, 0, 5000, 10_000)
+	c.SenderEnds = at(900)
+	require.Equal(t, Overloaded, q.Offer(at(0), c, true))
+	c.Repeated = true
+	require.Equal(t, Started, q.Offer(at(0), c, true))
+	late, _ := call("r", 1, 0, 5000, 10_000)
+	late.SenderEnds, late.Repeated = at(500), true
+	require.Equal(t, Overloaded, q.Offer(at(0), late, true))
+}
--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -72,25 +72,20 @@
 
 // again decides on another attempt.
 func (i *Ingress) again(ctx context.Context, req *request, res *Result) bool {
-	now := time.Now()
+	now, refused := time.Now(), res.Refusal
+	ran := refused == nil || refused.Run != refusal.NotRun
+	req.mayHaveRun = req.mayHaveRun || ran
 	if ctx.Err() != nil || !i.canMakeIt(req, now) {
 		return false
 	}
-	refused := res.Refusal
 	if refused != nil && refused.Kind == refusal.Cut && req.job.Left != nil && req.job.Left() {
 		return false
 	}
 	if refused != nil && refused.Run == refusal.NotRun && !res.Arrived {
 		// No upstream saw the request.
-		return req.refusals < maxRefusals && req.turnedAway < maxTurnedAway && (!req.mayHaveRun || req.refusals < looks)
-	}
-	if refused == nil || refused.Run != refusal.NotRun {
-		req.mayHaveRun = true
-		if !req.route.Kind.MayRepeat() {
-			return false
-		}
+		return req.refusals < maxRefusals && req.turnedAway < maxTurnedAway && (req.worthWaiting() || req.refusals < looks)
 	}
-	if req.sent >= req.route.MaxAttempts {
+	if ran && !req.route.Kind.MayRepeat() || req.sent >= req.route.MaxAttempts {
 		return false
 	}
 	if !i.budget.Take(now, req.service) {
@@ -102,15 +97,22 @@
 }
 
 // canMakeIt reports whether another attempt can be answered in time, and before the process ends:
-// a usual run takes at least half of the mean.
+// a usual run takes at least half of the mean. A request that may have run fails without one.
 func (i *Ingress) canMakeIt(req *request, now time.Time) bool {
-	run := i.placer.Run(req.route.Name)
-	if plan := i.plan.Load(); plan != nil && !now.Before(drain.StartBy(plan.Ends, run, 0)) {
-		return false
+	run, end := i.placer.Run(req.route.Name), req.deadline
+	if plan := i.plan.Load(); plan != nil {
+		if !req.mayHaveRun && !now.Before(drain.StartBy(plan.Ends, run, 0)) {
+			return false
+		}
+		end = earlier(end, plan.Ends)
 	}
-	return req.deadline.Sub(now) >= max(minAttemptTime, run/2)
+	return end.Sub(now) >= max(minAttemptTime, run/2)
 }
 
+// worthWaiting reports whether the request is worth a place in a queue. What fails one is mostly
+// a lack of room, unless the daemon beside the instance ended.
+func (r *request) worthWaiting() bool { return !r.mayHaveRun || r.brokenOff }
+
 // attempt sends the request to one instance. It returns false when there is none.
 func (i *Ingress) attempt(ctx context.Context, req *request) (Result, bool) {
 	now := time.Now()
@@ -126,10 +128,10 @@
 	}
 	job := req.job
 	job.Instance, job.SenderEnds = choice.Instance.ID, ends
+	job.Returning, job.Repeated = job.Returning || req.brokenOff, req.mayHaveRun
 	// An instance that is known to be full and is the best choice all the same may let the
-	// request wait; one that seems to have a free slot is only asked for that. A request that
-	// has failed before is not worth a place in a queue: what failed it is mostly a lack of room.
-	job.MayWait = !req.mayHaveRun && (choice.Wait > freeWait || req.refusals >= looks)
+	// request wait; one that seems to have a free slot is only asked for that.
+	job.MayWait = req.worthWaiting() && (choice.Wait > freeWait || req.refusals >= looks)
 	res := i.sender.Send(ctx, &job, choice.Instance)
 	i.count(req, &job, &res)
 	i.placer.Done(time.Now(), choice, req.route.Name, placement.Report{
@@ -148,6 +150,10 @@
 		req.exclude = append(req.exclude, job.Instance)
 		return
 	}
+	if res.brokenOff() {
+		// What the others said before the run says little about them now.
+		req.brokenOff, req.refusals, req.turnedAway = true, 0, 0
+	}
 	if !res.Arrived {
 		req.refusals++
 	}
@@ -160,6 +166,11 @@
 	}
 }
 
+// brokenOff reports whether the daemon beside the instance ended during the run.
+func (r *Result) brokenOff() bool {
+	return r.Refusal != nil && r.Refusal.Kind == refusal.Cut && r.Refusal.Run == refusal.MayHaveRun && r.Arrived && !r.Unreachable
+}
+
 // bytes returns the size of the answer's body.
 func (r *Result) bytes() int {
 	if r.Answer == nil {
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -211,7 +211,7 @@
 
 func (g *Guard) run(ctx context.Context, j *Job) Result {
 	call := &intake.Call{
-		Route: j.Route, Priority: j.Priority, Returning: j.Returning, Nested: j.Nested, Goal: j.Goal, Deadline: j.Deadline,
+		Route: j.Route, Priority: j.Priority, Returning: j.Returning, Nested: j.Nested, Repeated: j.Repeated, Goal: j.Goal, Deadline: j.Deadline,
 		ID: j.ID, SenderEnds: j.SenderEnds, Objective: j.Objective,
 	}
 	if refused := g.admit(ctx, j, call); refused != nil {
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -93,6 +93,8 @@
 	// sent counts the upstreams that saw the request; mayHaveRun says that one may have run it.
 	sent       int
 	mayHaveRun bool
+	// brokenOff says that the daemon beside an instance ended during the run.
+	brokenOff bool
 	// refusals counts the daemons that refused it for their load.
 	refusals int
 	// turnedAway counts those where it could not even wait.
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -28,6 +28,7 @@
 	flagReturning = 'r'
 	flagRepeat    = 's'
 	flagNested    = 'n'
+	flagRepeated  = 'a'
 )
 
 // confirmBytes is the size of a body from which on the other daemon is asked before the body
@@ -45,9 +46,9 @@
 	Priority int
 	// MayWait lets the request wait for a slot; Returning says that its caller was refused
 	// before; MayRepeat that it may run more than once; Nested that the run of another upstream
-	// waits for it.
-	MayWait, Returning, MayRepeat, Nested bool
-	Goal, Deadline                        time.Time
+	// waits for it; Repeated that it may have run before.
+	MayWait, Returning, MayRepeat, Nested, Repeated bool
+	Goal, Deadline                                  time.Time
 	// SenderEnds is the time at which the daemon that waits for the answer ends; zero while it
 	// is not told to stop.
 	SenderEnds time.Time
@@ -146,6 +147,9 @@
 	if j.Nested {
 		flags = append(flags, flagNested)
 	}
+	if j.Repeated {
+		flags = append(flags, flagRepeated)
+	}
 	return string(flags)
 }
 
@@ -187,6 +191,7 @@
 		SenderEnds: ends, Instance: model.InstanceID(fields[0]), Route: fields[1], Caller: fields[2], Service: fields[9],
 		MayWait: strings.IndexByte(flags, flagMayWait) >= 0, Returning: strings.IndexByte(flags, flagReturning) >= 0,
 		MayRepeat: strings.IndexByte(flags, flagRepeat) >= 0, Nested: strings.IndexByte(flags, flagNested) >= 0,
+		Repeated: strings.IndexByte(flags, flagRepeated) >= 0,
 		Priority: int(numbers[0]), Deadline: after(numbers[1]), Goal: after(numbers[2]), Objective: time.Duration(numbers[3]) * time.Millisecond,
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: ownHeaders(r.Header),
 	}, sender{revision, fields[10]}, true
