Show a version in the status once calls follow it

An operator who waits for a version in `mangoshedctl status` could still see a call routed by the one before. TestStops/pause_over_a_change failed that way in two of 24 runs beside four busy processes: the status named version 2, and a call to a service that version 2 makes internal got no_instance.

Cause: the daemon stored the applied version for the status before it derived the routes from it.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -191,9 +191,10 @@
 	return err
 }
 
+// onApply shows a version in the status only once calls are routed by it.
 func (d *Daemon) onApply(current, _ *snapshot.Snapshot) {
-	d.applied.Store(&appliedVersion{snapshot: current, at: time.Now()})
 	d.calls.update(current, d.runner.Members())
+	d.applied.Store(&appliedVersion{snapshot: current, at: time.Now()})
 	if d.cfg.OnApply != nil {
 		d.cfg.OnApply(current.Version())
 	}
