Keep headers between daemons out of upstreams' answers

Callers could be told that a request had not run which had: an upstream whose answer bears Mangoshed-Result replaced the result that the daemon beside it writes, so that the sender read the upstream's text as the daemon's verdict.

Cause: writeAnswer copied all end-to-end headers of the upstream over the daemon's own.

Change: headers with the prefix of those between daemons are left out, as they already are in requests. TestAnswerCannotPassForARefusal fails before (refusal "overloaded", not run) and passes now.

--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -245,11 +245,12 @@
 	notRunMark = "n"
 )
 
-// writeAnswer passes an upstream's answer on unchanged, and drops it.
+// writeAnswer passes an upstream's answer on unchanged but for headers that only daemons write, and
+// drops it.
 func writeAnswer(w http.ResponseWriter, a *exchange.Response) {
 	defer a.Release()
 	h := w.Header()
-	for name, values := range exchange.EndToEnd(a.Header) {
+	for name, values := range ownHeaders(a.Header) {
 		h[name] = values
 	}
 	for _, name := range [...]string{"Content-Type", "Date"} {
--- a/pkg/mesh/job_test.go
+++ b/pkg/mesh/job_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"mangoshed.example/mangoshed/core/refusal"
+	"mangoshed.example/mangoshed/pkg/exchange"
 )
 
 // Guards against a job that loses what its sender said about it on the way.
@@ -19,3 +23,18 @@
 		require.Equal(t, job.flags(), got.flags())
 	}
 }
+
+// Guards against an upstream that names its answer a refusal of the daemon beside it: its caller
+// would be told that a request has not run which has.
+func TestAnswerCannotPassForARefusal(t *testing.T) {
+	answer := &exchange.Response{Status: http.StatusOK, Body: []byte("done"), Header: http.Header{
+		headerResult: {joinFields("0/1/0/0/0", "9", "", "0", string(refusal.Overloaded), notRunMark, "0", "", "0")}, "X-Own": {"kept"},
+	}}
+	w := httptest.NewRecorder()
+	writeResult(w, &Result{Answer: answer, Arrived: true}, sender{revision: 3}, 0)
+	res, from := decodeResult(&exchange.Response{Status: w.Code, Header: w.Header()})
+	require.Nil(t, res.Refusal)
+	require.True(t, res.Arrived)
+	require.Equal(t, uint64(3), from.revision)
+	require.Equal(t, "kept", res.Answer.Header.Get("X-Own"))
+}
