Leave time for the way back before a stopping daemon ends

Callers of a daemon that stops got 502 for runs beside other daemons whose answers were on their way when it ended: the daemon beside the instance counts the time until the sender ends from the arrival of the job, so that it takes the sender for alive for the time of the way, 100 to 900 ms over a full link between regions.

Change: the end that a job names is earlier by the measured way, as its deadline is. TestJobsOfAStoppingDaemonLeaveTimeForTheWayBack, with 100 ms each way: the last answer left 100 ms after the sender's end, and is back in time now.

--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -116,10 +116,6 @@
 // attempt sends the request to one instance. It returns false when there is none.
 func (i *Ingress) attempt(ctx context.Context, req *request) (Result, bool) {
 	now := time.Now()
-	var ends time.Time
-	if plan := i.plan.Load(); plan != nil {
-		ends = plan.Ends
-	}
 	choice, ok := i.placer.Choose(now, placement.Query{
 		Service: req.service, Route: req.route.Name, Exclude: req.exclude, Slack: req.goal.Sub(now), Left: req.deadline.Sub(now),
 		Bytes: len(req.job.Body) + headBytes, Asks: req.job.confirm(),
@@ -131,11 +127,14 @@
 		return Result{Refusal: notRun(refusal.NoInstance, "no live instance of "+req.service+" can be reached; try again", noInstanceRetry)}, false
 	}
 	job := req.job
-	job.Instance, job.SenderEnds = choice.Instance.ID, ends
+	job.Instance = choice.Instance.ID
 	job.Returning, job.Repeated = job.Returning || req.brokenOff, req.mayHaveRun
 	// The other daemon counts from the arrival of the job. What it decides has to be back in time,
 	// a refusal as well: without it the request may have run.
 	job.Deadline, job.Goal = job.Deadline.Add(-choice.Way), job.Goal.Add(-choice.Way)
+	if plan := i.plan.Load(); plan != nil {
+		job.SenderEnds = plan.Ends.Add(-choice.Way)
+	}
 	// An instance that is known to be full and is the best choice all the same may let the
 	// request wait; one that seems to have a free slot is only asked for that.
 	job.MayWait = req.worthWaiting() && (choice.Wait > freeWait || req.refusals >= looks)
--- a/pkg/mesh/way_test.go
+++ b/pkg/mesh/way_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"mangoshed.example/mangoshed/core/catalog"
+	"mangoshed.example/mangoshed/core/drain"
 	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/placement"
 	"mangoshed.example/mangoshed/core/refusal"
@@ -140,3 +141,28 @@
 		i.sender.client.Close()
 	})
 }
+
+// Guards against a daemon that lets a run begin for a stopping one which ends while the answer is
+// on its way.
+func TestJobsOfAStoppingDaemonLeaveTimeForTheWayBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const way = 100 * time.Millisecond
+		var told []time.Time
+		i := farIngress(t, farDaemons{way: way, decide: func(j *Job) Result {
+			told = append(told, j.SenderEnds)
+			return Result{Refusal: notRun(refusal.Overloaded, "full", time.Second)}
+		}})
+		for range 10 { // measures the way
+			place(t, i)
+		}
+		told = nil
+		plan := drain.New(time.Now(), time.Second)
+		i.plan.Store(&plan)
+		place(t, i)
+		require.NotEmpty(t, told)
+		for _, ends := range told {
+			require.False(t, ends.Add(way).After(plan.Ends), plan.Ends.Sub(ends))
+		}
+		i.sender.client.Close()
+	})
+}
