--- a/pkg/mesh/way_test.go
+++ b/pkg/mesh/way_test.go
@@ -147,20 +147,23 @@
 func TestJobsOfAStoppingDaemonLeaveTimeForTheWayBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const way = 100 * time.Millisecond
-		var told []time.Time
+		told := make(chan time.Time, 100)
 		i := farIngress(t, farDaemons{way: way, decide: func(j *Job) Result {
-			told = append(told, j.SenderEnds)
+			told <- j.SenderEnds
 			return Result{Refusal: notRun(refusal.Overloaded, "full", time.Second)}
 		}})
 		for range 10 { // measures the way
 			place(t, i)
 		}
-		told = nil
+		for len(told) > 0 {
+			require.Zero(t, <-told)
+		}
 		plan := drain.New(time.Now(), time.Second)
 		i.plan.Store(&plan)
 		place(t, i)
 		require.NotEmpty(t, told)
-		for _, ends := range told {
+		for len(told) > 0 {
+			ends := <-told
 			require.False(t, ends.Add(way).After(plan.Ends), plan.Ends.Sub(ends))
 		}
 		i.sender.client.Close()
