Say "may have run" for a request that was sent twice to the upstream

Callers could be told that a request had not run which had, and a request that crashes its upstream at once was sent to up to six of them without the retry budget and without suspicion.

Cause: a request that fails within 5 ms on a used connection is sent again on a new one, since the upstream has mostly dropped the idle connection. Only the second error was judged: a refused connection then said "not run", though the upstream may have read the request on the first one and crashed.

Change: the result of the second send says "may have run" unless nothing was sent on the first.

--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -350,12 +350,16 @@
 	request := g.request(j)
 	started := time.Now()
 	resp, err := g.client.Do(ctx, request)
-	var failed *exchange.Error
-	if j.MayRepeat && errors.As(err, &failed) && failed.Reused && !failed.Began && ctx.Err() == nil && time.Since(started) < instantFailure {
-		// The upstream had dropped the idle connection.
+	if j.MayRepeat && droppedIdle(err) && ctx.Err() == nil && time.Since(started) < instantFailure {
 		request.MaxIdle = -1
-		resp, err = g.client.Do(ctx, request)
+		resp, again := g.client.Do(ctx, request)
+		return g.afterDroppedIdle(g.result(ctx, j, resp, again), err)
 	}
+	return g.result(ctx, j, resp, err)
+}
+
+// result turns the end of an exchange with the upstream into a result.
+func (g *Guard) result(ctx context.Context, j *Job, resp *exchange.Response, err error) Result {
 	if err != nil {
 		return g.failure(ctx, err)
 	}
@@ -366,6 +370,32 @@
 	return res
 }
 
+// droppedIdle reports whether a used connection failed without an answer: the upstream has mostly
+// dropped it while it was idle.
+func droppedIdle(err error) bool {
+	var failed *exchange.Error
+	return errors.As(err, &failed) && failed.Reused && !failed.Began
+}
+
+// afterDroppedIdle returns the result of a request that was sent again after its first connection
+// had failed. Whether the upstream read it there is not known: it may have crashed it.
+func (g *Guard) afterDroppedIdle(res Result, first error) Result {
+	var failed *exchange.Error
+	if errors.As(first, &failed) && !failed.Sent {
+		return res
+	}
+	res.Arrived = true
+	if res.Refusal == nil || res.Refusal.Run != refusal.NotRun {
+		return res
+	}
+	kind := res.Refusal.Kind
+	if kind != refusal.Cut && kind != refusal.Deadline {
+		kind = refusal.UpstreamFailed // the others stand for statuses that promise "not run"
+	}
+	res.Refusal = mayHaveRun(kind, "the upstream's connection failed: "+first.Error())
+	return res
+}
+
 // request returns the request as the upstream gets it.
 func (g *Guard) request(j *Job) *exchange.Request {
 	h := make(http.Header, len(j.Header)+4)
