Let a run that a planned end broke off go where there was no room before

Callers got 502 for a request that may be repeated: the daemon beside its upstream ended during the run, and all other instances had turned it away seconds before, when it was first placed.

Cause: the counts of refusals began anew after a run that was broken off, but the instances that had no room stayed excluded.

Change: instances that turn a request away are kept apart from those that it must not go to, and are asked again after such a run. TestBrokenOffRunMayGoWhereThereWasNoRoom fails before and passes now.

--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"mangoshed.example/mangoshed/core/drain"
+	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/placement"
 	"mangoshed.example/mangoshed/core/refusal"
 )
@@ -83,7 +85,7 @@
 	}
 	if refused != nil && refused.Run == refusal.NotRun && !res.Arrived {
 		// No upstream saw the request.
-		return req.refusals < maxRefusals && req.turnedAway < maxTurnedAway && (req.worthWaiting() || req.refusals < looks)
+		return req.refusals < maxRefusals && len(req.turnedAway) < maxTurnedAway && (req.worthWaiting() || req.refusals < looks)
 	}
 	if ran && !req.route.Kind.MayRepeat() || req.sent >= req.route.MaxAttempts {
 		return false
@@ -117,7 +119,7 @@
 func (i *Ingress) attempt(ctx context.Context, req *request) (Result, bool) {
 	now := time.Now()
 	choice, ok := i.placer.Choose(now, placement.Query{
-		Service: req.service, Route: req.route.Name, Exclude: req.exclude, Slack: req.goal.Sub(now), Left: req.deadline.Sub(now),
+		Service: req.service, Route: req.route.Name, Exclude: req.excluded(), Slack: req.goal.Sub(now), Left: req.deadline.Sub(now),
 		Bytes: len(req.job.Body) + headBytes, Asks: req.job.confirm(),
 	})
 	if !ok && choice.Instance != nil {
@@ -158,20 +160,22 @@
 	}
 	if res.brokenOff() {
 		// What the others said before the run says little about them now.
-		req.brokenOff, req.refusals, req.turnedAway = true, 0, 0
+		req.brokenOff, req.refusals, req.turnedAway = true, 0, nil
 	}
 	if !res.Arrived {
 		req.refusals++
 	}
-	full := res.Refusal.Kind == refusal.Overloaded && !res.Arrived
-	if full && job.MayWait {
-		req.turnedAway++
-	}
-	if !full || job.MayWait {
+	switch full := res.Refusal.Kind == refusal.Overloaded && !res.Arrived; {
+	case full && job.MayWait:
+		req.turnedAway = append(req.turnedAway, job.Instance)
+	case !full:
 		req.exclude = append(req.exclude, job.Instance)
 	}
 }
 
+// excluded returns the instances that are not asked.
+func (r *request) excluded() []model.InstanceID { return slices.Concat(r.exclude, r.turnedAway) }
+
 // brokenOff reports whether the daemon beside the instance ended during the run.
 func (r *Result) brokenOff() bool {
 	return r.Refusal != nil && r.Refusal.Kind == refusal.Cut && r.Refusal.Run == refusal.MayHaveRun && r.Arrived && !r.Unreachable
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -97,10 +97,11 @@
 	brokenOff bool
 	// refusals counts the daemons that refused it for their load.
 	refusals int
-	// turnedAway counts those where it could not even wait.
-	turnedAway int
-	exclude    []model.InstanceID
-	last       model.InstanceID
+	// turnedAway are the instances where it could not even wait.
+	turnedAway []model.InstanceID
+	// exclude are the other instances that are not asked again.
+	exclude []model.InstanceID
+	last    model.InstanceID
 }
 
 // ServeHTTP answers one request.
--- a/pkg/mesh/repeat_test.go
+++ b/pkg/mesh/repeat_test.go
@@ -50,7 +50,7 @@
 	i.count(req, &Job{Instance: "ends"}, &res)
 	require.True(t, i.again(t.Context(), req, &res))
 	require.True(t, req.worthWaiting())
-	require.Equal(t, []model.InstanceID{"ends"}, req.exclude)
+	require.Equal(t, []model.InstanceID{"ends"}, req.excluded())
 	for range looks {
 		i.count(req, &Job{Instance: "full"}, &full)
 		require.True(t, i.again(t.Context(), req, &full), "others may let it wait")
@@ -87,3 +87,17 @@
 		require.Equal(t, want.repeated, i.canMakeIt(req, now), left)
 	}
 }
+
+// Guards against a run that a planned end broke off and that is not repeated, because the other
+// instances had no room when it was first placed.
+func TestBrokenOffRunMayGoWhereThereWasNoRoom(t *testing.T) {
+	now := time.Now()
+	i := repeatingIngress(t, now)
+	req := repeatedRequest(now, route.Safe)
+	full := Result{Refusal: notRun(refusal.Overloaded, "full", 0)}
+	i.count(req, &Job{Instance: "full", MayWait: true}, &full)
+	require.Equal(t, []model.InstanceID{"full"}, req.excluded())
+	res := ranUntilTheEnd()
+	i.count(req, &Job{Instance: "ends"}, &res)
+	require.Equal(t, []model.InstanceID{"ends"}, req.excluded())
+}
