Announce the end of a stop for all jobs with one ID

Callers whose requests carry the same ID, or none, could wait at another daemon past the end of their own one and be cut: the jobs that wait were a set of IDs, and the first answer took all jobs with its ID off it, so that the other daemon was never told of the end.

Change: jobs are counted. TestJobsWithEqualIDsAreAllAnnounced fails before and passes now. What stays: the announcement names jobs by ID alone, so that a job of a third daemon with the same ID is given back as well, as not run.

--- a/pkg/mesh/ends.go
+++ b/pkg/mesh/ends.go
@@ -28,16 +28,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.waiting[address] == nil {
-		s.waiting[address] = make(map[string]bool)
+		s.waiting[address] = make(map[string]int)
 	}
-	s.waiting[address][id] = true
+	s.waiting[address][id]++
 }
 
 // forget forgets a job that has its answer.
 func (s *Sender) forget(address, id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.waiting[address], id)
+	if s.waiting[address][id]--; s.waiting[address][id] <= 0 {
+		delete(s.waiting[address], id)
+	}
 	if len(s.waiting[address]) == 0 {
 		delete(s.waiting, address)
 	}
--- /dev/null
+++ b/pkg/mesh/ends_test.go
@@ -0,0 +1,19 @@
+package mesh
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a job that waits at another daemon and is not told of the end of its sender,
+// because another one with the same ID, or also without one, has had its answer.
+func TestJobsWithEqualIDsAreAllAnnounced(t *testing.T) {
+	s := NewSender("own", nil, nil, nil, nil)
+	s.note("other", "")
+	s.note("other", "")
+	s.forget("other", "")
+	require.Equal(t, map[string][]string{"other": {""}}, s.waitingAt())
+	s.forget("other", "")
+	require.Empty(t, s.waitingAt())
+}
--- a/pkg/mesh/sender.go
+++ b/pkg/mesh/sender.go
@@ -44,14 +44,15 @@
 	turn int
 	// introduced are daemons to ask before a view names them.
 	introduced []string
-	// waiting holds the IDs of the jobs that wait for an answer, by the address of the daemon.
-	waiting map[string]map[string]bool
+	// waiting counts the jobs that wait for an answer, by the address of the daemon and their ID:
+	// callers may send several with one ID, or without any.
+	waiting map[string]map[string]int
 }
 
 // NewSender returns a sender that passes jobs for the daemon's own forward address to the guard.
 func NewSender(own string, guard *Guard, fleet *Fleet, answers *exchange.Budget, seeds func() []string) *Sender {
 	return &Sender{
-		own: own, guard: guard, fleet: fleet, seeds: seeds, waiting: make(map[string]map[string]bool),
+		own: own, guard: guard, fleet: fleet, seeds: seeds, waiting: make(map[string]map[string]int),
 		client: exchange.NewClient(exchange.Config{
 			DialTimeout: peerDial, Unacknowledged: peerUnacknowledged, MaxIdle: peerIdle, Budget: answers,
 		}),
