Take SIGHUP before the settings are read

A SIGHUP between the read of the settings and the registration of the signal ended the process, and a change of the file in that time was missed. Found by reading; no test: the window is a few microseconds in the process's start. The registration comes first now, so that the signal waits and the settings are read again.

--- a/pkg/mesh/run.go
+++ b/pkg/mesh/run.go
@@ -12,13 +12,14 @@
 // Run runs a daemon by the settings in a file until ctx ends, and drains it. SIGHUP reads the
 // settings again. connect makes the platform of the settings.
 func Run(ctx context.Context, path string, connect func(*Settings) (Platform, error)) error {
+	// Before the settings are read: a signal meanwhile may tell of a change that was missed.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
 	s, err := LoadSettings(path)
 	if err != nil {
 		return err
 	}
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	tuneMemory(s.Limits.MemoryMB)
 	log, flush, err := NewLogger(os.Stdout, s.LogLevel)
 	if err != nil {
