Move the closing of HTTP servers to a package of its own

mangoshed run needs for its callers what mangoshed mesh run has since: a server that stops without dropping requests that become complete meanwhile.

Change: the wrappers of listener and connection, what is known of idle connections and the wait move from pkg/mesh to pkg/closing, with the test of unread bytes; the tests of the daemon's stop stay. The wait takes a context and leaves the cut to its caller. Its result no longer counts connections that were idle when it ended, so that connections_cut does not either; these are cut as before.

Evidence: pkg/closing and the four tests of the daemon's stop pass with the race detector. In the whole of pkg/mesh one test fails under it: TestJobsOfAStoppingDaemonLeaveTimeForTheWayBack, whose handler appends to a slice from several goroutines (way_test.go:152); it does the same without this change.

--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -363,7 +363,7 @@
 	d.stop()
 	d.end(context.Canceled)
 	for _, s := range d.servers {
-		_ = s.http.Close()
+		_ = s.Close()
 	}
 	d.tasks.Wait()
 }
--- a/pkg/mesh/server_test.go
+++ b/pkg/mesh/server_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"regexp"
 	"testing"
 	"time"
@@ -14,7 +13,6 @@
 	"go.uber.org/zap"
 
 	"mangoshed.example/mangoshed/core/refusal"
-	"mangoshed.example/mangoshed/pkg/exchange"
 )
 
 // farEnd is an end of a stop that no test reaches.
@@ -109,31 +107,6 @@
 	<-ended
 }
 
-// Guards against a request that has arrived and is not read yet when its connection is closed as
-// idle.
-func TestConnectionWithUnreadBytesIsNotIdle(t *testing.T) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	peer := dialDaemon(t, listener.Addr().String())
-	accepted, err := serverListener{listener}.Accept()
-	require.NoError(t, err)
-	defer func() { _ = accepted.Close() }()
-	conn := accepted.(*serverConn)
-	conn.setIdle(true)
-	peer.write("GET")
-	require.Eventually(t, func() bool { return exchange.Unread(conn) }, farEnd, time.Millisecond)
-	conn.endIfIdle()
-	read := make([]byte, 3)
-	_, err = io.ReadFull(conn, read)
-	require.NoError(t, err)
-
-	conn.setIdle(true)
-	conn.endIfIdle()
-	_, err = conn.Read(read)
-	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
-}
-
 // Guards against a stop that lasts longer because callers keep connections that they do not use.
 func TestIdleConnectionsDoNotDelayTheEnd(t *testing.T) {
 	d, address := leavingDaemon(t)
