Answer calls over plain HTTP that become complete while mangoshed run drains

Callers saw: on plain HTTP/1.1 a call to a draining daemon ended with a closed connection although the daemon had read it whole and could say that it had not run.

Drain used http.Server.Shutdown, which drops a request whose header is complete only after it was called, and closes a kept connection on which one has begun to arrive. And TCP sockets were hidden by netutil.LimitListener.

Change: plain HTTP has an http.Server of its own, which closes by pkg/closing; TLS (HTTP/2 with GOAWAY, and HTTP/1.1) keeps its server and Shutdown. Both are waited for at the same time within the same context, so that the bounds of Drain are as they were. Connections that were used end as soon as they are idle; those on which nothing has ever arrived end from an age of 1 s on (Shutdown: 5 s). As Shutdown announced the end of connections and pkg/closing does not, answers of a draining server over HTTP/1.1 say Connection: close. closing.Limit limits the connections of plain HTTP in place of netutil.LimitListener.

--- a/pkg/caller/drain.go
+++ b/pkg/caller/drain.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"mangoshed.example/mangoshed/core/refusal"
@@ -44,7 +45,7 @@
 func (s *Server) Leave(ctx context.Context) {
 	context.AfterFunc(ctx, s.giveUp)
 	s.leaving.Store(true)
-	s.closeListeners(&s.plain)
+	s.plain.Stop()
 }
 
 // Drain stops accepting connections, refuses new calls on open ones and waits for the
@@ -53,7 +54,7 @@
 func (s *Server) Drain(ctx context.Context) error {
 	s.Leave(ctx)
 	s.drained.Store(true)
-	s.closeListeners(&s.secure)
+	s.closeSecure()
 	timer := time.NewTimer(s.config.Linger)
 	defer timer.Stop()
 	select {
@@ -74,11 +75,11 @@
 	return nil
 }
 
-// closeListeners closes listeners that Serve or ServeTLS accept from.
-func (s *Server) closeListeners(listeners *[]net.Listener) {
+// closeSecure closes the listeners that ServeTLS accepts from.
+func (s *Server) closeSecure() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, listener := range *listeners {
+	for _, listener := range s.secure {
 		_ = listener.Close()
 	}
 }
@@ -94,14 +95,22 @@
 // shutdown closes idle connections and waits for the others. That a listener is closed
 // already is no failure.
 func (s *Server) shutdown(ctx context.Context) error {
-	if err := s.http.Shutdown(ctx); !errors.Is(err, net.ErrClosed) {
+	var plain sync.WaitGroup
+	var used int
+	plain.Go(func() { used = s.plain.Wait(ctx) })
+	err := s.http.Shutdown(ctx)
+	plain.Wait()
+	if err != nil && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
+	if used > 0 {
+		return ctx.Err()
+	}
 	return nil
 }
 
 // Close cuts everything.
-func (s *Server) Close() error { return s.http.Close() }
+func (s *Server) Close() error { return errors.Join(s.plain.Close(), s.http.Close()) }
 
 // endWithDrain ends the call when a drain gives up what still runs: also a read of its
 // body, which the end of a context does not wake. The returned function is called when an
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -20,6 +20,7 @@
 	"mangoshed.example/mangoshed/core/refusal"
 	"mangoshed.example/mangoshed/core/retry"
 	"mangoshed.example/mangoshed/core/routing"
+	"mangoshed.example/mangoshed/pkg/closing"
 	"mangoshed.example/mangoshed/pkg/forward"
 	"mangoshed.example/mangoshed/pkg/identity"
 	"mangoshed.example/mangoshed/pkg/stream"
@@ -30,6 +31,9 @@
 	headerTimeout = 10 * time.Second
 	// keepAlive is the time after which an unused connection of a caller is closed.
 	keepAlive = 2 * time.Minute
+	// firstCall is the age at which a connection without a call counts as idle: a call follows its
+	// connection, after the initial retransmission timeout of TCP (1 s, RFC 6298) if it was lost.
+	firstCall = time.Second
 	// defaultMaxCalls bounds the calls in flight: each takes about 25 KB, and 64 KB more
 	// while its answer is copied.
 	defaultMaxCalls = 1024
@@ -57,6 +61,9 @@
 	// Linger is the time for which a draining server still answers on open
 	// connections. Default: 500 ms.
 	Linger time.Duration
+	// FirstCall is the age from which on a drain ends connections of plain HTTP on which nothing
+	// has arrived. Default: 1 s.
+	FirstCall time.Duration
 	// AnswerTime is how long the callers of calls that outlast a drain may take to read
 	// their refusals. Default: AnswerTime.
 	AnswerTime time.Duration
@@ -71,7 +78,9 @@
 type Server struct {
 	*Dispatcher
 	config Config
-	http   *http.Server
+	// plain serves plain HTTP/1.1, http what comes over TLS.
+	plain *closing.Server
+	http  *http.Server
 	// leaving is set by Leave and drained by Drain.
 	leaving atomic.Bool
 	drained atomic.Bool
@@ -83,8 +92,8 @@
 	givenUp  atomic.Int64
 
 	mu sync.Mutex
-	// plain are the listeners of Serve, secure those of ServeTLS.
-	plain, secure []net.Listener
+	// secure are the listeners of ServeTLS.
+	secure []net.Listener
 }
 
 // New returns a server that does not listen yet. It fails when the registry refuses
@@ -96,6 +105,9 @@
 	if config.Linger == 0 {
 		config.Linger = lingerTime
 	}
+	if config.FirstCall == 0 {
+		config.FirstCall = firstCall
+	}
 	if config.AnswerTime == 0 {
 		config.AnswerTime = AnswerTime
 	}
@@ -118,34 +130,38 @@
 			return nil, err
 		}
 	}
-	s.http = &http.Server{
-		Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: keepAlive, ErrorLog: config.ErrorLog,
-		DisableGeneralOptionsHandler: true,
-		// The typed refusal at MaxHeaderBytes comes first.
-		MaxHeaderBytes: MaxHeaderBytes + MaxHeaderBytes/2,
-	}
+	s.plain = closing.New(s.newHTTP())
+	s.plain.Unused = config.FirstCall
+	s.http = s.newHTTP()
 	if config.Identity != nil {
 		s.http.TLSConfig = config.Identity.OptionalServerTLS("h2", "http/1.1")
 	}
 	return s, nil
 }
 
-// Serve accepts plain HTTP until Leave or Drain.
-func (s *Server) Serve(listener net.Listener) error {
-	s.track(&s.plain, listener)
-	return s.ended(s.http.Serve(listener))
+func (s *Server) newHTTP() *http.Server {
+	return &http.Server{
+		Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: keepAlive, ErrorLog: s.config.ErrorLog,
+		DisableGeneralOptionsHandler: true,
+		// The typed refusal at MaxHeaderBytes comes first.
+		MaxHeaderBytes: MaxHeaderBytes + MaxHeaderBytes/2,
+	}
 }
 
+// Serve accepts plain HTTP until Leave or Drain. A drain waits for connections of TCP listeners
+// and of closing.Limit.
+func (s *Server) Serve(listener net.Listener) error { return s.ended(s.plain.Serve(listener)) }
+
 // ServeTLS accepts HTTPS until Drain. Own services show their certificates here.
 func (s *Server) ServeTLS(listener net.Listener) error {
-	s.track(&s.secure, listener)
+	s.track(listener)
 	return s.ended(s.http.ServeTLS(listener, "", ""))
 }
 
-func (s *Server) track(listeners *[]net.Listener, listener net.Listener) {
+func (s *Server) track(listener net.Listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	*listeners = append(*listeners, listener)
+	s.secure = append(s.secure, listener)
 }
 
 func (s *Server) ended(err error) error {
@@ -228,7 +244,7 @@
 		observe = s.rejected
 		e.drain()
 	}
-	e.finishUpload()
+	s.announceEnd(e)
 	delete(resp.Header, refusal.HeaderLoad)
 	if err := stream.Answer(e.w, e.r.Method, resp, s.config.Idle, e.cancel); err != nil {
 		s.cuts.Inc()
@@ -241,7 +257,7 @@
 
 func (s *Server) answerRefusal(e *exchange, refused *refusal.Refusal) {
 	e.drain()
-	e.finishUpload()
+	s.announceEnd(e)
 	if refused.Kind == refusal.Leaving {
 		e.w.Header().Set("Connection", "close")
 	}
@@ -264,10 +280,11 @@
 	_, _ = io.Copy(io.Discard, rest)
 }
 
-// finishUpload precedes each answer. On HTTP/1.1 the rest of an unread body would be
-// taken for the next request.
-func (e *exchange) finishUpload() {
-	if e.upload != nil && !e.upload.Done() && e.r.ProtoMajor == 1 {
+// announceEnd precedes each answer. An HTTP/1.1 connection ends with the answer when the server
+// drains, and when the rest of an unread body would be taken for the next request.
+func (s *Server) announceEnd(e *exchange) {
+	unread := e.upload != nil && !e.upload.Done()
+	if e.r.ProtoMajor == 1 && (unread || s.drained.Load()) {
 		e.w.Header().Set("Connection", "close")
 	}
 }
--- a/pkg/closing/conn.go
+++ b/pkg/closing/conn.go
@@ -28,7 +28,7 @@
 		return nil, err
 	}
 	if s, ok := c.(socket); ok {
-		return &conn{socket: s}, nil
+		return &conn{socket: s, accepted: time.Now()}, nil
 	}
 	return c, nil
 }
@@ -37,8 +37,11 @@
 // request has been read.
 type conn struct {
 	socket
+	accepted time.Time
+
 	mu   sync.Mutex
 	idle bool
+	used bool // something has arrived
 }
 
 func (c *conn) setIdle(idle bool) {
@@ -51,17 +54,21 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.socket.Read(p)
 	if n > 0 {
-		c.setIdle(false)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.idle, c.used = false, true
 	}
 	return n, err
 }
 
-// endIfIdle ends the wait for a next request if none has arrived, and reports whether it did. The
-// server sets the deadline anew for a request that was read meanwhile, before its header.
-func (c *conn) endIfIdle() bool {
+// endIfIdle ends the wait for a next request if none has arrived, and that for the first one from an
+// age on; 0 for none. It reports whether it did. The server sets the deadline anew for a request
+// that was read meanwhile, before its header.
+func (c *conn) endIfIdle(unused time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle || exchange.Unread(c) {
+	waits := c.idle || !c.used && unused > 0 && time.Since(c.accepted) >= unused
+	if !waits || exchange.Unread(c) {
 		return false
 	}
 	_ = c.SetReadDeadline(time.Unix(1, 0))
--- a/pkg/closing/conn_test.go
+++ b/pkg/closing/conn_test.go
@@ -35,13 +35,13 @@
 	_, err = io.WriteString(peer, "GET")
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return exchange.Unread(c) }, farEnd, time.Millisecond)
-	require.False(t, c.endIfIdle())
+	require.False(t, c.endIfIdle(0))
 	read := make([]byte, 3)
 	_, err = io.ReadFull(c, read)
 	require.NoError(t, err)
 
 	c.setIdle(true)
-	require.True(t, c.endIfIdle())
+	require.True(t, c.endIfIdle(0))
 	_, err = c.Read(read)
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
--- a/pkg/closing/server.go
+++ b/pkg/closing/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -18,6 +19,10 @@
 // Server is an HTTP/1.1 server that closes by itself. Only connections of TCP listeners are waited
 // for.
 type Server struct {
+	// Unused is the age at which a connection on which nothing has ever arrived counts as idle; 0 for
+	// none. It is set before Serve.
+	Unused time.Duration
+
 	http *http.Server
 	// serving counts the calls of Serve that have not returned.
 	serving sync.WaitGroup
@@ -36,14 +41,24 @@
 }
 
 // Serve answers on the connections of a listener until Stop. The error is that of
-// http.Server.Serve; after Stop it may wrap net.ErrClosed.
+// http.Server.Serve, http.ErrServerClosed after Stop.
 func (s *Server) Serve(l net.Listener) error {
 	if !s.begin(l) {
 		_ = l.Close()
 		return http.ErrServerClosed
 	}
 	defer s.serving.Done()
-	return s.http.Serve(listener{l})
+	err := s.http.Serve(listener{l})
+	if errors.Is(err, net.ErrClosed) && s.hasStopped() {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
+func (s *Server) hasStopped() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopped
 }
 
 // begin reports whether connections of a listener may be accepted.
@@ -88,7 +103,7 @@
 }
 
 // Wait stops the server, ends the connections that are idle and waits for the others until ctx
-// ends: on those a request is under way, or its first one is about to come. It returns the number
+// ends: on those a request is under way, or their first one is about to come. It returns the number
 // of connections that are in use at the end.
 func (s *Server) Wait(ctx context.Context) int {
 	s.Stop()
@@ -110,8 +125,12 @@
 
 // Close cuts all connections.
 func (s *Server) Close() error {
+	err := s.http.Close()
 	s.Stop()
-	return s.http.Close()
+	if errors.Is(err, net.ErrClosed) {
+		return nil // a listener that Stop has closed
+	}
+	return err
 }
 
 // endIdle ends the idle connections. It returns the number of those that are still open, and of
@@ -120,7 +139,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if !c.endIfIdle() {
+		if !c.endIfIdle(s.Unused) {
 			used++
 		}
 	}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/snapshot"
 	"mangoshed.example/mangoshed/pkg/audit"
+	"mangoshed.example/mangoshed/pkg/closing"
 	"mangoshed.example/mangoshed/pkg/distribution"
 	"mangoshed.example/mangoshed/pkg/identity"
 	"mangoshed.example/mangoshed/pkg/operator"
@@ -213,7 +214,7 @@
 		return err
 	}
 	limit := d.cfg.Settings.Limits.CallerConnections
-	d.serve("callers", func() error { return d.calls.callers.Serve(netutil.LimitListener(d.callerListener, limit)) })
+	d.serve("callers", func() error { return d.calls.callers.Serve(closing.Limit(d.callerListener, limit)) })
 	if d.tlsListener != nil {
 		d.serve("callers_tls", func() error { return d.calls.callers.ServeTLS(netutil.LimitListener(d.tlsListener, limit)) })
 	}
