Count jobs of other daemons until their results are written

What callers saw: a large answer that came from another daemon's upstream broke off when that daemon stopped, though seconds of its grace period were left. A request that may not be repeated ended as one that may have run; one that may be repeated ran again.

Cause: the guard took a job for done when its run was, before Daemon.servePeer wrote the result. A stop that waited for nothing else gave the bytes on their way 200 ms and cut them.

Change: the daemon counts jobs of other daemons from their header to the end of their handler, as the ingress counts its requests. The guard's own count had no other use and is gone. In the log lines daemon_stopping and requests_cut, jobs now counts those of other daemons alone; runs for the daemon's own callers are among its requests.

--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -68,6 +68,7 @@
 	feed     *feedServer
 	reach    *reachability
 
+	jobs     atomic.Int64 // of other daemons whose results are not written yet
 	servers  []*server
 	ready    atomic.Bool
 	stopping atomic.Bool
@@ -276,6 +277,8 @@
 		http.Error(w, "this address is for other daemons; send requests to "+d.settings.Listen.CallerAddress, http.StatusForbidden)
 		return
 	}
+	d.jobs.Add(1)
+	defer d.jobs.Add(-1)
 	d.fleet.Heard(now, from.revision)
 	d.reach.heard(now, hostOf(r.RemoteAddr))
 	d.guard.suspects.hear(now, from.gossip)
--- a/pkg/mesh/drain.go
+++ b/pkg/mesh/drain.go
@@ -37,7 +37,7 @@
 	d.ingress.plan.Store(&plan)
 	d.guard.EndAt(plan.Ends)
 	d.tasks.Go(func() { d.sender.AnnounceEnd(d.requests, plan.Ends, d.log) })
-	d.log.Info("daemon_stopping", zap.Int64("requests", d.ingress.active.Load()), zap.Int("jobs", d.guard.Active()))
+	d.log.Info("daemon_stopping", zap.Int64("requests", d.ingress.active.Load()), zap.Int64("jobs", d.jobs.Load()))
 	time.Sleep(time.Until(plan.Closes))
 	d.guard.Stop()
 	// Again, for jobs that were under way when the stop began.
@@ -47,7 +47,7 @@
 		time.Sleep(drainPoll)
 	}
 	if d.busy() {
-		d.log.Warn("requests_cut", zap.Int64("requests", d.ingress.active.Load()), zap.Int("jobs", d.guard.Active()))
+		d.log.Warn("requests_cut", zap.Int64("requests", d.ingress.active.Load()), zap.Int64("jobs", d.jobs.Load()))
 	}
 	d.end(errEnded)
 	d.shutdown(earlier(plan.Exits, time.Now().Add(lastAnswers)))
@@ -63,8 +63,9 @@
 	return b
 }
 
-// busy reports whether a request of a caller or a job of another daemon is not answered yet.
-func (d *Daemon) busy() bool { return d.guard.Active() > 0 || d.ingress.active.Load() > 0 }
+// busy reports whether a request of a caller or a job of another daemon is not answered yet: its
+// answer counts until it is written.
+func (d *Daemon) busy() bool { return d.jobs.Load() > 0 || d.ingress.active.Load() > 0 }
 
 // shutdown closes the servers. Connections that are not idle at the end are cut.
 func (d *Daemon) shutdown(end time.Time) {
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -57,7 +57,6 @@
 	left      map[model.InstanceID]time.Time
 	downUntil time.Time
 	stopping  bool
-	active    int
 	runs      map[string]int // requests at the upstream by ID
 	timer     *time.Timer
 }
@@ -146,13 +145,6 @@
 	return g.stopping
 }
 
-// Active returns the number of jobs in the guard.
-func (g *Guard) Active() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.active
-}
-
 // Runs reports whether a request with the ID is at the upstream.
 func (g *Guard) Runs(id string) bool {
 	g.mu.Lock()
@@ -194,12 +186,8 @@
 
 // Run runs a job on the upstream, or refuses it.
 func (g *Guard) Run(ctx context.Context, j *Job) Result {
-	g.mu.Lock()
-	g.active++
-	g.mu.Unlock()
 	res := g.run(ctx, j)
 	g.mu.Lock()
-	g.active--
 	now := time.Now()
 	res.Load, res.Expected = g.queue.Load(now), g.queue.Expected(now, j.Route)
 	g.mu.Unlock()
--- a/pkg/mesh/server_test.go
+++ b/pkg/mesh/server_test.go
@@ -18,13 +18,19 @@
 // farEnd is an end of a stop that no test reaches.
 const farEnd = time.Minute
 
-// leavingDaemon starts a daemon that refuses requests because it stops, and returns its address.
-func leavingDaemon(t *testing.T) (*Daemon, string) {
+// newLocalDaemon returns a daemon that is not started, on free ports of the loopback interface.
+func newLocalDaemon(t *testing.T) *Daemon {
 	text := regexp.MustCompile(`127\.0\.0\.1:80\d\d`).ReplaceAllString(Example(), "127.0.0.1:0")
 	s, err := ParseSettings("example", []byte(text))
 	require.NoError(t, err)
-	d, err := New(s, Platform{Store: emptyStore{}, Headers: Headers{Remaining: "Left"}}, zap.NewNop())
+	d, err := New(s, Platform{Store: emptyStore{}, Headers: Headers{Remaining: "Left", Proof: "Proof", Expected: "Expected", Caller: "Caller"}}, zap.NewNop())
 	require.NoError(t, err)
+	return d
+}
+
+// leavingDaemon starts a daemon that refuses requests because it stops, and returns its address.
+func leavingDaemon(t *testing.T) (*Daemon, string) {
+	d := newLocalDaemon(t)
 	d.Start()
 	t.Cleanup(d.Close)
 	d.ingress.plan.Store(closedPlan())
