Count the time of the last answers from the moment of giving up

What callers saw: with a short grace period, or when the process stood still around its end, the connections of requests that a stopping daemon gave up were closed at once, without the answers that say whether they may have run.

Cause: the time by which these answers must leave was fixed when the stop began. The look at what still runs, every 50 ms, came up to 50 ms after the planned end; with grace periods below 800 ms, or after a standstill, that time had passed then, and the servers closed right after the requests' contexts had ended.

Change: the looks do not go beyond the planned end. Plan.Exits becomes Plan.ExitsAfter, which counts from that moment.

--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -35,9 +35,8 @@
 	Lingers time.Time
 	// Ends is the time at which what still runs is given up.
 	Ends time.Time
-	// Exits is the time by which the process has ended. The answers to what was given up leave
-	// before it.
-	Exits time.Time
+	// Over is the end of the grace period: the platform may kill the process from then on.
+	Over time.Time
 }
 
 // New returns the plan of a stop that begins at a time and must end within the grace period.
@@ -47,10 +46,15 @@
 	closes := min(notice, lasts/2)
 	return Plan{
 		Began: began, Closes: began.Add(closes), Lingers: began.Add(closes + min(linger, (lasts-closes)/2)),
-		Ends: began.Add(lasts), Exits: began.Add(lasts + rest/2),
+		Ends: began.Add(lasts), Over: began.Add(grace),
 	}
 }
 
+// ExitsAfter returns the time by which the process has ended when what runs is given up at a time,
+// which may be later than planned: half of what is left of the grace period is for the answers,
+// half for the end of the process. After the grace period it has passed.
+func (p Plan) ExitsAfter(givenUp time.Time) time.Time { return givenUp.Add(p.Over.Sub(givenUp) / 2) }
+
 // Takes reports whether new requests are taken at a time.
 func (p Plan) Takes(now time.Time) bool { return now.Before(p.Closes) }
 
--- a/pkg/mesh/drain.go
+++ b/pkg/mesh/drain.go
@@ -16,6 +16,10 @@
 	drainPoll = 50 * time.Millisecond
 	// lastAnswers is the time for the last answers to leave.
 	lastAnswers = 200 * time.Millisecond
+	// leastAnswers is the time that they have also when the grace period is over: the platform may
+	// kill the process then, but until it does they can leave. Twice the period of the servers'
+	// looks at their connections.
+	leastAnswers = 10 * time.Millisecond
 	// stoppingRetry is the time after which a stopping daemon should be asked again: callers that
 	// can go elsewhere have done so by then, and a restart takes about a second.
 	stoppingRetry = time.Second
@@ -44,13 +48,12 @@
 	d.tasks.Go(func() { d.sender.AnnounceEnd(d.requests, plan.Ends, d.log) })
 	time.Sleep(time.Until(plan.Lingers))
 	for time.Now().Before(plan.Ends) && d.busy() {
-		time.Sleep(drainPoll)
+		time.Sleep(min(drainPoll, time.Until(plan.Ends)))
 	}
 	if d.busy() {
 		d.log.Warn("requests_cut", zap.Int64("requests", d.ingress.active.Load()), zap.Int64("jobs", d.jobs.Load()))
 	}
-	d.end(errEnded)
-	d.shutdown(earlier(plan.Exits, time.Now().Add(lastAnswers)))
+	d.giveUp(plan)
 	d.stop()
 	d.log.Info("daemon_stopped", zap.Duration("took", time.Since(plan.Began)))
 }
@@ -63,6 +66,19 @@
 	return b
 }
 
+// giveUp ends what still runs and closes the servers when its answers have left.
+func (d *Daemon) giveUp(plan drain.Plan) {
+	d.end(errEnded)
+	now := time.Now()
+	d.shutdown(now.Add(answersFor(plan, now)))
+}
+
+// answersFor returns how long the answers to what is given up at a time have to leave. It counts
+// from that time and not from the plan's, which may have passed: the process can stand still.
+func answersFor(plan drain.Plan, now time.Time) time.Duration {
+	return max(leastAnswers, min(lastAnswers, plan.ExitsAfter(now).Sub(now)))
+}
+
 // busy reports whether a request of a caller or a job of another daemon is not answered yet: its
 // answer counts until it is written.
 func (d *Daemon) busy() bool { return d.jobs.Load() > 0 || d.ingress.active.Load() > 0 }
--- a/pkg/mesh/stop_test.go
+++ b/pkg/mesh/stop_test.go
@@ -3,17 +3,21 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"mangoshed.example/mangoshed/core/drain"
+	"mangoshed.example/mangoshed/core/refusal"
 	"mangoshed.example/mangoshed/pkg/exchange"
 )
 
@@ -37,6 +41,84 @@
 	return d
 }
 
+// pipeListener accepts one connection in memory.
+type pipeListener struct {
+	conn   chan net.Conn
+	closed chan struct{}
+	close  func()
+}
+
+func newPipeListener(c net.Conn) *pipeListener {
+	l := &pipeListener{conn: make(chan net.Conn, 1), closed: make(chan struct{})}
+	l.conn <- c
+	l.close = sync.OnceFunc(func() { close(l.closed) })
+	return l
+}
+
+// Accept returns the connection, then waits for the end.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conn:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends the wait.
+func (l *pipeListener) Close() error {
+	l.close()
+	return nil
+}
+
+// Addr returns no address.
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// pipe is a connection in memory that a server takes for one of TCP.
+type pipe struct{ net.Conn }
+
+func (p pipe) ReadFrom(r io.Reader) (int64, error) { return io.Copy(p.Conn, r) }
+func (p pipe) CloseWrite() error                   { return nil }
+
+func (p pipe) SyscallConn() (syscall.RawConn, error) { return quietSocket{}, nil }
+
+// quietSocket is a socket that is open and on which nothing unread has arrived.
+type quietSocket struct{ syscall.RawConn }
+
+func (quietSocket) Control(func(fd uintptr)) error { return syscall.EAGAIN }
+
+// Positions of the servers in Daemon.servers.
+const (
+	callerServer  = 0
+	forwardServer = 1
+)
+
+// dialPipe serves a connection in memory.
+func dialPipe(t *testing.T, d *Daemon, server int) *caller {
+	s := d.servers[server]
+	require.NoError(t, s.listener.Close())
+	near, far := net.Pipe()
+	s.listener = newPipeListener(pipe{far})
+	go s.serve(d.log)
+	return &caller{t: t, conn: near, in: bufio.NewReader(near)}
+}
+
+// read reads an answer; nil if the connection ends before.
+func (c *caller) read() *http.Response {
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return nil
+	}
+	_ = resp.Body.Close()
+	return resp
+}
+
+// end lets the goroutines of connections end.
+func (c *caller) end() {
+	_ = c.conn.Close()
+	time.Sleep(time.Second) // for which net/http keeps connections with unread requests
+}
+
 // slowWriter is the way to another daemon: the body of an answer takes a time.
 type slowWriter struct {
 	*httptest.ResponseRecorder
@@ -71,3 +153,62 @@
 		require.Less(t, took, w.takes+2*drainPoll, "nothing else keeps the daemon")
 	})
 }
+
+// refusedInStop sends a request that waits for the first table, lets the daemon end and returns the
+// answer, nil if there is none.
+func refusedInStop(t *testing.T, grace time.Duration, stop func(d *Daemon)) (got *http.Response) {
+	synctest.Test(t, func(t *testing.T) {
+		d := virtualDaemon(t, grace)
+		c := dialPipe(t, d, callerServer)
+		c.write("GET /x HTTP/1.1\r\nHost: app\r\nLeft: 4000\r\n\r\n")
+		synctest.Wait()
+		require.Equal(t, int64(1), d.ingress.held.Load())
+		var group sync.WaitGroup
+		group.Go(func() { got = c.read() })
+		stop(d)
+		group.Wait()
+		c.end()
+		d.guard.client.Close()
+	})
+	return got
+}
+
+// plays is the number of repetitions of tests of answers that race with the end of the servers.
+const plays = 30
+
+func requireNotRun(t *testing.T, got *http.Response) {
+	require.NotNil(t, got, "the connection was cut")
+	require.Equal(t, http.StatusServiceUnavailable, got.StatusCode)
+	require.Equal(t, refusal.NotRun.String(), got.Header.Get(refusal.HeaderRun))
+}
+
+// Guards against a stop with a short grace period that closes the connections of the requests that
+// it gives up before their answers have left.
+func TestShortStopAnswersWhatItGivesUp(t *testing.T) {
+	for _, grace := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond, 700 * time.Millisecond} {
+		for range plays {
+			var took time.Duration
+			got := refusedInStop(t, grace, func(d *Daemon) {
+				began := time.Now()
+				d.Drain()
+				took = time.Since(began)
+			})
+			requireNotRun(t, got)
+			require.Less(t, took, grace)
+		}
+	}
+}
+
+// Guards against answers that are cut because the time by which they must leave has passed when
+// the requests are given up: the process stood still.
+func TestAnswersLeaveThoughTheEndHasPassed(t *testing.T) {
+	for _, late := range []time.Duration{400 * time.Millisecond, 699 * time.Millisecond, 700 * time.Millisecond, time.Minute} {
+		for range plays {
+			requireNotRun(t, refusedInStop(t, 6*time.Second, func(d *Daemon) {
+				plan := drain.New(time.Now().Add(-6*time.Second+700*time.Millisecond-late), 6*time.Second)
+				d.ingress.plan.Store(&plan)
+				d.giveUp(plan)
+			}))
+		}
+	}
+}
