Answer requests whose bodies still arrive when a daemon ends

What callers saw: a request whose body was still arriving at the end of a planned stop got a closed connection and no answer. A job that another daemon had sent, and whose body was still on its way, ended the same way and counted as one that may have run at its sender, though it cannot have run.

Cause: the end of a request's context does not wake the read of its body, neither in the ingress nor for the jobs of other daemons. The connection was cut under the read 200 ms later.

Change: a body's read ends with the process, by a read deadline on its connection. The ingress then refuses the request as not run (503), and the daemon gives the job back as not run, with or without a go-ahead for the body.

Evidence: tests in virtual time, of bodies with a length and chunked, and of jobs that wait for a go-ahead and that do not.

--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -22,6 +22,7 @@
 
 	"mangoshed.example/mangoshed/core/catalog"
 	"mangoshed.example/mangoshed/core/placement"
+	"mangoshed.example/mangoshed/core/refusal"
 	"mangoshed.example/mangoshed/core/retry"
 	"mangoshed.example/mangoshed/pkg/exchange"
 	"mangoshed.example/mangoshed/pkg/telemetry"
@@ -294,13 +295,22 @@
 	if r.Header.Get("Expect") == "" {
 		// The sender does not wait for a go-ahead.
 		body, err := j.Load()
+		if err != nil && ended(r.Context()) {
+			refused := notRun(refusal.Leaving, "the daemon stopped before the body had arrived", 0)
+			d.answerPeer(w, r, Result{Refusal: refused, Load: d.guard.Load()}, now)
+			return
+		}
 		if err != nil {
 			panic(http.ErrAbortHandler)
 		}
 		j.Body, j.Load = body, nil
 	}
 	j.Left = func() bool { return left(r) }
-	res := d.guard.Run(r.Context(), j)
+	d.answerPeer(w, r, d.guard.Run(r.Context(), j), now)
+}
+
+// answerPeer gives another daemon the result of its job, which arrived at a time.
+func (d *Daemon) answerPeer(w http.ResponseWriter, r *http.Request, res Result, arrived time.Time) {
 	if r.Context().Err() != nil && !ended(r.Context()) {
 		res.Answer.Release()
 		panic(http.ErrAbortHandler)
@@ -309,7 +319,7 @@
 		// The connection ends with the daemon: a job that crosses its end may have run.
 		w.Header().Set("Connection", "close")
 	}
-	writeResult(w, &res, sender{d.fleet.View().Revision, d.guard.suspects.gossip(time.Now())}, time.Since(now))
+	writeResult(w, &res, sender{d.fleet.View().Revision, d.guard.suspects.gossip(time.Now())}, time.Since(arrived))
 }
 
 // servePeerCall answers what daemons ask each other besides jobs.
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -224,6 +224,9 @@
 		return nil, &refusal.Refusal{Kind: refusal.TooLarge, Run: refusal.NotRun, Remedy: "send at most " + strconv.FormatInt(limit, 10) + " bytes of headers"}
 	}
 	body, refused, err := readBody(w, r, view.Table.Limits.MaxBodyBytes)
+	if err != nil && ended(r.Context()) {
+		return nil, notRun(refusal.Leaving, "the daemon stopped before the whole request had arrived; connect again", stoppingRetry)
+	}
 	if err != nil || refused != nil {
 		return nil, refused
 	}
@@ -278,7 +281,19 @@
 	return int64(n)
 }
 
-// readBody reads the whole body, so that it can be sent again.
+// endWithProcess ends the read of a body when the process ends: the end of the request's context
+// does not wake it. The returned function is called when the body has been read.
+func endWithProcess(w http.ResponseWriter, r *http.Request) (read func() bool) {
+	return context.AfterFunc(r.Context(), func() {
+		if ended(r.Context()) {
+			// An error means that the connection has gone, and the read has ended.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+		}
+	})
+}
+
+// readBody reads the whole body, so that it can be sent again. It fails if the process ends before
+// the body has arrived.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refusal.Refusal, error) {
 	if limit <= 0 {
 		limit = defaultMaxBody
@@ -293,6 +308,7 @@
 	if r.ContentLength > limit {
 		return nil, tooLarge, nil
 	}
+	defer endWithProcess(w, r)()
 	if r.ContentLength > 0 {
 		body := make([]byte, r.ContentLength)
 		_, err := io.ReadFull(r.Body, body)
--- a/pkg/mesh/stop_test.go
+++ b/pkg/mesh/stop_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -103,14 +105,32 @@
 	return &caller{t: t, conn: near, in: bufio.NewReader(near)}
 }
 
+// answerHead is the head of an answer.
+type answerHead struct {
+	status int
+	header http.Header
+	closes bool // its connection
+}
+
 // read reads an answer; nil if the connection ends before.
-func (c *caller) read() *http.Response {
+func (c *caller) read() *answerHead {
 	resp, err := http.ReadResponse(c.in, nil)
 	if err != nil {
 		return nil
 	}
 	_ = resp.Body.Close()
-	return resp
+	return &answerHead{status: resp.StatusCode, header: resp.Header, closes: resp.Close}
+}
+
+// status reads the status line of an answer without a header.
+func (c *caller) status() int {
+	line, err := c.in.ReadString('\n')
+	require.NoError(c.t, err)
+	_, err = c.in.ReadString('\n')
+	require.NoError(c.t, err)
+	code, err := strconv.Atoi(strings.Fields(line)[1])
+	require.NoError(c.t, err)
+	return code
 }
 
 // end lets the goroutines of connections end.
@@ -154,9 +174,73 @@
 	})
 }
 
+// drained sends a request to a daemon, stops the daemon while it waits and returns the answer, nil if
+// there is none, and how long the daemon took.
+func drained(t *testing.T, d *Daemon, c *caller, text string) (got *answerHead, took time.Duration) {
+	var group sync.WaitGroup
+	group.Go(func() { got = c.read() })
+	c.write(text)
+	synctest.Wait()
+	began := time.Now()
+	d.Drain()
+	took = time.Since(began)
+	group.Wait()
+	c.end()
+	d.guard.client.Close()
+	return got, took
+}
+
+// Guards against a caller whose request cannot have run and that learns so from a closed
+// connection alone: its body is still arriving when the daemon ends.
+func TestStoppingDaemonRefusesWhatStillArrives(t *testing.T) {
+	for _, length := range []string{"Content-Length: 9000", "Transfer-Encoding: chunked"} {
+		for range plays {
+			synctest.Test(t, func(t *testing.T) {
+				d := virtualDaemon(t, 6*time.Second)
+				d.fleet.view.Store(closingIngress(t).fleet.View())
+				c := dialPipe(t, d, callerServer)
+				got, took := drained(t, d, c, "POST /x HTTP/1.1\r\nHost: app\r\n"+length+"\r\n\r\n1\r\nx\r\n")
+				requireNotRun(t, got)
+				require.True(t, got.closes)
+				require.Less(t, took, 6*time.Second)
+			})
+		}
+	}
+}
+
+// Guards against a job that counts as one that may have run, because the daemon beside the upstream
+// ended before its body had arrived, also if it had asked for the body.
+func TestStoppingDaemonGivesBackAJobWhoseBodyStillArrives(t *testing.T) {
+	for _, expect := range []string{"", "Expect: 100-continue\r\n"} {
+		for range plays {
+			synctest.Test(t, func(t *testing.T) {
+				d := virtualDaemon(t, 6*time.Second)
+				d.guard.queue.Resize(time.Now(), 1)
+				c := dialPipe(t, d, forwardServer)
+				head := "POST /x HTTP/1.1\r\nHost: app\r\nContent-Length: 9000\r\n" + headerJob + ": i;read;front;-;1;9000;9000;1000;1;back;\r\n"
+				body := "x"
+				if expect != "" {
+					c.write(head + expect + "\r\n")
+					require.Equal(t, http.StatusContinue, c.status())
+					head = ""
+				} else {
+					head += "\r\n"
+				}
+				got, took := drained(t, d, c, head+body)
+				require.NotNil(t, got, "the connection was cut")
+				require.Less(t, took, 6*time.Second)
+				res, _ := decodeResult(&exchange.Response{Header: got.header})
+				require.NotNil(t, res.Refusal)
+				require.Equal(t, refusal.NotRun, res.Refusal.Run)
+				require.False(t, res.Arrived)
+			})
+		}
+	}
+}
+
 // refusedInStop sends a request that waits for the first table, lets the daemon end and returns the
 // answer, nil if there is none.
-func refusedInStop(t *testing.T, grace time.Duration, stop func(d *Daemon)) (got *http.Response) {
+func refusedInStop(t *testing.T, grace time.Duration, stop func(d *Daemon)) (got *answerHead) {
 	synctest.Test(t, func(t *testing.T) {
 		d := virtualDaemon(t, grace)
 		c := dialPipe(t, d, callerServer)
@@ -176,10 +260,10 @@
 // plays is the number of repetitions of tests of answers that race with the end of the servers.
 const plays = 30
 
-func requireNotRun(t *testing.T, got *http.Response) {
+func requireNotRun(t *testing.T, got *answerHead) {
 	require.NotNil(t, got, "the connection was cut")
-	require.Equal(t, http.StatusServiceUnavailable, got.StatusCode)
-	require.Equal(t, refusal.NotRun.String(), got.Header.Get(refusal.HeaderRun))
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, refusal.NotRun.String(), got.header.Get(refusal.HeaderRun))
 }
 
 // Guards against a stop with a short grace period that closes the connections of the requests that
