--- /dev/null
+++ b/pkg/mesh/stop_test.go
@@ -0,0 +1,298 @@
+package mesh
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoshed.example/mangoshed/core/drain"
+	"mangoshed.example/mangoshed/core/refusal"
+	"mangoshed.example/mangoshed/pkg/exchange"
+)
+
+// virtualDaemon returns a daemon for a test in virtual time. It does not accept connections. Its
+// upstream, which runs behind a pipe, answers each request.
+func virtualDaemon(t *testing.T, grace time.Duration) *Daemon {
+	d := newLocalDaemon(t)
+	d.settings.Bounds.Grace = grace
+	d.stop = func() {}
+	t.Cleanup(d.closeListeners)
+	d.guard.client = exchange.NewClient(exchange.Config{Dial: func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			defer func() { _ = far.Close() }()
+			if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+				_, _ = far.Write([]byte("HTTP/1.1 200 OK\r\nProof: p\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx"))
+			}
+		}()
+		return near, nil
+	}})
+	return d
+}
+
+// pipeListener accepts one connection in memory.
+type pipeListener struct {
+	conn   chan net.Conn
+	closed chan struct{}
+	close  func()
+}
+
+func newPipeListener(c net.Conn) *pipeListener {
+	l := &pipeListener{conn: make(chan net.Conn, 1), closed: make(chan struct{})}
+	l.conn <- c
+	l.close = sync.OnceFunc(func() { close(l.closed) })
+	return l
+}
+
+// Accept returns the connection, then waits for the end.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conn:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends the wait.
+func (l *pipeListener) Close() error {
+	l.close()
+	return nil
+}
+
+// Addr returns no address.
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// pipe is a connection in memory that a server takes for one of TCP.
+type pipe struct{ net.Conn }
+
+func (p pipe) ReadFrom(r io.Reader) (int64, error) { return io.Copy(p.Conn, r) }
+func (p pipe) CloseWrite() error                   { return nil }
+
+func (p pipe) SyscallConn() (syscall.RawConn, error) { return quietSocket{}, nil }
+
+// quietSocket is a socket that is open and on which nothing unread has arrived.
+type quietSocket struct{ syscall.RawConn }
+
+func (quietSocket) Control(func(fd uintptr)) error { return syscall.EAGAIN }
+
+// Positions of the servers in Daemon.servers.
+const (
+	callerServer  = 0
+	forwardServer = 1
+)
+
+// dialPipe serves a connection in memory.
+func dialPipe(t *testing.T, d *Daemon, server int) *caller {
+	s := d.servers[server]
+	require.NoError(t, s.listener.Close())
+	near, far := net.Pipe()
+	s.listener = newPipeListener(pipe{far})
+	go s.serve(d.log)
+	return &caller{t: t, conn: near, in: bufio.NewReader(near)}
+}
+
+// answerHead is the head of an answer.
+type answerHead struct {
+	status int
+	header http.Header
+	closes bool // its connection
+}
+
+// read reads an answer; nil if the connection ends before.
+func (c *caller) read() *answerHead {
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return nil
+	}
+	_ = resp.Body.Close()
+	return &answerHead{status: resp.StatusCode, header: resp.Header, closes: resp.Close}
+}
+
+// status reads the status line of an answer without a header.
+func (c *caller) status() int {
+	line, err := c.in.ReadString('\n')
+	require.NoError(c.t, err)
+	_, err = c.in.ReadString('\n')
+	require.NoError(c.t, err)
+	code, err := strconv.Atoi(strings.Fields(line)[1])
+	require.NoError(c.t, err)
+	return code
+}
+
+// end lets the goroutines of connections end.
+func (c *caller) end() {
+	_ = c.conn.Close()
+	time.Sleep(time.Second) // for which net/http keeps connections with unread requests
+}
+
+// slowWriter is the way to another daemon: the body of an answer takes a time.
+type slowWriter struct {
+	*httptest.ResponseRecorder
+	takes   time.Duration
+	written atomic.Bool
+}
+
+func (w *slowWriter) Write(p []byte) (int, error) {
+	time.Sleep(w.takes)
+	w.written.Store(true)
+	return w.ResponseRecorder.Write(p)
+}
+
+// Guards against a stopping daemon that takes a result for delivered while its bytes are still on
+// their way to another daemon, and cuts it with most of the grace period left.
+func TestStoppingDaemonFinishesTheResultsThatItSends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := virtualDaemon(t, 6*time.Second)
+		r := httptest.NewRequestWithContext(d.requests, http.MethodGet, "/x", nil)
+		r.Header.Set(headerJob, "i;read;front;-;1;9000;9000;1000;1;back;")
+		w := &slowWriter{ResponseRecorder: httptest.NewRecorder(), takes: 5 * time.Second}
+		var group sync.WaitGroup
+		group.Go(func() { d.servePeer(w, r) })
+		synctest.Wait()
+		require.Equal(t, http.StatusOK, w.Code)
+		began := time.Now()
+		d.Drain()
+		written, took := w.written.Load(), time.Since(began)
+		group.Wait()
+		d.guard.client.Close()
+		require.True(t, written, "the daemon ended %v after the order to stop", took)
+		require.Less(t, took, w.takes+2*drainPoll, "nothing else keeps the daemon")
+	})
+}
+
+// drained sends a request to a daemon, stops the daemon while it waits and returns the answer, nil if
+// there is none, and how long the daemon took.
+func drained(t *testing.T, d *Daemon, c *caller, text string) (got *answerHead, took time.Duration) {
+	var group sync.WaitGroup
+	group.Go(func() { got = c.read() })
+	c.write(text)
+	synctest.Wait()
+	began := time.Now()
+	d.Drain()
+	took = time.Since(began)
+	group.Wait()
+	c.end()
+	d.guard.client.Close()
+	return got, took
+}
+
+// Guards against a caller whose request cannot have run and that learns so from a closed
+// connection alone: its body is still arriving when the daemon ends.
+func TestStoppingDaemonRefusesWhatStillArrives(t *testing.T) {
+	for _, length := range []string{"Content-Length: 9000", "Transfer-Encoding: chunked"} {
+		for range plays {
+			synctest.Test(t, func(t *testing.T) {
+				d := virtualDaemon(t, 6*time.Second)
+				d.fleet.view.Store(closingIngress(t).fleet.View())
+				c := dialPipe(t, d, callerServer)
+				got, took := drained(t, d, c, "POST /x HTTP/1.1\r\nHost: app\r\n"+length+"\r\n\r\n1\r\nx\r\n")
+				requireNotRun(t, got)
+				require.True(t, got.closes)
+				require.Less(t, took, 6*time.Second)
+			})
+		}
+	}
+}
+
+// Guards against a job that counts as one that may have run, because the daemon beside the upstream
+// ended before its body had arrived, also if it had asked for the body.
+func TestStoppingDaemonGivesBackAJobWhoseBodyStillArrives(t *testing.T) {
+	for _, expect := range []string{"", "Expect: 100-continue\r\n"} {
+		for range plays {
+			synctest.Test(t, func(t *testing.T) {
+				d := virtualDaemon(t, 6*time.Second)
+				d.guard.queue.Resize(time.Now(), 1)
+				c := dialPipe(t, d, forwardServer)
+				head := "POST /x HTTP/1.1\r\nHost: app\r\nContent-Length: 9000\r\n" + headerJob + ": i;read;front;-;1;9000;9000;1000;1;back;\r\n"
+				body := "x"
+				if expect != "" {
+					c.write(head + expect + "\r\n")
+					require.Equal(t, http.StatusContinue, c.status())
+					head = ""
+				} else {
+					head += "\r\n"
+				}
+				got, took := drained(t, d, c, head+body)
+				require.NotNil(t, got, "the connection was cut")
+				require.Less(t, took, 6*time.Second)
+				res, _ := decodeResult(&exchange.Response{Header: got.header})
+				require.NotNil(t, res.Refusal)
+				require.Equal(t, refusal.NotRun, res.Refusal.Run)
+				require.False(t, res.Arrived)
+			})
+		}
+	}
+}
+
+// refusedInStop sends a request that waits for the first table, lets the daemon end and returns the
+// answer, nil if there is none.
+func refusedInStop(t *testing.T, grace time.Duration, stop func(d *Daemon)) (got *answerHead) {
+	synctest.Test(t, func(t *testing.T) {
+		d := virtualDaemon(t, grace)
+		c := dialPipe(t, d, callerServer)
+		c.write("GET /x HTTP/1.1\r\nHost: app\r\nLeft: 4000\r\n\r\n")
+		synctest.Wait()
+		require.Equal(t, int64(1), d.ingress.held.Load())
+		var group sync.WaitGroup
+		group.Go(func() { got = c.read() })
+		stop(d)
+		group.Wait()
+		c.end()
+		d.guard.client.Close()
+	})
+	return got
+}
+
+// plays is the number of repetitions of tests of answers that race with the end of the servers.
+const plays = 30
+
+func requireNotRun(t *testing.T, got *answerHead) {
+	require.NotNil(t, got, "the connection was cut")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, refusal.NotRun.String(), got.header.Get(refusal.HeaderRun))
+}
+
+// Guards against a stop with a short grace period that closes the connections of the requests that
+// it gives up before their answers have left.
+func TestShortStopAnswersWhatItGivesUp(t *testing.T) {
+	for _, grace := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond, 700 * time.Millisecond} {
+		for range plays {
+			var took time.Duration
+			got := refusedInStop(t, grace, func(d *Daemon) {
+				began := time.Now()
+				d.Drain()
+				took = time.Since(began)
+			})
+			requireNotRun(t, got)
+			require.Less(t, took, grace)
+		}
+	}
+}
+
+// Guards against answers that are cut because the time by which they must leave has passed when
+// the requests are given up: the process stood still.
+func TestAnswersLeaveThoughTheEndHasPassed(t *testing.T) {
+	for _, late := range []time.Duration{400 * time.Millisecond, 699 * time.Millisecond, 700 * time.Millisecond, time.Minute} {
+		for range plays {
+			requireNotRun(t, refusedInStop(t, 6*time.Second, func(d *Daemon) {
+				plan := drain.New(time.Now().Add(-6*time.Second+700*time.Millisecond-late), 6*time.Second)
+				d.ingress.plan.Store(&plan)
+				d.giveUp(plan)
+			}))
+		}
+	}
+}
