Split the feeds of readers by concept

What changes in a view (change.go), the choice of a reader (feeds.go) and the daemon's own loop over readers (readers.go) have files of their own now; feed.go serves feeds.

No change of behaviour: the lines of the files are the same before and after, but for package clauses and imports.

--- /dev/null
+++ b/pkg/mesh/readers.go
@@ -0,0 +1,74 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// followReaders keeps a feed until the context ends. A feed that is current goes on until
+// another one is.
+func (f *Follower) followReaders(ctx context.Context) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	ended := make(chan struct{}, 1)
+	for ctx.Err() == nil {
+		if address, ok := f.nextReader(time.Now()); ok {
+			asked, cancel := context.WithCancelCause(ctx)
+			f.feeds.Load().begin(time.Now(), address, cancel)
+			running.Go(func() {
+				defer cancel(nil)
+				f.followReader(asked, address)
+				select {
+				case ended <- struct{}{}:
+				default: // it is told already
+				}
+			})
+		}
+		await(ctx, ended, roleTick)
+	}
+}
+
+// nextReader returns a reader to ask, if one is needed.
+func (f *Follower) nextReader(now time.Time) (string, bool) {
+	if f.Fleet.View().Table == nil || !f.fromOthers(now) {
+		return "", false
+	}
+	return f.feeds.Load().next(now, !f.Fresh())
+}
+
+// followReader follows a reader until it is lost, is replaced, or is not needed.
+func (f *Follower) followReader(ctx context.Context, address string) {
+	feeds, since := f.feeds.Load(), time.Time{}
+	err := feeds.follow(ctx, address, feedEvents{
+		accepted: func() {
+			since = time.Now()
+			f.Log.Info("feed_started", zap.String("reader", address), zap.Uint64("revision", f.Fleet.Revision()))
+		},
+		proved: func(now time.Time, age time.Duration) error {
+			wasOld := !f.Fresh()
+			f.proof.told(now.Add(-age))
+			f.pulse.note(now, f.Fleet.View())
+			old := age > freshTime+feedGrace
+			switch {
+			case old && now.Sub(since) > takeOverTime:
+				return errNotFresh
+			case !f.fromOthers(now):
+				return errNotNeeded
+			case !old && !feeds.chosen(now, address, wasOld):
+				return errNotNeeded
+			}
+			return nil
+		},
+	})
+	if cause := context.Cause(ctx); errors.Is(cause, errReplaced) {
+		err = cause
+	}
+	feeds.lose(time.Now(), address, err)
+	if !errors.Is(err, context.Canceled) {
+		f.Log.Info("feed_ended", zap.String("reader", address), zap.Uint64("revision", f.Fleet.Revision()), zap.Error(err))
+	}
+}
