Draw the candidates of a choice without a look at the whole service

Callers saw nothing of it yet: each choice of an instance copied the list of the service, asked every entry whether it may be used and sorted the rest by distance, all under one lock. The work of a daemon with 0.16 of a core grew with the fleet. Cause: usable() filtered all instances before candidates() drew 18 of them. Change: instances are kept by distance, and candidates are drawn at random until enough of them can be used. TestLargeServiceIsSampled is new; it checks the draw and that the only usable instance of 1,000 is found.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -157,7 +157,7 @@
 	mu     sync.Mutex
 	random *rand.Rand
 	view   *catalog.View
-	groups map[string][]*catalog.Instance
+	groups map[string]*group
 	stats  map[model.InstanceID]*instanceStats
 	runs   map[string]*routeAverages
 	means  map[string]float64 // mean run time by service, in nanoseconds
@@ -175,7 +175,7 @@
 func New(self model.Place, costs Costs, seed uint64) *Placer {
 	return &Placer{
 		self: self, costs: costs, random: rand.New(rand.NewPCG(seed, seed)), stats: make(map[model.InstanceID]*instanceStats),
-		runs: make(map[string]*routeAverages), means: make(map[string]float64), groups: make(map[string][]*catalog.Instance), warmUpEnd: make(map[model.InstanceID]time.Time),
+		runs: make(map[string]*routeAverages), means: make(map[string]float64), groups: make(map[string]*group), warmUpEnd: make(map[model.InstanceID]time.Time),
 		unreachable: make(map[string]bool), roundTrips: make(map[model.Place]measuredRoundTrip),
 	}
 }
@@ -186,7 +186,7 @@
 	defer p.mu.Unlock()
 	old := p.stats
 	p.view = v
-	p.groups = make(map[string][]*catalog.Instance)
+	p.groups = make(map[string]*group)
 	p.stats = make(map[model.InstanceID]*instanceStats, len(v.Instances))
 	warmUpEnd := make(map[model.InstanceID]time.Time)
 	for i := range v.Instances {
@@ -207,7 +207,7 @@
 			}
 		}
 		if inst.State == model.Live {
-			p.groups[inst.Service] = append(p.groups[inst.Service], inst)
+			p.group(inst.Service).add(inst, p.self)
 		}
 	}
 	p.warmUpEnd = warmUpEnd
@@ -290,7 +290,7 @@
 	defer p.mu.Unlock()
 	var best Choice
 	least := 0.0
-	for _, inst := range p.candidates(p.usable(now, q)) {
+	for _, inst := range p.candidates(now, q) {
 		c := p.score(now, q, inst)
 		loss := p.loss(q, c)
 		if best.Instance == nil || best.tooLate && !c.tooLate || best.tooLate == c.tooLate && loss < least {
@@ -325,65 +325,6 @@
 // requests that are already late.
 const minSlack = 50 * time.Millisecond
 
-// candidates returns the instances to compare: all usable ones, or a random sample if there are
-// too many.
-func (p *Placer) candidates(usable []*catalog.Instance) []*catalog.Instance {
-	if len(usable) <= nearCandidates {
-		return usable
-	}
-	var near, far []*catalog.Instance
-	for _, inst := range usable {
-		if inst.Place == p.self {
-			near = append(near, inst)
-		} else {
-			far = append(far, inst)
-		}
-	}
-	return append(p.sample(near, nearCandidates), p.sample(far, farCandidates)...)
-}
-
-// sample returns n random instances of the list, or the whole list if it is not longer. It
-// reorders the list.
-func (p *Placer) sample(list []*catalog.Instance, n int) []*catalog.Instance {
-	if len(list) <= n {
-		return list
-	}
-	for i := range n {
-		j := i + p.random.IntN(len(list)-i)
-		list[i], list[j] = list[j], list[i]
-	}
-	return list[:n]
-}
-
-// usable returns the instances that may get the request. Those excluded for a time are returned
-// only if there are no others.
-func (p *Placer) usable(now time.Time, q Query) []*catalog.Instance {
-	var available, excluded []*catalog.Instance
-	for _, inst := range p.groups[q.Service] {
-		if contains(q.Exclude, inst.ID) || p.unreachable[inst.Host()] || p.stats[inst.ID].leaving {
-			continue
-		}
-		if now.Before(p.stats[inst.ID].excludedUntil) {
-			excluded = append(excluded, inst)
-			continue
-		}
-		available = append(available, inst)
-	}
-	if len(available) == 0 {
-		return excluded
-	}
-	return available
-}
-
-func contains(list []model.InstanceID, id model.InstanceID) bool {
-	for _, other := range list {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
 // score returns an instance as a choice with its expected times.
 func (p *Placer) score(now time.Time, q Query, inst *catalog.Instance) Choice {
 	s := p.stats[inst.ID]
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -130,6 +131,55 @@
 	require.False(t, ok)
 }
 
+// Guards against a choice whose cost grows with the service, and against missing the only instances
+// that may be chosen in a large one.
+func TestLargeServiceIsSampled(t *testing.T) {
+	var places []model.Place
+	for n := range 1000 {
+		place := home
+		if n%8 != 0 {
+			place = model.Place{Region: "b", DataCentre: "b1"}
+		}
+		places = append(places, place)
+	}
+	p := placer(view(places...))
+	q := query()
+	g := p.group(q.Service)
+	drawn := p.candidates(now, q)
+	require.Len(t, drawn, nearCandidates+farCandidates)
+	require.Len(t, g.near, 125)
+	for _, inst := range drawn[:nearCandidates] {
+		require.Equal(t, home, inst.Place)
+	}
+	// All but one are excluded for a time, and that one is far away.
+	left := g.far[len(g.far)-1].ID
+	for id, s := range p.stats {
+		if id != left {
+			s.excludedUntil = now.Add(time.Second)
+		}
+	}
+	require.Equal(t, left, choose(t, p, now, q).Instance.ID)
+}
+
+// BenchmarkChoose measures one choice in services of different sizes.
+func BenchmarkChoose(b *testing.B) {
+	for _, size := range []int{12, 195, 1000, 19_000} {
+		b.Run(strconv.Itoa(size), func(b *testing.B) {
+			places := make([]model.Place, size)
+			for n := range places {
+				places[n] = model.Place{Region: strconv.Itoa(n % 2), DataCentre: strconv.Itoa(n % 8)}
+			}
+			p := New(places[0], DefaultCosts, 1)
+			p.Update(now, view(places...))
+			b.ReportAllocs()
+			for b.Loop() {
+				c, _ := p.Choose(now, query())
+				p.Done(now, c, "r", Report{Outcome: Refused, Load: free()})
+			}
+		})
+	}
+}
+
 // Simulates an upstream that has become six times slower. Guards against sending it as many
 // requests as healthy ones get, and against never trying it again.
 func TestSlowInstanceGetsLess(t *testing.T) {
