Rank the readers of a region once for each view

Every daemon sorted all daemons of its region by hash for each frame of its feed and every 50 ms, to find its two readers: 0.1 ms each time at 195 daemons of a region and 19 ms at 19,000, most of the processor time of an idle daemon. Nothing was wrong for callers; processor time of weak machines is theirs, though. Cause: the ranking was computed in Feeders, from the view, for each question. Change: the feed client keeps the ranking of the current view; Feeders takes a ranking.

--- a/core/catalog/readers.go
+++ b/core/catalog/readers.go
@@ -32,13 +32,13 @@
 }
 
 // Feeders returns the readers from which the daemon at the address own can receive the state of
-// the store, in order of preference. The result is false if that daemon has to read the store
-// itself; the list then contains the other readers. declined reports whether the daemon at an
-// address has declined to be a reader, including the daemon at own.
-func (v *View) Feeders(region, own string, declined func(address string) bool) ([]string, bool) {
+// the store, in order of preference, according to the ranking of its region. The result is false if
+// that daemon has to read the store itself; the list then contains the other readers. declined
+// reports whether the daemon at an address has declined to be a reader, including the daemon at own.
+func Feeders(ranking []string, own string, declined func(address string) bool) ([]string, bool) {
 	var readers []string
 	reader := false
-	for _, address := range v.Ranking(region) {
+	for _, address := range ranking {
 		if declined(address) {
 			continue
 		}
--- a/pkg/mesh/feed_client.go
+++ b/pkg/mesh/feed_client.go
@@ -14,6 +14,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"mangoshed.example/mangoshed/core/catalog"
 	"mangoshed.example/mangoshed/core/route"
 	"mangoshed.example/mangoshed/pkg/exchange"
 )
@@ -56,6 +57,12 @@
 	// declined holds the daemons known to decline requests for a feed.
 	declined *declinedPeers
 
+	// ranked is the ranking of the region in the view rankedView. Sorting it for each frame of a feed
+	// would take most of the processor time of an idle daemon in a large region.
+	rankingMu  sync.Mutex
+	rankedView *catalog.View
+	ranked     []string
+
 	mu sync.Mutex
 	// lostAt holds the time at which the feed of a reader was lost.
 	lostAt map[string]time.Time
@@ -94,14 +101,26 @@
 	}
 }
 
+// ranking returns the ranking of the region in the current view. It must not be changed.
+func (f *feedClient) ranking() []string {
+	view := f.fleet.View()
+	f.rankingMu.Lock()
+	defer f.rankingMu.Unlock()
+	if f.rankedView != view {
+		f.rankedView, f.ranked = view, view.Ranking(f.region)
+	}
+	return f.ranked
+}
+
 // feeders returns the readers of the region and whether they feed this daemon. If this daemon is a
 // reader itself, it returns the other readers and false. Readers whose feeds were lost, and daemons
 // that have declined, are skipped: the next daemons in the ranking take their place, and only those
 // read the store.
 func (f *feedClient) feeders(now time.Time) ([]string, bool) {
+	ranking := f.ranking()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.fleet.View().Feeders(f.region, f.ownAddr, func(address string) bool {
+	return catalog.Feeders(ranking, f.ownAddr, func(address string) bool {
 		if address == f.ownAddr {
 			return f.decline
 		}
@@ -168,7 +187,7 @@
 // to ask. The caller holds the mutex.
 func (f *feedClient) earliestLost(now time.Time) (string, bool) {
 	first, since := "", now.Add(-minLostReaderPause)
-	for _, address := range f.fleet.View().Ranking(f.region) {
+	for _, address := range f.ranking() {
 		if at, lost := f.lostAt[address]; lost && !at.After(since) && address != f.ownAddr && !f.declined.contains(now, address) {
 			first, since = address, at
 		}
@@ -223,7 +242,7 @@
 
 // suggestReader records the reader named by a daemon that has declined.
 func (f *feedClient) suggestReader(reader string) {
-	known := reader != f.ownAddr && slices.Contains(f.fleet.View().Ranking(f.region), reader)
+	known := reader != f.ownAddr && slices.Contains(f.ranking(), reader)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if known {
@@ -319,7 +338,7 @@
 	if err := cbor.NewDecoder(body).Decode(&known); err != nil {
 		return fmt.Errorf("%w; its list of other declining daemons cannot be read: %w", errDeclined, err)
 	}
-	f.declined.merge(time.Now(), known, f.fleet.View().Ranking(f.region))
+	f.declined.merge(time.Now(), known, f.ranking())
 	return errDeclined
 }
 
@@ -349,7 +368,7 @@
 			f.fleet.Apply(state, address)
 		}
 		if len(next.Declines) > 0 {
-			f.declined.merge(time.Now(), next.Declines, f.fleet.View().Ranking(f.region))
+			f.declined.merge(time.Now(), next.Declines, f.ranking())
 		}
 		if err := events.frameApplied(time.Now(), time.Duration(next.Age)*time.Millisecond); err != nil {
 			return err
--- a/pkg/mesh/feed_test.go
+++ b/pkg/mesh/feed_test.go
@@ -14,7 +14,7 @@
 )
 
 // fleetOf returns a fleet with n daemons in one region.
-func fleetOf(t *testing.T, n int) *Fleet {
+func fleetOf(t testing.TB, n int) *Fleet {
 	fleet := NewFleet(zap.NewNop(), func(time.Time, *catalog.View) {})
 	table, err := route.New(1, nil, nil, route.Limits{})
 	require.NoError(t, err)
