--- a/pkg/mesh/platform.go
+++ b/pkg/mesh/platform.go
@@ -23,7 +23,8 @@
 	// includes all changes made during the read.
 	List(ctx context.Context) (catalog.State, error)
 	// Instances reads the listed instances without the route table, or a part of them if there
-	// are many. A starting daemon can then request the full state from their daemons.
+	// are many. The list may be seconds old. A starting daemon uses it to ask the instances' daemons
+	// for the full state.
 	Instances(ctx context.Context) ([]catalog.Instance, error)
 	// Watch returns the changes after a revision as soon as there are any, or an empty change
 	// after the hold time. answering is called when the response begins to arrive.
