Pass the first state from daemon to daemon within a region

Class: a need of each daemon that is paid on a shared link, so that it grows with the fleet. Change: core/bootstrap decides who gets the first state from whom. Daemons that have read the store tell the seeds. While others respond that they wait for the state themselves, a starting daemon waits a second longer before it reads the store; a daemon whose view lists nobody follows the one that has sent the state. A daemon is no longer its own seed.

--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -135,7 +135,7 @@
 	d.budget = retry.NewFleetBudget(retry.FleetRules{
 		Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance, Window: s.Bounds.RetryWindow,
 	}, now)
-	d.sender = NewSender(s.Listen.ForwardAddress, d.guard, d.fleet, d.platform.Answers, func() []string { return *d.seeds.Load() })
+	d.sender = NewSender(s.Listen.ForwardAddress, s.Instance.Region, d.guard, d.fleet, d.platform.Answers, func() []string { return *d.seeds.Load() })
 	d.reach = newReachability(now, hostOf(s.Listen.ForwardAddress), seed, d.sender.client, d.placer, d.log)
 	d.sender.reach = d.reach
 	d.ingress = &Ingress{
@@ -381,9 +381,10 @@
 	d.log.Info("settings_reloaded", zap.Int("seeds", len(s.Seeds)))
 }
 
-// setSeeds replaces the seeds by those of the settings.
+// setSeeds replaces the seeds by those of the settings, without this daemon itself.
 func (d *Daemon) setSeeds(s *Settings) {
-	seeds := slices.Clone(s.Seeds)
+	own := d.settings.Listen.SeedAddress
+	seeds := slices.DeleteFunc(slices.Clone(s.Seeds), func(address string) bool { return own != "" && address == own })
 	d.seeds.Store(&seeds)
 }
 
--- a/pkg/mesh/feed_client.go
+++ b/pkg/mesh/feed_client.go
@@ -73,7 +73,8 @@
 	attempts map[string]attempt
 	// current is the address of the reader whose feed is in use, or empty.
 	current string
-	// suggested is the address of the reader named by the last daemon that declined, or empty.
+	// suggested is the address of the reader named by the last daemon that declined, or of the daemon
+	// that sent the first state, or empty.
 	suggested string
 	// nextCheckAt is the time from which on the daemon may ask a better reader than the one in use.
 	nextCheckAt time.Time
@@ -139,7 +140,25 @@
 // time for that.
 func (f *feedClient) fed(now time.Time) bool {
 	feeders, fed := f.feeders(now)
-	return fed || f.decline && len(feeders) == 0 && f.anyLostRecently(now)
+	return fed || f.decline && len(feeders) == 0 && f.anyLostRecently(now) || f.unlisted() && f.hasSource()
+}
+
+// unlisted reports whether the view lists no instance of the region yet, so that no reader is known.
+func (f *feedClient) unlisted() bool { return len(f.ranking()) == 0 }
+
+// hasSource reports whether the daemon has a feed, has asked for one or knows whom to ask.
+func (f *feedClient) hasSource() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current != "" || f.suggested != "" || len(f.attempts) > 0
+}
+
+// followSource records the daemon that has sent the first state. It is asked for a feed as long as no
+// reader is known.
+func (f *feedClient) followSource(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.suggested = address
 }
 
 // anyLostRecently reports whether a feed has been lost within lostReaderPause.
@@ -242,7 +261,7 @@
 
 // suggestReader records the reader named by a daemon that has declined.
 func (f *feedClient) suggestReader(reader string) {
-	known := reader != f.ownAddr && slices.Contains(f.ranking(), reader)
+	known := reader != f.ownAddr && reader != "" && (f.unlisted() || slices.Contains(f.ranking(), reader))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if known {
--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"mangoshed.example/mangoshed/core/bootstrap"
 	"mangoshed.example/mangoshed/core/catalog"
 	"mangoshed.example/mangoshed/pkg/exchange"
 )
@@ -51,18 +52,24 @@
 	// listTimeout bounds a read of the full state.
 	listTimeout = 1500 * time.Millisecond
 	// bootstrapTimeout bounds the first read of the full state. Meanwhile, bootstrapAskers
-	// goroutines ask other daemons for their state, each pausing for askRetryPause after a failed
-	// request. A request costs some 200 bytes.
+	// goroutines ask other daemons for their state, each pausing after a request without result, for
+	// askRetryPause at first and for up to maxAskRetryPause later. A request costs some 200 bytes.
 	bootstrapTimeout = 4 * time.Second
 	bootstrapAskers  = 2
 	askRetryPause    = 30 * time.Millisecond
+	maxAskRetryPause = 120 * time.Millisecond
+	// referredPause is the pause before asking a daemon to which another one has referred.
+	referredPause = 5 * time.Millisecond
 	// bootstrapDelay bounds the random delay before a starting daemon that is not a seed reads the
 	// full state. A daemon that declines to be a reader waits for bootstrapDelay in addition.
 	// Others need some 300 ms to read the state and pass it on.
 	bootstrapDelay = 500 * time.Millisecond
-	// introduceDelay is the time for which a starting daemon that declines to be a reader asks only
-	// the seeds.
-	introduceDelay = 60 * time.Millisecond
+	// bootstrapCheckInterval is the interval at which a starting daemon checks whether others respond.
+	bootstrapCheckInterval = 20 * time.Millisecond
+	// introduceDelay is the time without a response after which a starting daemon that declines to be a
+	// reader asks others than the seeds and those that they name. The list of a few hundred instances has more than 100 kB, so
+	// that the reads of all daemons of a region take a second on the link between regions.
+	introduceDelay = 600 * time.Millisecond
 	// watchPause is the pause between a response and the next watch. The platform bills each
 	// response as a call, and changes made during the pause are read together. The bound within which
 	// a change must be in force is 2 s or more.
@@ -82,11 +89,22 @@
 
 // Peers asks other daemons for their state.
 type Peers interface {
-	// AskState returns the state of another daemon, newer than the revision, and the address of
-	// that daemon.
-	AskState(ctx context.Context, newer uint64) (catalog.State, string, error)
+	// AskState returns the state of another daemon, newer than the revision. The error is ErrNoNewerState
+	// if that daemon has responded without one, and ErrReferred if it has named others, which further
+	// calls ask.
+	AskState(ctx context.Context, newer uint64) (PeerState, error)
 	// Introduce adds the addresses of daemons that AskState may ask until the own view lists some.
 	Introduce(addresses []string)
+	// AnnounceState tells the seeds that this daemon holds the state, so that they can refer others of
+	// its region to it. It returns when they know it or cannot be reached for some time.
+	AnnounceState(ctx context.Context)
+}
+
+// PeerState is the state of another daemon.
+type PeerState struct {
+	catalog.State
+	// Source is the address of that daemon.
+	Source string
 }
 
 // Follower keeps a Fleet up to date with the store, either by reading the store or over a feed,
@@ -121,6 +139,18 @@
 	fallbackDelay  time.Duration // see newFallbackDelay
 	lastResort     bool          // the daemon reads the store as a last resort
 	burstDetector  burstDetector
+	announcing     sync.WaitGroup
+	// respondedAt is the time at which another daemon has last responded that it holds no newer state;
+	// nil if none has.
+	respondedAt atomic.Pointer[time.Time]
+}
+
+// lastResponse returns the time of respondedAt, the zero time if there is none.
+func (f *Follower) lastResponse() time.Time {
+	if at := f.respondedAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
 }
 
 // Run keeps the fleet up to date until the context ends. The daemon gets a feed from a reader of
@@ -132,6 +162,7 @@
 		feedClient.dial = f.dial
 	}
 	f.feedClient.Store(feedClient)
+	defer f.announcing.Wait()
 	var feeding sync.WaitGroup
 	if f.OwnAddr != "" {
 		feeding.Go(func() { f.followReaders(ctx) })
@@ -200,34 +231,41 @@
 // Daemons that decline to be readers read only the list of instances meanwhile, to learn the
 // addresses of neighbours to ask.
 func (f *Follower) bootstrap(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	defer cancel()
-	var delay time.Duration
+	start := bootstrap.Start{Began: time.Now()}
 	switch {
 	case f.Seed:
 	case f.Decline:
-		delay = bootstrapDelay + rand.N(bootstrapDelay)
-		calls.Go(func() { f.introduce(ctx) })
+		start.Delay = bootstrapDelay + rand.N(bootstrapDelay)
+		calls.Go(func() { f.introduce(callCtx) })
 	default:
-		delay = rand.N(bootstrapDelay)
+		start.Delay = rand.N(bootstrapDelay)
 	}
-	listResults, peerResponses := make(chan listResult, 1), make(chan peerResponse, bootstrapAskers)
+	listResults, peerResponses := make(chan listResult, 1), make(chan PeerState, bootstrapAskers)
 	calls.Go(func() {
-		if sleep(ctx, delay); ctx.Err() != nil {
-			listResults <- listResult{err: ctx.Err()}
+		for !f.Seed && callCtx.Err() == nil && !start.MayRead(time.Now(), f.lastResponse()) {
+			sleep(callCtx, bootstrapCheckInterval)
+		}
+		if callCtx.Err() != nil {
+			listResults <- listResult{err: callCtx.Err()}
 			return
 		}
-		state, err := f.Store.List(ctx)
+		state, err := f.Store.List(callCtx)
 		listResults <- listResult{state, err}
 	})
 	for range bootstrapAskers {
-		calls.Go(func() { f.askUntilAnswered(ctx, peerResponses) })
+		calls.Go(func() { f.askUntilAnswered(callCtx, peerResponses) })
 	}
 	select {
 	case a := <-listResults:
-		return f.applyList(a)
+		err := f.applyList(a)
+		if err == nil && f.Fleet.View().Table != nil {
+			f.announce(ctx)
+		}
+		return err
 	case a := <-peerResponses:
 		f.applyPeerState(a)
 		return errFromPeer
@@ -237,12 +275,21 @@
 // errFromPeer is returned by bootstrap if the state came from another daemon, not from the store.
 var errFromPeer = errors.New("the state came from another daemon")
 
+// announce tells the seeds in the background that this daemon has read the state from the store.
+func (f *Follower) announce(ctx context.Context) {
+	f.announcing.Go(func() { f.Peers.AnnounceState(ctx) })
+}
+
 // introduce reads the list of instances and passes the addresses to Peers.Introduce, in random
 // order: those of the other daemons of the own region or, if it has none, those of all other
 // regions.
 func (f *Follower) introduce(ctx context.Context) {
-	if sleep(ctx, introduceDelay); ctx.Err() != nil {
-		return // another daemon or the store has responded
+	started := time.Now()
+	for ctx.Err() == nil && time.Since(later(started, f.lastResponse())) < introduceDelay {
+		sleep(ctx, bootstrapCheckInterval)
+	}
+	if ctx.Err() != nil {
+		return // another daemon or the store has sent the state
 	}
 	list, err := f.Store.Instances(ctx)
 	if ctx.Err() != nil {
@@ -270,31 +317,39 @@
 	f.Peers.Introduce(sameRegion)
 }
 
-// peerResponse is the state of another daemon and that daemon's address.
-type peerResponse struct {
-	state  catalog.State
-	source string
-}
-
 // askUntilAnswered asks one daemon after the other until one responds with its state.
-func (f *Follower) askUntilAnswered(ctx context.Context, responses chan<- peerResponse) {
-	for ctx.Err() == nil {
-		answer, err := f.askPeer(ctx, 0)
+func (f *Follower) askUntilAnswered(ctx context.Context, responses chan<- PeerState) {
+	var best PeerState
+	for pause := askRetryPause; ctx.Err() == nil; pause = min(pause*3/2, maxAskRetryPause) {
+		answer, err := f.askPeer(ctx, best.Revision)
 		if err == nil {
-			responses <- answer
+			best = answer
+		}
+		if best.Table != nil {
+			responses <- best
 			return
 		}
-		sleep(ctx, askRetryPause)
+		if errors.Is(err, ErrReferred) || errors.Is(err, ErrNoNewerState) {
+			now := time.Now()
+			f.respondedAt.Store(&now)
+		}
+		if errors.Is(err, ErrReferred) {
+			sleep(ctx, referredPause)
+			continue
+		}
+		sleep(ctx, pause/2+rand.N(pause))
 	}
 }
 
 // applyPeerState applies the state of another daemon. This state does not prove that the view is
-// current, but counts as a proof of half the maximum age, so that the daemon has time to find a
-// reader.
-func (f *Follower) applyPeerState(a peerResponse) {
+// current, but counts as a proof of half the maximum age, so that the daemon has time to find a reader.
+func (f *Follower) applyPeerState(a PeerState) {
 	f.listed = true
-	f.Fleet.Replace(a.state, a.source)
+	f.Fleet.Replace(a.State, a.Source)
 	f.freshness.peerProved(time.Now().Add(-maxFreshAge / 2))
+	if !f.Seed {
+		f.feedClient.Load().followSource(a.Source)
+	}
 }
 
 // listResult is the result of a read of the full state.
@@ -463,16 +518,23 @@
 }
 
 // askPeer asks one daemon for a state newer than the revision.
-func (f *Follower) askPeer(ctx context.Context, newer uint64) (peerResponse, error) {
+func (f *Follower) askPeer(ctx context.Context, newer uint64) (PeerState, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	state, source, err := f.Peers.AskState(ctx, newer)
-	return peerResponse{state, source}, err
+	return f.Peers.AskState(ctx, newer)
 }
 
 // askTimeout bounds a request for another daemon's state.
 const askTimeout = 700 * time.Millisecond
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // await waits until the signal arrives, the time has passed or the context ends.
 func await(ctx context.Context, signal <-chan struct{}, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/pkg/mesh/follow_close_test.go
+++ b/pkg/mesh/follow_close_test.go
@@ -18,16 +18,18 @@
 // slowPeers implements mesh.Peers. Its calls return with a delay after they were cancelled.
 type slowPeers struct{ calls atomic.Int64 }
 
-func (p *slowPeers) AskState(ctx context.Context, _ uint64) (catalog.State, string, error) {
+func (p *slowPeers) AskState(ctx context.Context, _ uint64) (mesh.PeerState, error) {
 	p.calls.Add(1)
 	defer p.calls.Add(-1)
 	<-ctx.Done()
 	time.Sleep(time.Millisecond) // virtual time
-	return catalog.State{}, "", ctx.Err()
+	return mesh.PeerState{}, ctx.Err()
 }
 
 func (*slowPeers) Introduce([]string) {}
 
+func (*slowPeers) AnnounceState(context.Context) {}
+
 // Guards against calls to peers that outlive the follower and read the daemon's settings after the
 // daemon has been closed.
 func TestStateRequestsEndWithTheFollower(t *testing.T) {
--- a/pkg/mesh/follow_test.go
+++ b/pkg/mesh/follow_test.go
@@ -24,12 +24,14 @@
 
 type noPeers struct{}
 
-func (noPeers) AskState(context.Context, uint64) (catalog.State, string, error) {
-	return catalog.State{}, "", errors.New("no other daemon is known")
+func (noPeers) AskState(context.Context, uint64) (mesh.PeerState, error) {
+	return mesh.PeerState{}, errors.New("no other daemon is known")
 }
 
 func (noPeers) Introduce([]string) {}
 
+func (noPeers) AnnounceState(context.Context) {}
+
 // follow runs a follower in virtual time.
 func follow(t *testing.T, peers mesh.Peers, test func(store *meshtest.Store, fleet *mesh.Fleet)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -273,15 +275,17 @@
 // statePeers answers every request with the same state.
 type statePeers struct{ state catalog.State }
 
-func (p statePeers) AskState(_ context.Context, newer uint64) (catalog.State, string, error) {
+func (p statePeers) AskState(_ context.Context, newer uint64) (mesh.PeerState, error) {
 	if p.state.Revision <= newer {
-		return catalog.State{}, "", errors.New("nothing newer is known")
+		return mesh.PeerState{}, errors.New("nothing newer is known")
 	}
-	return p.state, "10.0.0.2:1", nil
+	return mesh.PeerState{State: p.state, Source: "10.0.0.2:1"}, nil
 }
 
 func (statePeers) Introduce([]string) {}
 
+func (statePeers) AnnounceState(context.Context) {}
+
 // Many daemons start at once, and reading the store takes seconds over a saturated link. Guards
 // against a daemon that is not ready although a neighbour has the state.
 func TestStartsFromANeighbourWhileTheStoreIsSlow(t *testing.T) {
--- a/pkg/mesh/round_trip_test.go
+++ b/pkg/mesh/round_trip_test.go
@@ -83,7 +83,7 @@
 	var err error
 	i.metrics, err = newMetrics(prometheus.NewRegistry())
 	require.NoError(t, err)
-	i.sender = NewSender("10.0.0.9:1", i.sender.guard, i.fleet, nil, func() []string { return nil })
+	i.sender = NewSender("10.0.0.9:1", "", i.sender.guard, i.fleet, nil, func() []string { return nil })
 	i.sender.client = exchange.NewClient(exchange.Config{Dial: daemons.dial})
 	i.sender.reach = newReachability(now, "10.0.0.9", 1, i.sender.client, i.placer, zap.NewNop())
 	return i
--- a/pkg/mesh/sender.go
+++ b/pkg/mesh/sender.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"maps"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mangoshed.example/mangoshed/core/catalog"
 	"mangoshed.example/mangoshed/core/quarantine"
 	"mangoshed.example/mangoshed/core/refusal"
@@ -27,10 +27,6 @@
 	// peerUnacknowledged is the time without a TCP acknowledgement after which a daemon counts as
 	// unreachable.
 	peerUnacknowledged = 500 * time.Millisecond
-	// statePath is the path at which daemons serve their state to each other.
-	statePath = "/mangoshed-peer/state"
-	// maxStateBytes limits the size of another daemon's state, in bytes.
-	maxStateBytes = 16 << 20
 )
 
 // Sender sends jobs to the instances' daemons. It is safe for concurrent use.
@@ -41,7 +37,7 @@
 	client     *exchange.Client
 	seeds      func() []string
 	reach      *reachability
-	states     stateEncoder
+	states     *stateCalls
 
 	mu        sync.Mutex
 	nextIndex int
@@ -58,9 +54,9 @@
 
 // NewSender returns a sender that passes jobs for the daemon's own forward address directly to the
 // guard.
-func NewSender(ownAddress string, guard *Guard, fleet *Fleet, budget *exchange.Budget, seeds func() []string) *Sender {
+func NewSender(ownAddress, region string, guard *Guard, fleet *Fleet, budget *exchange.Budget, seeds func() []string) *Sender {
 	return &Sender{
-		ownAddress: ownAddress, guard: guard, fleet: fleet, seeds: seeds, inFlight: make(map[string]map[string]int), blocks: make(map[string]quarantine.Digest),
+		ownAddress: ownAddress, states: newStateCalls(region, xxhash.Sum64String(ownAddress)), guard: guard, fleet: fleet, seeds: seeds, inFlight: make(map[string]map[string]int), blocks: make(map[string]quarantine.Digest),
 		client: exchange.NewClient(exchange.Config{
 			DialTimeout: peerDial, Unacknowledged: peerUnacknowledged, MaxIdle: peerIdle, Budget: budget,
 		}),
@@ -153,26 +149,6 @@
 	return Result{Arrived: sent, Unreachable: true, Refusal: refused}
 }
 
-// AskState implements Peers. It asks one daemon per call, in round-robin order.
-func (s *Sender) AskState(ctx context.Context, newer uint64) (catalog.State, string, error) {
-	address, ok := s.nextPeer()
-	if !ok {
-		return catalog.State{}, "", errors.New("no other daemon is known; add the address of one as a seed")
-	}
-	resp, err := s.client.Do(ctx, &exchange.Request{
-		Address: address, Method: http.MethodGet, Target: fmt.Sprintf("%s?newer=%d", statePath, newer), Host: address, MaxIdle: peerIdle,
-	})
-	if err != nil {
-		return catalog.State{}, "", err
-	}
-	defer resp.Release()
-	if resp.Status != http.StatusOK {
-		return catalog.State{}, "", fmt.Errorf("daemon %s has no newer state (status %d)", address, resp.Status)
-	}
-	state, err := decodeState(resp.Body)
-	return state, address, err
-}
-
 // Introduce implements Peers.
 func (s *Sender) Introduce(addresses []string) {
 	s.mu.Lock()
@@ -198,22 +174,6 @@
 	return addresses[s.nextIndex%len(addresses)], true
 }
 
-// serveState handles requests of other daemons for this daemon's state.
-func (s *Sender) serveState(w http.ResponseWriter, r *http.Request) {
-	view := s.fleet.View()
-	var newer uint64
-	if _, err := fmt.Sscan(r.URL.Query().Get("newer"), &newer); err != nil || view.Table == nil || view.Revision <= newer {
-		w.WriteHeader(http.StatusNoContent)
-		return
-	}
-	data, err := s.states.encode(view)
-	if err != nil {
-		http.Error(w, "the state cannot be encoded: "+err.Error(), http.StatusInternalServerError)
-		return
-	}
-	_, _ = w.Write(data)
-}
-
 // Prune closes connections that are not reused or that lead to instances that have left the mesh.
 func (s *Sender) Prune(now time.Time) {
 	known := make(map[string]bool)
--- a/pkg/mesh/sender_test.go
+++ b/pkg/mesh/sender_test.go
@@ -39,7 +39,7 @@
 	now := time.Now()
 	log := newRequestLog(zap.NewNop(), 40)
 	fleet := fleetOf(t, 1)
-	s := NewSender("10.0.0.9:1", NewGuard("10.0.0.9:2", Headers{}, nil, log), fleet, nil, func() []string { return nil })
+	s := NewSender("10.0.0.9:1", "", NewGuard("10.0.0.9:2", Headers{}, nil, log), fleet, nil, func() []string { return nil })
 	s.reach = newReachability(now, "10.0.0.9", 1, s.client, placement.New(fleet.View().Instances[0].Place, placement.DefaultCosts, 1), zap.NewNop())
 	s.reach.update(fleet.View())
 	inst := &catalog.Instance{}
@@ -66,7 +66,7 @@
 	now := time.Now()
 	log := newRequestLog(zap.NewNop(), 40)
 	fleet := fleetOf(t, 1)
-	s := NewSender("10.0.0.9:1", NewGuard("10.0.0.9:2", Headers{}, nil, log), fleet, nil, func() []string { return nil })
+	s := NewSender("10.0.0.9:1", "", NewGuard("10.0.0.9:2", Headers{}, nil, log), fleet, nil, func() []string { return nil })
 	s.client = exchange.NewClient(exchange.Config{Dial: func(context.Context, string, string) (net.Conn, error) {
 		near, far := net.Pipe()
 		serveText(far, "HTTP/1.1 200 OK\r\n", "X-More: "+strings.Repeat("x", 4<<10)+"\r\n", 64)
@@ -107,7 +107,7 @@
 	now := time.Now()
 	log := newRequestLog(zap.NewNop(), 40)
 	fleet := fleetOf(t, 1)
-	s := NewSender("10.0.0.9:1", NewGuard("10.0.0.9:2", Headers{}, nil, log), fleet, nil, func() []string { return nil })
+	s := NewSender("10.0.0.9:1", "", NewGuard("10.0.0.9:2", Headers{}, nil, log), fleet, nil, func() []string { return nil })
 	s.reach = newReachability(now, "10.0.0.9", 1, s.client, placement.New(fleet.View().Instances[0].Place, placement.DefaultCosts, 1), zap.NewNop())
 	inst := &catalog.Instance{}
 	inst.ID, inst.ForwardAddr = "i", server.Listener.Addr().String()
