Start from a current neighbour if there is one

Cause: a state did not tell how old its daemon's last proof from the store was. Change: it does; an outdated state is used only if no better one is found in 0.3 s, and then counts with its age, so that the daemon looks for a reader or reads the store at once. TestStartsFromACurrentNeighbour failed before; TestStartsFromAnOutdatedNeighbourIfThereIsNoOther guards the outage of the store for all.

--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -147,6 +147,7 @@
 		Decline: s.Limits.belowReaderMinimum(), Seed: len(s.Seeds) == 0 || slices.Contains(s.Seeds, s.Listen.SeedAddress),
 		Calls: func(call, outcome string) { d.metrics.storeCalls.WithLabelValues(call, outcome).Inc() },
 	}
+	d.sender.states.age = d.follower.Age
 	d.feed = &feedServer{
 		fleet: d.fleet, age: d.follower.Age, reader: d.follower.Reader, decline: s.Limits.belowReaderMinimum(), declined: &d.follower.declined, stopped: d.draining,
 	}
--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -60,6 +60,9 @@
 	maxAskRetryPause = 120 * time.Millisecond
 	// referredPause is the pause before asking a daemon to which another one has referred.
 	referredPause = 5 * time.Millisecond
+	// outdatedStateDelay is the time for which a starting daemon that has only the state of one that
+	// has lost the store looks for a better one.
+	outdatedStateDelay = 300 * time.Millisecond
 	// bootstrapDelay bounds the random delay before a starting daemon that is not a seed reads the
 	// full state. A daemon that declines to be a reader waits for bootstrapDelay in addition.
 	// Others need some 300 ms to read the state and pass it on.
@@ -105,6 +108,8 @@
 	catalog.State
 	// Source is the address of that daemon.
 	Source string
+	// Age is the age of that daemon's last proof that the store had nothing newer.
+	Age time.Duration
 }
 
 // Follower keeps a Fleet up to date with the store, either by reading the store or over a feed,
@@ -317,15 +322,18 @@
 	f.Peers.Introduce(sameRegion)
 }
 
-// askUntilAnswered asks one daemon after the other until one responds with its state.
+// askUntilAnswered asks one daemon after the other until one responds with a current state. The state
+// of a daemon that has lost the store may list instances that have left since, so it is used only if
+// no better one is found in outdatedStateDelay.
 func (f *Follower) askUntilAnswered(ctx context.Context, responses chan<- PeerState) {
 	var best PeerState
+	began := time.Now()
 	for pause := askRetryPause; ctx.Err() == nil; pause = min(pause*3/2, maxAskRetryPause) {
 		answer, err := f.askPeer(ctx, best.Revision)
 		if err == nil {
 			best = answer
 		}
-		if best.Table != nil {
+		if best.Table != nil && (best.Age <= maxFreshAge || time.Since(began) >= outdatedStateDelay) {
 			responses <- best
 			return
 		}
@@ -342,11 +350,12 @@
 }
 
 // applyPeerState applies the state of another daemon. This state does not prove that the view is
-// current, but counts as a proof of half the maximum age, so that the daemon has time to find a reader.
+// current, but counts as a proof of half the maximum age or of its own age, so that the daemon has time
+// to find a reader.
 func (f *Follower) applyPeerState(a PeerState) {
 	f.listed = true
 	f.Fleet.Replace(a.State, a.Source)
-	f.freshness.peerProved(time.Now().Add(-maxFreshAge / 2))
+	f.freshness.peerProved(time.Now().Add(-max(a.Age, maxFreshAge/2)))
 	if !f.Seed {
 		f.feedClient.Load().followSource(a.Source)
 	}
--- a/pkg/mesh/follow_test.go
+++ b/pkg/mesh/follow_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -300,6 +302,52 @@
 	})
 }
 
+// outdatedPeers answers with the state of a daemon that has lost the store, then with a current one.
+type outdatedPeers struct {
+	statePeers
+	asked *atomic.Int64
+}
+
+func (p outdatedPeers) AskState(ctx context.Context, newer uint64) (mesh.PeerState, error) {
+	current, err := p.statePeers.AskState(ctx, newer)
+	if p.asked.Add(1) > 4 || err != nil {
+		return current, err
+	}
+	old := instance("left")
+	return mesh.PeerState{Source: "10.0.0.3:1", Age: time.Minute, State: catalog.State{
+		Revision: newer + 1, Table: meshtest.Table(6, "back"), Entries: []catalog.Entry{{ID: "left", Instance: &old, Revision: 1}},
+	}}, nil
+}
+
+// Guards against a restarted daemon that uses an instance which has left, because the first neighbour
+// that it asks has lost the store and still lists that instance.
+func TestStartsFromACurrentNeighbour(t *testing.T) {
+	inst := instance("a")
+	peers := outdatedPeers{statePeers{catalog.State{
+		Revision: 50, Table: meshtest.Table(7, "back"), Entries: []catalog.Entry{{ID: "a", Instance: &inst, Revision: 50}},
+	}}, &atomic.Int64{}}
+	follow(t, peers, func(store *meshtest.Store, fleet *mesh.Fleet) {
+		store.SetListTime(10 * time.Second)
+		for range 50 {
+			time.Sleep(10 * time.Millisecond)
+			_, listed := fleet.View().ByID("left")
+			require.False(t, listed)
+		}
+		require.Equal(t, uint64(7), version(fleet))
+	})
+}
+
+// Guards against a daemon that does not start because all neighbours have lost the store.
+func TestStartsFromAnOutdatedNeighbourIfThereIsNoOther(t *testing.T) {
+	peers := outdatedPeers{statePeers{catalog.State{Revision: 50}}, &atomic.Int64{}}
+	peers.asked.Store(math.MinInt32)
+	follow(t, peers, func(store *meshtest.Store, fleet *mesh.Fleet) {
+		store.SetListTime(10 * time.Second)
+		time.Sleep(time.Second)
+		require.Equal(t, uint64(6), version(fleet))
+	})
+}
+
 // Guards against a daemon that waits for the store although others have a newer state, and against
 // one that older responses of the store set back to an earlier version.
 func TestAppliesTheStateOfOtherDaemonsDuringAnOutage(t *testing.T) {
--- a/pkg/mesh/state_calls.go
+++ b/pkg/mesh/state_calls.go
@@ -25,6 +25,9 @@
 	maxStateBytes = 16 << 20
 	// headerRefer names, in a response without a state, daemons that hold one, separated by commas.
 	headerRefer = refusal.HeaderPrefix + "Refer"
+	// headerAge carries, with a state, the age of the daemon's last proof that the store had nothing
+	// newer, in milliseconds.
+	headerAge = refusal.HeaderPrefix + "Age"
 	// maxReferred bounds the number of daemons that a daemon remembers from such responses.
 	maxReferred = 16
 	// announceStateFor is the time for which a daemon tries to tell the seeds that it holds the state,
@@ -44,6 +47,8 @@
 type stateCalls struct {
 	region  string
 	encoder stateEncoder
+	// age returns the age of this daemon's last proof that the store has nothing newer than its view.
+	age func() time.Duration
 
 	mu    sync.Mutex
 	relay *bootstrap.Relay
@@ -52,7 +57,7 @@
 }
 
 func newStateCalls(region string, seed uint64) *stateCalls {
-	return &stateCalls{region: region, relay: bootstrap.NewRelay(region, seed)}
+	return &stateCalls{region: region, age: func() time.Duration { return 0 }, relay: bootstrap.NewRelay(region, seed)}
 }
 
 // refer adds the daemons named by another daemon, without those in the list already.
@@ -130,7 +135,11 @@
 	if err != nil {
 		return PeerState{}, fmt.Errorf("the state of daemon %s cannot be read: %w", address, err)
 	}
-	return PeerState{State: state, Source: address}, nil
+	age, err := strconv.ParseInt(resp.Header.Get(headerAge), 10, 32)
+	if err != nil {
+		age = maxFreshAge.Milliseconds() // unknown: it counts as just current
+	}
+	return PeerState{State: state, Source: address, Age: time.Duration(age) * time.Millisecond}, nil
 }
 
 func (s *Sender) callState(ctx context.Context, address, target string) (*exchange.Response, error) {
@@ -182,6 +191,7 @@
 		http.Error(w, "the state cannot be encoded: "+err.Error(), http.StatusInternalServerError)
 		return
 	}
+	w.Header().Set(headerAge, formatMillis(s.states.age()))
 	_, err = w.Write(data)
 	sent = err == nil
 }
--- a/pkg/mesh/state_calls_test.go
+++ b/pkg/mesh/state_calls_test.go
@@ -82,3 +82,12 @@
 	_, err = fourth.AskState(t.Context(), view.Revision)
 	require.ErrorIs(t, err, ErrNoNewerState, "the daemon holds that revision already")
 }
+
+// Guards against a state that counts as current although its daemon has lost the store.
+func TestStateTellsItsAge(t *testing.T) {
+	seed := newStateDaemon(t, "a", fleetOf(t, 1).View())
+	seed.states.age = func() time.Duration { return 7 * time.Second }
+	state, err := newStateDaemon(t, "a", nil, seed.address).AskState(t.Context(), 0)
+	require.NoError(t, err)
+	require.Equal(t, 7*time.Second, state.Age)
+}
