Spend repeats where a request depends on them, and charge them where they are made

Cause, from the log: each repeat was charged to the budgets of all services, so that the budget of the service whose calls were refused could not be used, and a third of the repeats went to whole runs that failed again because two new calls were refused half of the time. Change: the daemon beside an upstream counts the calls of each run; the mean rides on one result of eight, so that a repeat is charged to its own service and to those that its run calls. A quarter of the requests that calls bring pays for repeated runs, the rest for repeated calls. Repeats are ranked: those whose run has another failed call, or failed because of its calls, may use a quarter of the budget, those of refused requests whose callers can still come back half. A repeat that reaches no upstream is given back to the budget.

--- a/core/retry/fleet_test.go
+++ b/core/retry/fleet_test.go
@@ -30,10 +30,10 @@
 			now += time.Duration(rapid.IntRange(0, 120).Draw(t, "ms")) * time.Millisecond
 			b := budgets[rapid.IntRange(0, daemons-1).Draw(t, "daemon")]
 			if rapid.IntRange(0, 2).Draw(t, "event") > 0 {
-				b.RecordRequest(start.Add(now), "s")
+				b.RecordRequest(start.Add(now), Request{Service: "s"})
 				events = append(events, event{at: now})
 			}
-			if b.Take(start.Add(now), "s") {
+			if b.Take(start.Add(now), Repeat{Service: "s"}) {
 				events = append(events, event{at: now, repeat: true})
 			}
 		}
@@ -60,12 +60,12 @@
 	start := time.Unix(0, 0)
 	b := NewFleetBudget(FleetRules{Ratio: 0.2, Allowance: 10, Window: 10 * time.Second}, start)
 	granted := 0
-	for b.Take(start, "a") {
+	for b.Take(start, Repeat{Service: "a"}) {
 		granted++
 	}
 	require.Equal(t, 8, granted) // usableShare x Allowance
-	require.False(t, b.Take(start.Add(5*time.Second), "a"))
-	require.True(t, b.Take(start.Add(11*time.Second), "a"))
+	require.False(t, b.Take(start.Add(5*time.Second), Repeat{Service: "a"}))
+	require.True(t, b.Take(start.Add(11*time.Second), Repeat{Service: "a"}))
 }
 
 // Guards against exceeding the budget of a service whose calls are repeated because the requests
@@ -77,18 +77,18 @@
 		requests, repeated, retriedRequests := 0, 0, 0
 		for ms := range 10_000 {
 			now := start.Add(time.Duration(ms) * time.Millisecond)
-			b.RecordRequest(now, "caller")
-			b.RecordRequest(now, "called") // a direct request
+			b.RecordRequest(now, Request{Service: "caller"})
+			b.RecordRequest(now, Request{Service: "called"}) // a direct request
 			requests++
 			for range calls {
-				b.RecordRequest(now, "called")
+				b.RecordRequest(now, Request{Service: "called"})
 				requests++
 			}
-			if b.Take(now, "caller") {
+			if b.Take(now, Repeat{Service: "caller"}) {
 				repeated += calls
 				retriedRequests++
 			}
-			if b.Take(now, "called") {
+			if b.Take(now, Repeat{Service: "called"}) {
 				repeated++
 			}
 		}
--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -12,6 +12,7 @@
 	"mangoshed.example/mangoshed/core/placement"
 	"mangoshed.example/mangoshed/core/quarantine"
 	"mangoshed.example/mangoshed/core/refusal"
+	"mangoshed.example/mangoshed/core/retry"
 )
 
 const (
@@ -32,10 +33,20 @@
 	minAttemptTime = 10 * time.Millisecond
 )
 
-// send tries instances until one returns a final response or no further attempt is allowed.
+// send sends the request to instances and returns the final result.
 func (i *Ingress) send(ctx context.Context, req *request) Result {
+	res := i.tryInstances(ctx, req)
+	if req.charged != nil {
+		i.budget.Refund(time.Now(), *req.charged)
+	}
+	req.call.ended(res.Response != nil && res.Response.Status < http.StatusInternalServerError)
+	return res
+}
+
+// tryInstances tries instances until one returns a final response or no further attempt is allowed.
+func (i *Ingress) tryInstances(ctx context.Context, req *request) Result {
 	now := time.Now()
-	i.budget.RecordRequest(now, req.service)
+	i.budget.RecordRequest(now, retry.Request{Service: req.service, Nested: req.call != nil, Calls: i.calls.Of(req.route.Name)})
 	if !i.hasTimeForAttempt(req, now) {
 		res := Result{Refusal: i.tooLittleTime()}
 		return i.conclude(req, res, res)
@@ -92,11 +103,23 @@
 	if ran && !req.route.Kind.MayRepeat() || req.upstreamAttempts >= req.route.MaxAttempts {
 		return false
 	}
-	if !i.budget.Take(now, req.service) {
-		i.metrics.countRetry("budget")
+	return i.takeRepeat(now, req, res)
+}
+
+// takeRepeat charges the retry budget for another attempt after one that reached an upstream. It
+// returns false if the budget does not allow it.
+func (i *Ingress) takeRepeat(now time.Time, req *request, res *Result) bool {
+	req.repeat = retry.FailedAttempt{
+		NotRun: !req.mayHaveRun, Returning: req.returning, Nested: req.call != nil, SiblingFailed: req.call.attemptFailed(), CallFailed: res.CallFailed,
+	}.Chance()
+	repeat := retry.Repeat{Service: req.service, Calls: i.calls.Of(req.route.Name), Chance: req.repeat}
+	if !i.budget.Take(now, repeat) {
+		req.repeatDenied = true
+		i.metrics.countRetry("budget", req.repeat)
 		return false
 	}
-	i.metrics.countRetry("again")
+	req.charged = &repeat
+	i.metrics.countRetry("again", req.repeat)
 	return true
 }
 
@@ -154,6 +177,7 @@
 		i.sender.guard.suspects.recordLoss(time.Now(), &job, run)
 	}
 	i.recordAttempt(req, &job, &res)
+	i.calls.Learn(req.route.Name, res.Calls)
 	i.placer.Done(time.Now(), choice, req.route.Name, placement.Report{
 		Outcome: outcome(ctx, &res), Load: res.Load, Run: res.Run, Expected: res.Expected, Bytes: res.bytes(), RoundTrip: res.RoundTrip,
 		Limit: res.Limit, Leaving: res.Leaving,
@@ -166,6 +190,7 @@
 	req.lastInstance = job.Instance
 	if res.Arrived {
 		req.upstreamAttempts++
+		req.charged = nil
 	}
 	if res.Refusal == nil {
 		req.failed = append(req.failed, job.Instance)
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -54,6 +54,7 @@
 	log     *requestLog
 
 	suspects *suspects
+	runs     *runs
 	// checkDue is set while a check of the upstream for a crash is due.
 	checkDue atomic.Bool
 	// answeredAt is the time of the upstream's last answer in Unix nanoseconds.
@@ -70,7 +71,6 @@
 	departed  map[model.InstanceID]time.Time
 	downUntil time.Time
 	stopping  bool
-	inFlight  map[string]int // number of requests in flight to the upstream by request ID
 	timer     *time.Timer
 }
 
@@ -78,7 +78,8 @@
 // of the upstream.
 func NewGuard(address string, headers Headers, budget *exchange.Budget, log *requestLog) *Guard {
 	g := &Guard{
-		suspects: newSuspects(log.log), address: address, headers: headers, log: log, queue: intake.New(0), departed: make(map[model.InstanceID]time.Time), inFlight: make(map[string]int),
+		suspects: newSuspects(log.log), address: address, headers: headers, log: log, queue: intake.New(0), departed: make(map[model.InstanceID]time.Time),
+		runs:   newRuns(),
 		client: exchange.NewClient(exchange.Config{RequestID: headers.RequestID, DialTimeout: upstreamDialTimeout, Budget: budget}),
 	}
 	g.timer = time.AfterFunc(time.Hour, g.tick)
@@ -166,22 +167,6 @@
 	return g.stopping
 }
 
-// InFlight reports whether a request with the ID is in flight to the upstream.
-func (g *Guard) InFlight(id string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.inFlight[id] > 0
-}
-
-// addInFlight adds change to the number of requests with the ID that are in flight to the upstream.
-func (g *Guard) addInFlight(id string, change int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.inFlight[id] += change; g.inFlight[id] <= 0 {
-		delete(g.inFlight, id)
-	}
-}
-
 // Load returns the load of the upstream.
 func (g *Guard) Load() intake.Load {
 	g.mu.Lock()
@@ -256,9 +241,10 @@
 		return Result{Refusal: notRun(refusal.Overloaded, "the request is suspected of crashing an upstream and may only run while no other suspect does; try again", downTime)}
 	case quarantine.Allowed:
 	}
-	g.addInFlight(j.ID, 1)
+	g.runs.begin(j.ID)
 	res := g.send(ctx, j)
-	g.addInFlight(j.ID, -1)
+	res.CallFailed = g.runs.end(j.ID, j.Route, res.Response != nil)
+	res.Calls = g.runs.report(j.Route)
 	g.suspects.end(time.Now(), run, runOutcome(&res))
 	g.checkCrash(&res, now)
 	return res
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -67,6 +67,7 @@
 	plan           atomic.Pointer[drain.Plan] // of the graceful shutdown; nil until it begins
 	random         random
 	callerTimeouts callerTimeouts
+	calls          retry.CallTable
 }
 
 // random is a source of random numbers that is safe for concurrent use.
@@ -90,8 +91,10 @@
 	goal      time.Time // at which the request misses the latency objective
 	deadline  time.Time
 	returning bool // after a refusal, as far as the remaining time shows
-	id        string
-	job       Job
+	// call is the record of the request if a run of the local upstream makes it, otherwise nil.
+	call *nestedCall
+	id   string
+	job  Job
 	// stoppingFor is the time from the start of the daemon's shutdown to the arrival of the
 	// request; 0 if it arrived before the shutdown.
 	stoppingFor time.Duration
@@ -102,6 +105,12 @@
 	mayHaveRun       bool
 	// daemonEnded is set once an instance's daemon has ended while its upstream ran the request.
 	daemonEnded bool
+	// charged is the repeat that the retry budget has paid for and that has not reached an upstream yet.
+	charged *retry.Repeat
+	// repeat is the chance of the last repeat that was considered, and repeatDenied is set if the
+	// retry budget did not allow it.
+	repeat       retry.Chance
+	repeatDenied bool
 	// refusals counts the refusals by daemons whose upstream had not received the request.
 	refusals int
 	// queueFull are the instances whose queue had no room for the request.
@@ -344,15 +353,20 @@
 	callerRemaining := parseRemaining(r.Header.Get(i.headers.Remaining))
 	remaining := min(matched.Timeout, callerRemaining)
 	nested := i.nested(r)
+	service := matched.Choose(i.random.float())
 	var spent time.Duration
 	if !nested {
 		spent = i.callerTimeouts.timeOnEarlierAttempts(matched.Name, callerRemaining)
 	}
 	req := &request{
-		route: matched, version: version, service: matched.Choose(i.random.float()),
+		route: matched, version: version, service: service,
 		arrived: arrived, deadline: arrived.Add(remaining), goal: arrived.Add(matched.Goal - spent),
 		returning: spent > 0, id: r.Header.Get(i.headers.RequestID), stoppingFor: i.stoppingFor(arrived),
 	}
+	if nested {
+		parent, _ := i.parent(req.id)
+		req.call = i.sender.guard.runs.call(parent, service, i.calls.Of(matched.Name))
+	}
 	// The response has to reach the caller before the caller's timeout.
 	margin := min(responseMargin, remaining/10)
 	req.deadline = req.deadline.Add(-margin)
@@ -375,7 +389,7 @@
 		return false
 	}
 	parent, ok := i.parent(r.Header.Get(i.headers.RequestID))
-	return ok && i.sender.guard.InFlight(parent)
+	return ok && i.sender.guard.runs.active(parent)
 }
 
 // statusClass returns the metric label for an HTTP status.
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -10,6 +10,7 @@
 	"mangoshed.example/mangoshed/core/intake"
 	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/refusal"
+	"mangoshed.example/mangoshed/core/retry"
 	"mangoshed.example/mangoshed/core/route"
 	"mangoshed.example/mangoshed/pkg/exchange"
 )
@@ -87,6 +88,10 @@
 	// Leaving is set if the upstream has answered this job and said that it is leaving.
 	Limit   float64
 	Leaving bool
+	// Calls are the calls that runs of the route make at this instance, nil if unknown. CallFailed is
+	// set if a call that this run made was given up.
+	Calls      retry.Calls
+	CallFailed bool
 	// Arrived is set if the request may have reached the upstream itself, even if the upstream
 	// refused it.
 	Arrived bool
@@ -250,6 +255,9 @@
 	if text := encodeNotices(res.Limit, res.Leaving); text != "" {
 		h[headerNotices] = []string{text}
 	}
+	if text := encodeCalls(res.Calls, res.CallFailed); text != "" {
+		h[headerCalls] = []string{text}
+	}
 	if res.Refusal != nil {
 		h["Content-Type"] = nil
 		w.WriteHeader(res.Refusal.StatusCode())
@@ -296,6 +304,7 @@
 	}
 	res := Result{Load: decodeLoad(fields[0]), Arrived: fields[2] != ""}
 	res.Limit, res.Leaving = decodeNotices(resp.Header.Get(headerNotices))
+	res.Calls, res.CallFailed = decodeCalls(resp.Header.Get(headerCalls))
 	revision, _ := strconv.ParseUint(fields[1], 10, 64) // 0 if unknown
 	from := peerInfo{revision, fields[7]}
 	if us, err := strconv.ParseInt(fields[3], 10, 64); err == nil && us <= maxRunMicros {
--- a/pkg/mesh/metrics.go
+++ b/pkg/mesh/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"mangoshed.example/mangoshed/core/refusal"
+	"mangoshed.example/mangoshed/core/retry"
 	"mangoshed.example/mangoshed/pkg/telemetry"
 )
 
@@ -33,7 +34,7 @@
 			Namespace: telemetry.Namespace, Name: "ingress_request_seconds", Help: "Time from the arrival of a request to its final response.", Buckets: latencyBuckets,
 		}, []string{"kind"}),
 		rejections: counter("ingress_rejected_total", "Requests refused before they were placed.", "reason"),
-		retries:    counter("ingress_retries_total", "Decisions about retries of requests to an upstream.", "decision"),
+		retries:    counter("ingress_retries_total", "Decisions about retries of requests to an upstream, by how much depends on the retry.", "decision", "chance"),
 		storeCalls: counter("store_calls_total", "Calls to the platform's store.", "call", "outcome"),
 	}
 	for _, c := range []prometheus.Collector{m.requests, m.latency, m.rejections, m.retries, m.storeCalls} {
@@ -55,4 +56,6 @@
 func (m *metrics) rejected(r *refusal.Refusal) { m.rejections.WithLabelValues(string(r.Kind)).Inc() }
 
 // countRetry counts a decision about a retry.
-func (m *metrics) countRetry(decision string) { m.retries.WithLabelValues(decision).Inc() }
+func (m *metrics) countRetry(decision string, chance retry.Chance) {
+	m.retries.WithLabelValues(decision, chance.String()).Inc()
+}
--- a/pkg/mesh/request_log.go
+++ b/pkg/mesh/request_log.go
@@ -79,6 +79,12 @@
 		zap.String("service", req.service), zap.Duration("took", elapsed), zap.Duration("left", req.deadline.Sub(now)),
 		zap.Bool("returning", req.returning), zap.Int("sent", req.upstreamAttempts), zap.Int("refusals", req.refusals),
 	}
+	if req.repeatDenied {
+		fields = append(fields, zap.String("repeat_denied", req.repeat.String()))
+	}
+	if res.CallFailed {
+		fields = append(fields, zap.Bool("call_failed", true))
+	}
 	if req.stoppingFor > 0 {
 		fields = append(fields, zap.Duration("arrived_after_stop", req.stoppingFor))
 	}
