--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -29,6 +29,7 @@
 			statusCommand(),
 			auditCommand(),
 			explainCommand(),
+			loadCommand(),
 		},
 		Action: usage.Group,
 	})
