--- a/core/retry/chance_test.go
+++ b/core/retry/chance_test.go
@@ -16,7 +16,6 @@
 	refused float64 // part of the requests to records that is refused
 	// ranked makes the replay rank repeats by their chance; otherwise all rank alike.
 	ranked  bool
-	calls   CallTable
 	served  int
 	repeats float64 // arrivals at records beyond the first of each request
 }
