--- a/cmd/mangoshedctl/main.go
+++ b/cmd/mangoshedctl/main.go
@@ -1,5 +1,5 @@
 // Command mangoshedctl is the operator's program of mangoshed: it checks, compares and
-// builds tables, makes keys, asks daemons for their state, and runs the demo.
+// builds tables, makes keys, asks daemons for their state, plays load patterns and runs the demo.
 package main
 
 import (
