--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -231,10 +231,11 @@
 // bootstrap gets the first state, from another daemon or from the store. When many daemons start at
 // once and each reads the full state from the store, these reads saturate the link between regions
 // for seconds, while the response of another daemon is small. So only the seeds read the store at
-// once. All daemons ask others, and those without a response read the store after a random delay.
-// The delay is shorter for daemons with plenty of bandwidth, so that they can serve the others.
-// Daemons that decline to be readers read only the list of instances meanwhile, to learn the
-// addresses of neighbours to ask.
+// once. All daemons ask others; see package bootstrap for who sends the state to whom. Those that get
+// no state read the store after a random delay, and later while others respond without a state. The
+// delay is shorter for daemons with plenty of bandwidth, so that they can serve the others. Daemons
+// that decline to be readers and get no response at all read the list of instances meanwhile, to
+// learn the addresses of neighbours to ask.
 func (f *Follower) bootstrap(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
 	var calls sync.WaitGroup
