--- a/core/loadsim/request.go
+++ b/core/loadsim/request.go
@@ -9,14 +9,6 @@
 	"mangoshed.example/mangoshed/core/retry"
 )
 
-// The rules for further attempts are those of the daemon's ingress.
-const (
-	freeSlotAttempts = 3
-	maxRefusals      = 6
-	maxQueueRefusals = 2
-	freeSlotWait     = time.Millisecond
-)
-
 // request is one request at the daemon that takes it.
 type request struct {
 	kind           *Kind
@@ -76,7 +68,7 @@
 		s.conclude(r, attemptResult{})
 		return
 	}
-	mayWait := !r.mayHaveRun && (c.Wait > freeSlotWait || r.refusals >= freeSlotAttempts)
+	mayWait := !r.mayHaveRun && (c.Wait > placement.FreeSlotWait || r.refusals >= retry.FreeSlotAttempts)
 	target := s.byID[c.Instance.ID]
 	s.after(delay(r.node, target), func() {
 		s.arrive(r, target, mayWait, func(res attemptResult) {
@@ -120,7 +112,7 @@
 			r.queueFull++
 			r.excluded = append(r.excluded, target.instance.ID)
 		}
-		if r.refusals < maxRefusals && r.queueFull < maxQueueRefusals && (!r.mayHaveRun || r.refusals < freeSlotAttempts) {
+		if r.refusals < retry.MaxRefusals && r.queueFull < retry.MaxQueueRefusals && (!r.mayHaveRun || r.refusals < retry.FreeSlotAttempts) {
 			s.attempt(r)
 			return
 		}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -67,6 +67,9 @@
 	failureDecay = 4 * time.Second
 )
 
+// FreeSlotWait is the expected wait up to which an instance is assumed to have a free slot.
+const FreeSlotWait = time.Millisecond
+
 // Costs holds the expected network round trips to instances in the same data centre, in the same
 // region and in other regions (Remote), and the costs of sending a kilobyte to another data
 // centre or region, as fractions of a request's value.
--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -16,16 +16,6 @@
 )
 
 const (
-	// freeSlotAttempts is the number of instances that are tried for a free slot before a request
-	// may wait in a queue. Such an instance responds immediately, within the region in about 1 ms.
-	freeSlotAttempts = 3
-	// maxRefusals limits the refusals by daemons for one request.
-	maxRefusals = 6
-	// maxQueueRefusals limits the instances that refuse to queue one request. The other instances
-	// are rarely less loaded, and an earlier refusal lets the caller retry sooner.
-	maxQueueRefusals = 2
-	// freeSlotWait is the expected wait up to which an instance is assumed to have a free slot.
-	freeSlotWait = time.Millisecond
 	// headerBytesEstimate is the typical size of the headers of a request and its response between
 	// daemons.
 	headerBytesEstimate = 700
@@ -98,7 +88,7 @@
 	}
 	if refused != nil && refused.Run == refusal.NotRun && !res.Arrived {
 		// No upstream received this attempt, so it does not count against the retry budget.
-		return req.refusals < maxRefusals && len(req.queueFull) < maxQueueRefusals && (req.mayQueue() || req.refusals < freeSlotAttempts)
+		return req.refusals < retry.MaxRefusals && len(req.queueFull) < retry.MaxQueueRefusals && (req.mayQueue() || req.refusals < retry.FreeSlotAttempts)
 	}
 	if ran && !req.route.Kind.MayRepeat() || req.upstreamAttempts >= req.route.MaxAttempts {
 		return false
@@ -171,7 +161,7 @@
 	}
 	// The request may wait at an instance that is the best choice although it is known to be full.
 	// An instance that seems to have a free slot is tried without waiting.
-	job.MayWait = req.mayQueue() && (choice.Wait > freeSlotWait || req.refusals >= freeSlotAttempts)
+	job.MayWait = req.mayQueue() && (choice.Wait > placement.FreeSlotWait || req.refusals >= retry.FreeSlotAttempts)
 	res := i.sender.Send(ctx, &job, choice.Instance)
 	if res.Unreachable && res.Arrived && ctx.Err() == nil {
 		i.sender.guard.suspects.recordLoss(time.Now(), &job, run)
--- a/pkg/mesh/attempts_test.go
+++ b/pkg/mesh/attempts_test.go
@@ -43,7 +43,7 @@
 	i := newRetryIngress(t, now)
 	full := Result{Refusal: notRun(refusal.Overloaded, "full", 0)}
 	req := newRetryRequest(now, route.Safe)
-	for range freeSlotAttempts {
+	for range retry.FreeSlotAttempts {
 		i.recordAttempt(req, &Job{Instance: "full"}, &full)
 	}
 	res := interruptedRun()
@@ -51,7 +51,7 @@
 	require.True(t, i.shouldRetry(t.Context(), req, &res))
 	require.True(t, req.mayQueue())
 	require.Equal(t, []model.InstanceID{"ends"}, req.excluded())
-	for range freeSlotAttempts {
+	for range retry.FreeSlotAttempts {
 		i.recordAttempt(req, &Job{Instance: "full"}, &full)
 		require.True(t, i.shouldRetry(t.Context(), req, &full), "other instances may queue the request")
 	}
