Wait for closed daemons without a race in the test of requests that end whole hosts

The response of a request may come before the fault of the upstream has counted its daemon. The fault lies in the test, not in the daemon. Change: a channel reports each daemon that is closed, and the test awaits as many as have ended so far. What it requires is the same.

--- a/pkg/mesh/fleet_test.go
+++ b/pkg/mesh/fleet_test.go
@@ -487,7 +487,7 @@
 func TestRequestThatEndsWholeHostsIsContained(t *testing.T) {
 	_, ingress, backs := newFleet(t, 4, "a1", "a2", "b1", "b2", "a1", "a2")
 	var ended atomic.Int64
-	var closing sync.WaitGroup
+	closed := make(chan struct{}, len(backs))
 	for _, m := range backs {
 		var once sync.Once
 		m.Upstream.SetFault(func(r *meshtest.Request) meshtest.Fault {
@@ -496,15 +496,21 @@
 			}
 			once.Do(func() {
 				ended.Add(1)
-				closing.Go(m.Daemon.Close)
+				go func() {
+					m.Daemon.Close()
+					closed <- struct{}{}
+				}()
 			})
 			return meshtest.Hang
 		})
 	}
+	awaited := int64(0)
 	for range 8 {
 		_, got := send(ingress, http.MethodGet, "/read/deadly", "")
 		require.NotEqual(t, http.StatusOK, got.status)
-		closing.Wait()
+		for ; awaited < ended.Load(); awaited++ {
+			<-closed
+		}
 	}
 	require.Equal(t, int64(3), ended.Load())
 	_, got := send(ingress, http.MethodGet, "/read/harmless", "")
