Review: a case on request bodies beyond the memory limit

The bodies of requests are held whole, each up to max_body_bytes, with no bound over all of them, unlike those of responses.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,7 +11,8 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(record *os.File, trouble bool) (broken bool, err error){
-	"slots": caseSlots,
+	"memory": caseMemory,
+	"slots":  caseSlots,
 }
 
 func main() {
