Review: a case on entries of other writers at the addresses of instances

An entry with a service that no table names hides the instance at the same address if its start and its creation are later.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(record *os.File, trouble bool) (broken bool, err error){
 	"memory": caseMemory,
 	"slots":  caseSlots,
+	"forged": caseForged,
 	"idle":   caseIdle,
 }
 
