Review: a case on runs that begin after SIGTERM and outlast it

A stopping daemon admits by the usual run time of a route, also requests that may not be repeated and whose time limit ends after the daemon does.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,6 +15,7 @@
 	"slots":  caseSlots,
 	"forged": caseForged,
 	"idle":   caseIdle,
+	"stops":  caseStops,
 }
 
 func main() {
