Show how many admitted jobs wait for their body

/v1/status has awaiting_body now, and /metrics jobs_awaiting_body: jobs that hold a slot while their body is still arriving.

--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -115,6 +115,9 @@
 		return nil, err
 	}
 	d.build()
+	if err := registerGuard(d.registry, d.guard); err != nil {
+		return nil, err
+	}
 	if err := d.bind(); err != nil {
 		d.closeListeners()
 		return nil, err
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -59,6 +59,8 @@
 	checkDue atomic.Bool
 	// answeredAt is the time of the upstream's last answer in Unix nanoseconds.
 	answeredAt atomic.Int64
+	// awaitingBody is the number of admitted jobs whose body is still arriving.
+	awaitingBody atomic.Int64
 
 	mu       sync.Mutex
 	queue    *intake.Queue
@@ -230,7 +232,7 @@
 // sendUnlessBlocked sends an admitted job to the upstream, unless the request is blocked because it
 // crashes upstreams, or is a suspect that has to wait until it can run alone.
 func (g *Guard) sendUnlessBlocked(ctx context.Context, j *Job, now time.Time) Result {
-	if err := j.loadBody(); err != nil {
+	if err := g.loadBody(j); err != nil {
 		return Result{Refusal: notRun(refusal.Cut, "the body of the request could not be read: "+err.Error(), 0)}
 	}
 	run, verdict := g.suspects.start(now, j.ID, j.fingerprints())
@@ -257,10 +259,12 @@
 
 // loadBody reads the body of a job if it has not been read yet: a sender that uses "Expect:
 // 100-continue" sends the body only after the job is admitted.
-func (j *Job) loadBody() error {
+func (g *Guard) loadBody(j *Job) error {
 	if j.ReadBody == nil {
 		return nil
 	}
+	g.awaitingBody.Add(1)
+	defer g.awaitingBody.Add(-1)
 	body, err := j.ReadBody()
 	j.Body, j.ReadBody = body, nil
 	return err
--- a/pkg/mesh/metrics.go
+++ b/pkg/mesh/metrics.go
@@ -45,6 +45,13 @@
 	return m, nil
 }
 
+// registerGuard registers the gauges of a guard.
+func registerGuard(registry prometheus.Registerer, g *Guard) error {
+	return registry.Register(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: telemetry.Namespace, Name: "jobs_awaiting_body", Help: "Jobs of other daemons that hold a slot while their body is still arriving.",
+	}, func() float64 { return float64(g.awaitingBody.Load()) }))
+}
+
 // recordOutcome records the outcome and the latency of a placed request.
 func (m *metrics) recordOutcome(req *request, outcome string) {
 	kind := req.route.Kind.String()
--- a/pkg/mesh/status.go
+++ b/pkg/mesh/status.go
@@ -20,6 +20,8 @@
 	Running   int    `json:"running"`
 	Slots     int    `json:"slots"`
 	Queued    int    `json:"queued"`
+	// AwaitingBody is the number of running jobs whose body is still arriving from another daemon.
+	AwaitingBody int64 `json:"awaiting_body"`
 	// Suspects is the number of requests that are suspected of crashing upstreams or blocked for it,
 	// Blocked that of those that are blocked.
 	Suspects int `json:"suspects"`
@@ -43,7 +45,7 @@
 	suspected, blocked := d.guard.suspects.count()
 	s := Status{
 		Ready: d.Ready(), Revision: v.Revision, Instances: len(v.Instances),
-		Running: load.Running, Slots: load.Slots, Queued: load.Queued, Suspects: suspected, Blocked: blocked,
+		Running: load.Running, Slots: load.Slots, Queued: load.Queued, AwaitingBody: d.guard.awaitingBody.Load(), Suspects: suspected, Blocked: blocked,
 		Limit:       d.guard.Limit(),
 		AnswerBytes: d.platform.Answers.Held(),
 	}
