Free the slot of a job whose body does not arrive

It took a few moments at which the open connections between the regions fell silent while uploads were on their way.

Cause: the body of a job that was admitted before it is read inside the slot, and nothing bounded that read. The deadline of the job began to count with the send to the upstream. Only the peer can end such a wait, and a silent connection has none; a proxy or the kernel answers keep-alive probes. Such jobs also counted as runs that become ever slower, so that calls of other routes were refused beside free slots.

Change: reads of bodies from other daemons have time limits taken from the job's deadline, or from the time limit of the call for announcements. At the limit the slot is free at once and the sender gets a refusal that says not run, which is true, since nothing has reached the upstream. A slow upload that can still be answered is not cut. Connections of jobs that were refused before their body are closed; net/http waited there for the rest of the body. The queue neither learns from a job whose body never came nor takes one whose body is awaited for a slow run.

--- a/core/intake/estimate.go
+++ b/core/intake/estimate.go
@@ -8,7 +8,7 @@
 	sum, n := float64(slowdownSamples), float64(slowdownSamples)
 	for _, c := range q.running {
 		e, ok := q.estimate[c.Route]
-		if !ok || e <= 0 {
+		if !ok || e <= 0 || c.AwaitingBody {
 			continue
 		}
 		if ratio := float64(now.Sub(c.started)) / e; ratio > overdueFactor {
@@ -26,6 +26,13 @@
 	return firstGuess(c)
 }
 
+// LatestStart returns the time from which on a run of the call could not complete before the call's
+// deadline, if a run takes at least 1/remainingDivisor of its expected time.
+func (q *Queue) LatestStart(now time.Time, c *Call) time.Time {
+	q.updateSlowdown(now)
+	return c.Deadline.Add(-q.expected(c) / remainingDivisor)
+}
+
 // firstGuess returns the expected run time of a route for which no run time has been recorded
 // yet.
 func firstGuess(c *Call) time.Duration {
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -126,6 +126,9 @@
 	// Objective is the latency objective of the route. It is used for the first guess of the run
 	// time.
 	Objective time.Duration
+	// AwaitingBody is set while the body of a started call is still arriving. The age of the call then
+	// says nothing about the upstream.
+	AwaitingBody bool
 	// Decide is the callback for the verdict on a waiting call. It is called once, synchronously,
 	// from the Queue method that makes the decision.
 	Decide func(Verdict)
@@ -405,11 +408,7 @@
 	if !c.running {
 		return
 	}
-	c.running = false
-	if c.Nested {
-		q.nestedRunning--
-	}
-	q.running = slices.DeleteFunc(q.running, func(o *Call) bool { return o == c })
+	q.release(c)
 	runTime := now.Sub(c.started)
 	if known, ok := q.estimate[c.Route]; completed {
 		q.recordRun(c.Route, runTime)
@@ -419,6 +418,23 @@
 	q.advance(now)
 }
 
+// Withdraw frees the slot of a started call that was not passed on to the upstream.
+func (q *Queue) Withdraw(now time.Time, c *Call) {
+	if c.running {
+		q.release(c)
+		q.advance(now)
+	}
+}
+
+// release frees the slot of a started call.
+func (q *Queue) release(c *Call) {
+	c.running = false
+	if c.Nested {
+		q.nestedRunning--
+	}
+	q.running = slices.DeleteFunc(q.running, func(o *Call) bool { return o == c })
+}
+
 // Cancel removes a waiting call whose caller no longer needs the response. It returns false if
 // the call is not in the queue.
 func (q *Queue) Cancel(now time.Time, c *Call) bool {
--- a/pkg/mesh/announce_suspects.go
+++ b/pkg/mesh/announce_suspects.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -93,8 +92,8 @@
 
 // serveSuspects handles an announcement of another daemon.
 func (d *Daemon) serveSuspects(w http.ResponseWriter, r *http.Request) {
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
-	if err != nil {
+	text, refused, err := readBody(w, r, maxAnnouncementBytes, time.Now().Add(announceTimeout))
+	if err != nil || refused != nil {
 		http.Error(w, "the body must be a list of entries of the quarantine", http.StatusBadRequest)
 		return
 	}
--- /dev/null
+++ b/pkg/mesh/body.go
@@ -0,0 +1,118 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"mangoshed.example/mangoshed/core/refusal"
+)
+
+const (
+	// defaultMaxBodyBytes limits a request body, in bytes, if the table sets no limit.
+	defaultMaxBodyBytes = 64 << 20
+	// maxBodyBytes bounds a request body, in bytes, whatever limit the table sets: a body is held in
+	// memory as a whole.
+	maxBodyBytes = 256 << 20
+	// bodyBufferBytes is the initial buffer size, in bytes, for a body without a Content-Length.
+	bodyBufferBytes = 8 << 10
+	// unreadBodyTimeout bounds the time from a request's header until its body has arrived, as long as
+	// its handler sets no limit by the request's deadline: net/http reads the rest of a body that the
+	// handler leaves unread.
+	unreadBodyTimeout = 2 * time.Second
+)
+
+// errBodyLate is the error of readBody if the body has not arrived in time.
+var errBodyLate = errors.New("the body did not arrive in time")
+
+// boundBodies returns a handler that passes requests on with a time limit for their bodies. Without
+// one, a sender that falls silent without closing its connection is waited for without end.
+func boundBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			setReadDeadline(w, time.Now().Add(unreadBodyTimeout))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// setReadDeadline sets the time at which reads from the request's connection fail; the zero time for
+// never. An error would mean that the connection is closed already, so that reads fail anyway.
+func setReadDeadline(w http.ResponseWriter, at time.Time) {
+	_ = http.NewResponseController(w).SetReadDeadline(at)
+}
+
+// dropBody makes the server close the connection after the response instead of waiting for the rest of
+// the request's body.
+func dropBody(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	setReadDeadline(w, time.Unix(1, 0))
+}
+
+// readBody reads the whole body into memory, so that it can be sent again on a retry. The error is
+// errBodyLate if the body has not arrived by the given time, and the connection is closed then. It
+// fails as well if the process ends before the body has arrived.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, by time.Time) ([]byte, *refusal.Refusal, error) {
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	limit = min(limit, maxBodyBytes)
+	if r.ContentLength == 0 {
+		return nil, nil, nil
+	}
+	if r.ContentLength > limit {
+		return nil, bodyTooLarge(limit), nil
+	}
+	setReadDeadline(w, by)
+	stop := abortReadOnExit(w, r)
+	body, err := readAll(w, r, limit)
+	stop()
+	var over *http.MaxBytesError
+	switch {
+	case err == nil:
+		setReadDeadline(w, time.Time{}) // the server goes on reading to notice that the sender disconnects
+		return body, nil, nil
+	case errors.As(err, &over):
+		return nil, bodyTooLarge(limit), nil
+	case errors.Is(err, os.ErrDeadlineExceeded) && !processEnds(r.Context()):
+		dropBody(w)
+		return nil, nil, errBodyLate
+	}
+	return nil, nil, err
+}
+
+// readAll reads the body of a request, of at most limit bytes.
+func readAll(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength > 0 {
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, body)
+		return body, err
+	}
+	buffer := bytes.NewBuffer(make([]byte, 0, bodyBufferBytes))
+	_, err := buffer.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
+	return buffer.Bytes(), err
+}
+
+// bodyTooLarge returns the refusal of a request whose body has more bytes than the limit.
+func bodyTooLarge(limit int64) *refusal.Refusal {
+	return &refusal.Refusal{
+		Kind: refusal.TooLarge, Run: refusal.NotRun, Status: http.StatusRequestEntityTooLarge,
+		Remedy: "send at most " + strconv.FormatInt(limit, 10) + " bytes",
+	}
+}
+
+// abortReadOnExit makes a blocked read of the body fail when the process ends, because the end of
+// the request's context does not interrupt the read. Call the returned function once the body has
+// been read.
+func abortReadOnExit(w http.ResponseWriter, r *http.Request) (stop func() bool) {
+	return context.AfterFunc(r.Context(), func() {
+		if processEnds(r.Context()) {
+			setReadDeadline(w, time.Unix(1, 0))
+		}
+	})
+}
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -201,7 +202,7 @@
 			return &SocketError{Key: s.key, Address: s.address, Err: err}
 		}
 		d.servers = append(d.servers, newServer(s.key, listener, &http.Server{
-			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: s.idle, MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.errorLog(s.key),
+			Handler: boundBodies(s.handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: s.idle, MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.errorLog(s.key),
 			DisableGeneralOptionsHandler: true, ConnContext: withConnection, BaseContext: func(net.Listener) context.Context { return d.requestsCtx },
 		}))
 	}
@@ -299,8 +300,8 @@
 	peerBlocks := d.guard.suspects.mergeGossip(now, from.gossip)
 	j.ID = r.Header.Get(d.platform.Headers.RequestID)
 	j.HasBody = r.ContentLength != 0 || r.Header.Get("Content-Length") != ""
-	j.ReadBody = func() ([]byte, error) {
-		body, refused, err := readBody(w, r, 0)
+	j.ReadBody = func(by time.Time) ([]byte, error) {
+		body, refused, err := readBody(w, r, 0, by)
 		if refused != nil {
 			return nil, refused
 		}
@@ -308,25 +309,39 @@
 	}
 	if r.Header.Get("Expect") == "" {
 		// The sender does not wait for "100 Continue" before it sends the body.
-		body, err := j.ReadBody()
-		if err != nil && processEnds(r.Context()) {
-			refused := notRun(refusal.Leaving, "the daemon stopped before the whole body of the request had arrived", 0)
-			d.writePeerResult(w, r, Result{Refusal: refused, Load: d.guard.Load()}, now, peerBlocks)
+		body, err := j.ReadBody(j.Deadline)
+		if res := d.bodyResult(r, err); res != nil {
+			d.writePeerResult(w, r, *res, now, peerBlocks)
 			return
 		}
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
 		j.Body, j.ReadBody = body, nil
 	}
 	j.Disconnected = func() bool { return senderDisconnected(r) }
-	d.writePeerResult(w, r, d.guard.Run(r.Context(), j), now, peerBlocks)
+	res := d.guard.Run(r.Context(), j)
+	if j.ReadBody != nil {
+		dropBody(w) // the sender does not send the body of a job that was refused before it
+	}
+	d.writePeerResult(w, r, res, now, peerBlocks)
+}
+
+// bodyResult returns the result of a job whose body could not be read before admission; nil without an
+// error. It aborts the response if the sender has disconnected.
+func (d *Daemon) bodyResult(r *http.Request, err error) *Result {
+	switch {
+	case err == nil:
+		return nil
+	case processEnds(r.Context()):
+		return &Result{Refusal: notRun(refusal.Leaving, "the daemon stopped before the whole body of the request had arrived", 0), Load: d.guard.Load()}
+	case errors.Is(err, errBodyLate):
+		return &Result{Refusal: notRun(refusal.Cut, bodyLateRemedy, 0), Load: d.guard.Load(), bodyLate: true}
+	}
+	panic(http.ErrAbortHandler)
 }
 
 // writePeerResult writes the result of a job of another daemon. arrived is when the job arrived,
 // peerBlocks the digest of what that daemon blocks.
 func (d *Daemon) writePeerResult(w http.ResponseWriter, r *http.Request, res Result, arrived time.Time, peerBlocks quarantine.Digest) {
-	if r.Context().Err() != nil && !processEnds(r.Context()) {
+	if r.Context().Err() != nil && !processEnds(r.Context()) && !res.bodyLate {
 		res.Response.Release()
 		panic(http.ErrAbortHandler)
 	}
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -1,10 +1,7 @@
 package mesh
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -27,13 +24,6 @@
 	responseMargin = 20 * time.Millisecond
 	// requestMargin is the time that a caller may have spent on connecting and sending the request.
 	requestMargin = 20 * time.Millisecond
-	// defaultMaxBodyBytes limits a request body, in bytes, if the table sets no limit.
-	defaultMaxBodyBytes = 64 << 20
-	// maxBodyBytes bounds a request body, in bytes, whatever limit the table sets: a body is held in
-	// memory as a whole.
-	maxBodyBytes = 256 << 20
-	// bodyBufferBytes is the initial buffer size, in bytes, for a body without a Content-Length.
-	bodyBufferBytes = 8 << 10
 	// waitDivisor is the divisor of the caller's remaining time, and maxTableWait the upper limit, for
 	// how long a request waits for the first table. Callers close a connection that is not read
 	// for one second or for a third of their timeout.
@@ -244,7 +234,7 @@
 	if limit := view.Table.Limits.MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
 		return nil, &refusal.Refusal{Kind: refusal.TooLarge, Run: refusal.NotRun, Remedy: "send at most " + strconv.FormatInt(limit, 10) + " bytes of headers"}
 	}
-	body, refused, err := readBody(w, r, view.Table.Limits.MaxBodyBytes)
+	body, refused, err := readBody(w, r, view.Table.Limits.MaxBodyBytes, time.Time{})
 	if err != nil && processEnds(r.Context()) {
 		return nil, notRun(refusal.Leaving, "the daemon stopped before it had received the whole request; connect again", stoppingRetryAfter)
 	}
@@ -303,50 +293,6 @@
 	return int64(n)
 }
 
-// abortReadOnExit makes a blocked read of the body fail when the process ends, because the end of
-// the request's context does not interrupt the read. Call the returned function once the body has
-// been read.
-func abortReadOnExit(w http.ResponseWriter, r *http.Request) (stop func() bool) {
-	return context.AfterFunc(r.Context(), func() {
-		if processEnds(r.Context()) {
-			// On an error the connection is closed already, so the read has ended.
-			_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
-		}
-	})
-}
-
-// readBody reads the whole body into memory, so that it can be sent again on a retry. It fails if
-// the process ends before the body has arrived.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refusal.Refusal, error) {
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	limit = min(limit, maxBodyBytes)
-	if r.ContentLength == 0 {
-		return nil, nil, nil
-	}
-	tooLarge := &refusal.Refusal{
-		Kind: refusal.TooLarge, Run: refusal.NotRun, Status: http.StatusRequestEntityTooLarge,
-		Remedy: "send at most " + strconv.FormatInt(limit, 10) + " bytes",
-	}
-	if r.ContentLength > limit {
-		return nil, tooLarge, nil
-	}
-	defer abortReadOnExit(w, r)()
-	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, nil, err
-	}
-	buffer := bytes.NewBuffer(make([]byte, 0, bodyBufferBytes))
-	_, err := buffer.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
-	var over *http.MaxBytesError
-	if errors.As(err, &over) {
-		return nil, tooLarge, nil
-	}
-	return buffer.Bytes(), nil, err
-}
-
 // newRequest builds the request with its service, deadline and latency goal, and the job that is sent
 // to an instance.
 func (i *Ingress) newRequest(r *http.Request, arrived time.Time, matched *route.Route, version uint64, body []byte) *request {
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -65,8 +65,9 @@
 	Header                   http.Header
 	Body                     []byte
 	HasBody                  bool
-	// ReadBody reads the body once the job has a slot. It is nil if Body holds the body.
-	ReadBody func() ([]byte, error)
+	// ReadBody reads the body once the job has a slot. The error is errBodyLate if the body has not
+	// arrived by the given time. It is nil if Body holds the body.
+	ReadBody func(by time.Time) ([]byte, error)
 	// Disconnected reports whether the sender has disconnected. It is nil if the context covers that.
 	Disconnected func() bool
 }
@@ -100,6 +101,9 @@
 
 	// connectionRefused is set by the guard if the upstream refused the connection.
 	connectionRefused bool
+	// bodyLate is set if the body of the job did not arrive in time. The sender may still wait for
+	// the result.
+	bodyLate bool
 }
 
 // encode returns the HTTP request that carries the job to the instance's daemon.
--- a/pkg/mesh/shutdown_test.go
+++ b/pkg/mesh/shutdown_test.go
@@ -25,7 +25,7 @@
 )
 
 // virtualDaemon returns a daemon for a test in virtual time. It does not accept connections. Its
-// upstream is at the other end of an in-memory pipe and responds to each request.
+// upstream is at the other end of an in-memory pipe, reads each request and responds to it.
 func virtualDaemon(t *testing.T, grace time.Duration) *Daemon {
 	d := newLocalDaemon(t)
 	d.settings.Bounds.Grace = grace
@@ -35,7 +35,11 @@
 		near, far := net.Pipe()
 		go func() {
 			defer func() { _ = far.Close() }()
-			if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+			r, err := http.ReadRequest(bufio.NewReader(far))
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err == nil {
 				_, _ = far.Write([]byte("HTTP/1.1 200 OK\r\nProof: p\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx"))
 			}
 		}()
