Answer a caller that stops sending in the middle of a body

A caller whose connection falls silent while it sends a body held its request for good: a goroutine, the bytes so far, and one of the requests that a planned stop waits for. It was never answered.

Cause: the ingress read the body before it made the deadline of the request, without a time limit. A refusal was held up as well, since net/http reads the rest of a body before it sends a response.

Change: the deadline is made first and bounds the read. At the deadline the caller gets 408, which says not run and is true, and the connection is closed.

TestSlowBodyOfACallerIsNotCut passed before and guards the other side.

TestStoppingDaemonRefusesARequestWhoseBodyStillArrives had a route with a timeout of 1 s and a body that is still arriving 5.3 s later, which cannot happen any more. Its route has a timeout of 1 min now; what it requires is the same.

--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -234,9 +235,13 @@
 	if limit := view.Table.Limits.MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
 		return nil, &refusal.Refusal{Kind: refusal.TooLarge, Run: refusal.NotRun, Remedy: "send at most " + strconv.FormatInt(limit, 10) + " bytes of headers"}
 	}
-	body, refused, err := readBody(w, r, view.Table.Limits.MaxBodyBytes, time.Time{})
-	if err != nil && processEnds(r.Context()) {
+	deadline := i.deadline(r, arrived, matched)
+	body, refused, err := readBody(w, r, view.Table.Limits.MaxBodyBytes, deadline)
+	switch {
+	case err != nil && processEnds(r.Context()):
 		return nil, notRun(refusal.Leaving, "the daemon stopped before it had received the whole request; connect again", stoppingRetryAfter)
+	case errors.Is(err, errBodyLate):
+		return nil, &refusal.Refusal{Kind: refusal.Cut, Run: refusal.NotRun, Status: http.StatusRequestTimeout, Remedy: bodyLateRemedy}
 	}
 	if err != nil || refused != nil {
 		return nil, refused
@@ -245,7 +250,19 @@
 	if refused := i.refuseIfStopping(r, matched.Timeout); refused != nil {
 		return nil, refused
 	}
-	return i.newRequest(r, arrived, matched, view.Table.Version, body), nil
+	return i.newRequest(r, arrived, deadline, matched, view.Table.Version, body), nil
+}
+
+// deadline returns the time at which the response to a request has to be sent, so that it reaches the
+// caller before the caller's timeout.
+func (i *Ingress) deadline(r *http.Request, arrived time.Time, matched *route.Route) time.Time {
+	remaining := min(matched.Timeout, parseRemaining(r.Header.Get(i.headers.Remaining)))
+	return arrived.Add(remaining - responseMarginFor(remaining))
+}
+
+// responseMarginFor returns the part of a request's remaining time that is reserved for sending the response.
+func responseMarginFor(remaining time.Duration) time.Duration {
+	return min(responseMargin, remaining/10)
 }
 
 // view returns the current view. A request that arrives before the first table waits for it for a
@@ -293,11 +310,10 @@
 	return int64(n)
 }
 
-// newRequest builds the request with its service, deadline and latency goal, and the job that is sent
-// to an instance.
-func (i *Ingress) newRequest(r *http.Request, arrived time.Time, matched *route.Route, version uint64, body []byte) *request {
+// newRequest builds the request with its service and latency goal, and the job that is sent to an
+// instance.
+func (i *Ingress) newRequest(r *http.Request, arrived, deadline time.Time, matched *route.Route, version uint64, body []byte) *request {
 	callerRemaining := parseRemaining(r.Header.Get(i.headers.Remaining))
-	remaining := min(matched.Timeout, callerRemaining)
 	nested := i.nested(r)
 	service := matched.Choose(i.random.float())
 	var spent time.Duration
@@ -306,16 +322,14 @@
 	}
 	req := &request{
 		route: matched, version: version, service: service,
-		arrived: arrived, deadline: arrived.Add(remaining), goal: arrived.Add(matched.Goal - spent),
+		arrived: arrived, deadline: deadline, goal: arrived.Add(matched.Goal - spent),
 		returning: spent > 0, id: r.Header.Get(i.headers.RequestID), stoppingFor: i.stoppingFor(arrived),
 	}
 	if nested {
 		parent, _ := i.parent(req.id)
 		req.call = i.sender.guard.runs.call(parent, service, i.calls.Of(matched.Name))
 	}
-	// The response has to reach the caller before the caller's timeout.
-	margin := min(responseMargin, remaining/10)
-	req.deadline = req.deadline.Add(-margin)
+	margin := responseMarginFor(min(matched.Timeout, callerRemaining))
 	req.goal = req.goal.Add(-min(requestMargin+margin, matched.Goal/4))
 	header := withoutPeerHeaders(r.Header)
 	delete(header, i.headers.Caller)
--- a/pkg/mesh/ingress_drain_test.go
+++ b/pkg/mesh/ingress_drain_test.go
@@ -19,16 +19,21 @@
 	"mangoshed.example/mangoshed/pkg/exchange"
 )
 
-// newDrainIngress returns an ingress with one route and a guard that has the request "parent" in
-// flight to its upstream.
-func newDrainIngress(t *testing.T) *Ingress {
+// oneRoute returns a view with one route that has the timeout, and no instance.
+func oneRoute(t *testing.T, timeout time.Duration) *catalog.View {
 	table, err := route.New(1, []route.Route{{
-		Name: "write", Host: "app", Prefix: "/", Kind: route.Unsafe, Timeout: time.Second, Goal: time.Second, MaxAttempts: 1,
+		Name: "write", Host: "app", Prefix: "/", Kind: route.Unsafe, Timeout: timeout, Goal: time.Second, MaxAttempts: 1,
 		Shares: []route.Share{{Service: "back", Weight: 1}},
 	}}, []route.Service{{Name: "back"}}, route.Limits{})
 	require.NoError(t, err)
+	return &catalog.View{Table: table}
+}
+
+// newDrainIngress returns an ingress with one route, whose timeout is 1 s, and a guard that has the
+// request "parent" in flight to its upstream.
+func newDrainIngress(t *testing.T) *Ingress {
 	fleet := NewFleet(zap.NewNop(), func(time.Time, *catalog.View) {})
-	fleet.view.Store(&catalog.View{Table: table})
+	fleet.view.Store(oneRoute(t, time.Second))
 	guard := NewGuard("127.0.0.1:1", Headers{RequestID: "Id"}, nil, newRequestLog(zap.NewNop(), 1))
 	guard.runs.begin("parent")
 	return &Ingress{
--- a/pkg/mesh/shutdown_test.go
+++ b/pkg/mesh/shutdown_test.go
@@ -206,7 +206,7 @@
 		for range raceRepetitions {
 			synctest.Test(t, func(t *testing.T) {
 				d := virtualDaemon(t, 6*time.Second)
-				d.fleet.view.Store(newDrainIngress(t).fleet.View())
+				d.fleet.view.Store(oneRoute(t, longTimeout))
 				c := dialPipe(t, d, callerServer)
 				got, took := drainDuringRequest(t, d, c, "POST /x HTTP/1.1\r\nHost: app\r\n"+length+"\r\n\r\n1\r\nx\r\n")
 				requireNotRun(t, got)
--- a/pkg/mesh/silent_sender_test.go
+++ b/pkg/mesh/silent_sender_test.go
@@ -159,3 +159,69 @@
 		})
 	}
 }
+
+// Guards against a caller that stops sending in the middle of a body and holds the request, its memory and a
+// planned stop for good.
+func TestRequestWhoseCallerFallsSilentIsAnswered(t *testing.T) {
+	for _, length := range []string{"Content-Length: 9000", "Transfer-Encoding: chunked"} {
+		for _, remaining := range []time.Duration{400 * time.Millisecond, time.Minute} {
+			synctest.Test(t, func(t *testing.T) {
+				d := virtualDaemon(t, 6*time.Second)
+				d.fleet.view.Store(oneRoute(t, time.Second))
+				c := dialPipe(t, d, callerServer)
+				began := time.Now()
+				c.write("POST /x HTTP/1.1\r\nHost: app\r\nLeft: " + formatMillis(remaining) + "\r\n" + length + "\r\n\r\n1\r\nx\r\n")
+				synctest.Wait()
+				require.Equal(t, int64(1), d.ingress.active.Load())
+				got := c.read()
+				require.NotNil(t, got, "the connection was cut")
+				require.Equal(t, http.StatusRequestTimeout, got.status)
+				require.Equal(t, refusal.NotRun.String(), got.header.Get(refusal.HeaderRun))
+				require.True(t, got.closes)
+				require.Less(t, time.Since(began), min(remaining, time.Second))
+				c.end()
+				require.Zero(t, d.ingress.active.Load())
+			})
+		}
+	}
+}
+
+// Guards against a refusal that waits for the body of the refused request without end: net/http reads the rest
+// of a body before it sends the response.
+func TestRefusalDoesNotWaitForABodyThatStalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := virtualDaemon(t, 6*time.Second)
+		d.fleet.view.Store(oneRoute(t, time.Second))
+		c := dialPipe(t, d, callerServer)
+		began := time.Now()
+		c.write("POST /x HTTP/1.1\r\nHost: unknown\r\nContent-Length: 9000\r\n\r\nx")
+		got := c.read()
+		require.NotNil(t, got)
+		require.Equal(t, http.StatusNotFound, got.status)
+		require.True(t, got.closes)
+		require.LessOrEqual(t, time.Since(began), unreadBodyTimeout)
+		c.end()
+	})
+}
+
+// Guards against cutting the body of a caller that is slow but in time, and against a time limit that stays on
+// the connection while the request runs.
+func TestSlowBodyOfACallerIsNotCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := virtualDaemon(t, 6*time.Second)
+		d.fleet.view.Store(oneRoute(t, time.Second))
+		c := dialPipe(t, d, callerServer)
+		for range 2 {
+			c.write("POST /x HTTP/1.1\r\nHost: app\r\nContent-Length: 9\r\n\r\n")
+			for range 9 {
+				time.Sleep(100 * time.Millisecond)
+				c.write("x")
+			}
+			got := c.read()
+			require.Equal(t, http.StatusServiceUnavailable, got.status, "there is no instance")
+			require.False(t, got.closes)
+			time.Sleep(2 * time.Second)
+		}
+		c.end()
+	})
+}
