Drop responses that their receivers do not read

A caller or a daemon that stops reading while its connection stays open held a response for good: the body in the budget of answers, so that enough of them leave no room for the answers of others, and a request or job in flight, which a planned stop waits for until it cuts everything.

Cause: no write of a response had a time limit of ours. The TCP user timeout helps only if the peer's kernel acknowledges nothing.

The log line response_not_taken names the request.

TestResponseThatIsNotReadIsDropped failed before: the daemon was still busy 4 s after a request with 3 s to live. TestResponseThatIsReadSlowlyIsNotCut passed before and guards the other side.

--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -202,7 +202,7 @@
 			return &SocketError{Key: s.key, Address: s.address, Err: err}
 		}
 		d.servers = append(d.servers, newServer(s.key, listener, &http.Server{
-			Handler: boundBodies(s.handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: s.idle, MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.errorLog(s.key),
+			Handler: boundBodies(s.handler), ReadHeaderTimeout: headerTimeout, WriteTimeout: maxExchangeTime, IdleTimeout: s.idle, MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.errorLog(s.key),
 			DisableGeneralOptionsHandler: true, ConnContext: withConnection, BaseContext: func(net.Listener) context.Context { return d.requestsCtx },
 		}))
 	}
@@ -311,7 +311,7 @@
 		// The sender does not wait for "100 Continue" before it sends the body.
 		body, err := j.ReadBody(j.Deadline)
 		if res := d.bodyResult(r, err); res != nil {
-			d.writePeerResult(w, r, *res, now, peerBlocks)
+			d.writePeerResult(w, r, j, *res, now, peerBlocks)
 			return
 		}
 		j.Body, j.ReadBody = body, nil
@@ -321,7 +321,7 @@
 	if j.ReadBody != nil {
 		dropBody(w) // the sender does not send the body of a job that was refused before it
 	}
-	d.writePeerResult(w, r, res, now, peerBlocks)
+	d.writePeerResult(w, r, j, res, now, peerBlocks)
 }
 
 // bodyResult returns the result of a job whose body could not be read before admission; nil without an
@@ -340,7 +340,7 @@
 
 // writePeerResult writes the result of a job of another daemon. arrived is when the job arrived,
 // peerBlocks the digest of what that daemon blocks.
-func (d *Daemon) writePeerResult(w http.ResponseWriter, r *http.Request, res Result, arrived time.Time, peerBlocks quarantine.Digest) {
+func (d *Daemon) writePeerResult(w http.ResponseWriter, r *http.Request, j *Job, res Result, arrived time.Time, peerBlocks quarantine.Digest) {
 	if r.Context().Err() != nil && !processEnds(r.Context()) && !res.bodyLate {
 		res.Response.Release()
 		panic(http.ErrAbortHandler)
@@ -350,7 +350,11 @@
 		// that job would count as one that may have run.
 		w.Header().Set("Connection", "close")
 	}
-	writeResult(w, &res, peerInfo{d.fleet.View().Revision, d.guard.suspects.gossip(time.Now(), peerBlocks)}, time.Since(arrived))
+	boundWrite(w, j.Deadline)
+	from := peerInfo{d.fleet.View().Revision, d.guard.suspects.gossip(time.Now(), peerBlocks)}
+	if err := writeResult(w, &res, from, time.Since(arrived), j.Deadline); err != nil {
+		d.ingress.log.logNotTaken(j.ID, "daemon", res.Response, err)
+	}
 }
 
 // servePeerCall handles requests of other daemons that are not jobs: for the full state, for a
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -75,13 +75,15 @@
 
 // request is a caller's request together with the state of its attempts.
 type request struct {
-	route     *route.Route
-	service   string
-	version   uint64
-	arrived   time.Time
-	goal      time.Time // at which the request misses the latency objective
-	deadline  time.Time
-	returning bool // after a refusal, as far as the remaining time shows
+	route    *route.Route
+	service  string
+	version  uint64
+	arrived  time.Time
+	goal     time.Time // at which the request misses the latency objective
+	deadline time.Time
+	// callerEnds is the time at which the caller stops waiting; zero if it is unknown.
+	callerEnds time.Time
+	returning  bool // after a refusal, as far as the remaining time shows
 	// call is the record of the request if a run of the local upstream makes it, otherwise nil.
 	call *nestedCall
 	id   string
@@ -140,7 +142,9 @@
 		i.metrics.recordOutcome(req, statusClass(res.Response.Status))
 		i.log.logOutcome(req, strconv.Itoa(res.Response.Status), &res)
 		i.closeIfStopping(w)
-		writeResponse(w, res.Response)
+		if err := writeResponse(w, res.Response, req.callerEnds); err != nil {
+			i.log.logNotTaken(req.id, "caller", res.Response, err)
+		}
 		return
 	}
 	outcome := string(res.Refusal.Kind)
@@ -206,6 +210,7 @@
 		i.log.logRejection(r.Header.Get(i.headers.RequestID), r.Host, r.URL.Path, refused)
 	}
 	i.closeIfStopping(w)
+	boundWrite(w, time.Time{})
 	h := w.Header()
 	h["Date"] = nil
 	if id := r.Header.Get(i.headers.RequestID); id != "" {
@@ -329,6 +334,9 @@
 		parent, _ := i.parent(req.id)
 		req.call = i.sender.guard.runs.call(parent, service, i.calls.Of(matched.Name))
 	}
+	if callerRemaining < unknownRemaining {
+		req.callerEnds = arrived.Add(callerRemaining)
+	}
 	margin := responseMarginFor(min(matched.Timeout, callerRemaining))
 	req.goal = req.goal.Add(-min(requestMargin+margin, matched.Goal/4))
 	header := withoutPeerHeaders(r.Header)
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -238,8 +238,9 @@
 	return out
 }
 
-// writeResult writes a result as the response to another daemon.
-func writeResult(w http.ResponseWriter, res *Result, from peerInfo, held time.Duration) {
+// writeResult writes a result as the response to another daemon, which waits for it until the given
+// time. It returns the error of writing an upstream's response.
+func writeResult(w http.ResponseWriter, res *Result, from peerInfo, held time.Duration, by time.Time) error {
 	h := w.Header()
 	h[headerHeld] = []string{strconv.FormatInt(held.Microseconds(), 10)}
 	h["Date"] = nil
@@ -265,9 +266,9 @@
 	if res.Refusal != nil {
 		h["Content-Type"] = nil
 		w.WriteHeader(res.Refusal.StatusCode())
-		return
+		return nil
 	}
-	writeResponse(w, res.Response)
+	return writeResponse(w, res.Response, by)
 }
 
 const (
@@ -279,26 +280,6 @@
 	notRunMark = "n"
 )
 
-// writeResponse writes an upstream's response without the headers that only daemons may set, and
-// releases it.
-func writeResponse(w http.ResponseWriter, a *exchange.Response) {
-	defer a.Release()
-	h := w.Header()
-	for name, values := range withoutPeerHeaders(a.Header) {
-		h[name] = values
-	}
-	for _, name := range [...]string{"Content-Type", "Date"} {
-		if _, ok := h[name]; !ok {
-			h[name] = nil // prevents net/http from adding the header
-		}
-	}
-	if a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
-		h["Content-Length"] = []string{strconv.Itoa(len(a.Body))}
-	}
-	w.WriteHeader(a.Status)
-	_, _ = w.Write(a.Body) // fails only if the caller has disconnected
-}
-
 // decodeResult decodes the response of another daemon. A response that no daemon wrote counts as a
 // failure of a request that may have run.
 func decodeResult(resp *exchange.Response) (Result, peerInfo) {
--- a/pkg/mesh/job_test.go
+++ b/pkg/mesh/job_test.go
@@ -32,7 +32,7 @@
 		headerResult: {joinFields("0/1/0/0/0", "9", "", "0", string(refusal.Overloaded), notRunMark, "0", "", "0")}, "X-Own": {"kept"},
 	}}
 	w := httptest.NewRecorder()
-	writeResult(w, &Result{Response: answer, Arrived: true}, peerInfo{revision: 3}, 0)
+	require.NoError(t, writeResult(w, &Result{Response: answer, Arrived: true}, peerInfo{revision: 3}, 0, time.Time{}))
 	res, from := decodeResult(&exchange.Response{Status: w.Code, Header: w.Header()})
 	require.Nil(t, res.Refusal)
 	require.True(t, res.Arrived)
--- a/pkg/mesh/request_log.go
+++ b/pkg/mesh/request_log.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"errors"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -8,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"mangoshed.example/mangoshed/core/refusal"
+	"mangoshed.example/mangoshed/pkg/exchange"
 )
 
 // slowFraction is the fraction of the route's timeout from which a successful request is logged as
@@ -114,3 +117,15 @@
 		zap.Duration("left", time.Until(j.Deadline)), zap.String("reason", r.Remedy),
 	})
 }
+
+// logNotTaken logs a response that its receiver, a caller or another daemon, has not taken, unless the
+// receiver has disconnected.
+func (d *requestLog) logNotTaken(id, receiver string, resp *exchange.Response, err error) {
+	if !errors.Is(err, os.ErrDeadlineExceeded) || !d.allowLine(d.failures) {
+		return
+	}
+	d.write("response_not_taken", []zap.Field{
+		zap.String("request", id), zap.String("receiver", receiver), zap.Int("bytes", len(resp.Body)),
+		zap.String("reason", "the receiver does not read the response in time; see whether it still runs and whether its link is full"),
+	})
+}
--- a/pkg/mesh/round_trip_test.go
+++ b/pkg/mesh/round_trip_test.go
@@ -53,7 +53,7 @@
 			return
 		}
 		res := d.decide(j)
-		writeResult(w, &res, peerInfo{}, time.Since(arrived))
+		_ = writeResult(w, &res, peerInfo{}, time.Since(arrived), time.Time{}) // fails if the test has ended
 		time.Sleep(d.latency)
 		answer := w.Result()
 		answer.ContentLength = int64(w.Body.Len())
--- a/pkg/mesh/sender_test.go
+++ b/pkg/mesh/sender_test.go
@@ -101,7 +101,7 @@
 		case 2:
 			close(both)
 		}
-		writeResult(w, &Result{Refusal: notRun(map[bool]refusal.Kind{true: refusal.Leaving, false: refusal.Overloaded}[n == 3], "", 0)}, peerInfo{}, 0)
+		_ = writeResult(w, &Result{Refusal: notRun(map[bool]refusal.Kind{true: refusal.Leaving, false: refusal.Overloaded}[n == 3], "", 0)}, peerInfo{}, 0, time.Time{})
 	}))
 	defer server.Close()
 	now := time.Now()
--- a/pkg/mesh/shutdown_test.go
+++ b/pkg/mesh/shutdown_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -31,7 +32,13 @@
 	d.settings.Bounds.Grace = grace
 	d.stop = func() {}
 	t.Cleanup(d.closeListeners)
-	d.guard.client = exchange.NewClient(exchange.Config{Dial: func(context.Context, string, string) (net.Conn, error) {
+	answerWith(d, "x")
+	return d
+}
+
+// answerWith makes the upstream of a virtual daemon respond with a body.
+func answerWith(d *Daemon, body string) {
+	d.guard.client = exchange.NewClient(exchange.Config{Budget: d.platform.Answers, Dial: func(context.Context, string, string) (net.Conn, error) {
 		near, far := net.Pipe()
 		go func() {
 			defer func() { _ = far.Close() }()
@@ -40,12 +47,11 @@
 				return
 			}
 			if _, err := io.Copy(io.Discard, r.Body); err == nil {
-				_, _ = far.Write([]byte("HTTP/1.1 200 OK\r\nProof: p\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx"))
+				_, _ = fmt.Fprintf(far, "HTTP/1.1 200 OK\r\nProof: p\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", len(body), body)
 			}
 		}()
 		return near, nil
 	}})
-	return d
 }
 
 // pipeListener accepts one connection in memory.
--- a/pkg/mesh/silent_sender_test.go
+++ b/pkg/mesh/silent_sender_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -11,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mangoshed.example/mangoshed/core/catalog"
 	"mangoshed.example/mangoshed/core/refusal"
 	"mangoshed.example/mangoshed/pkg/exchange"
 )
@@ -225,3 +227,72 @@
 		c.end()
 	})
 }
+
+// localRoute gives the daemon a route to its own upstream, with a timeout of 1 s.
+func localRoute(t *testing.T, d *Daemon) {
+	view := oneRoute(t, time.Second)
+	inst := &catalog.Instance{Upstream: d.settings.Upstream.Address, Slots: 4}
+	inst.ID, inst.Service, inst.ForwardAddr, inst.Place = "i", "back", d.settings.Listen.ForwardAddress, d.settings.Place()
+	d.fleet.Replace(catalog.State{Revision: 1, Table: view.Table, Entries: []catalog.Entry{{ID: inst.ID, Instance: inst, Revision: 1}}}, "test")
+}
+
+// Guards against responses that are held for good for receivers that stop reading: the memory of the body, and a
+// request or job in flight, which a planned stop waits for.
+func TestResponseThatIsNotReadIsDropped(t *testing.T) {
+	for name, test := range map[string]struct {
+		server int
+		head   string
+		within time.Duration
+	}{
+		"caller":                   {callerServer, "GET /x HTTP/1.1\r\nHost: app\r\nLeft: 3000\r\n\r\n", 3*time.Second + lateResponseTime},
+		"caller without a timeout": {callerServer, "GET /x HTTP/1.1\r\nHost: app\r\n\r\n", responseStallTimeout},
+		"daemon":                   {forwardServer, "GET /x HTTP/1.1\r\nHost: app\r\n" + headerJob + ": i;read;front;-;1;3000;3000;1000;1;back;\r\n\r\n", 3*time.Second + lateResponseTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := virtualDaemon(t, 6*time.Second)
+				answerWith(d, strings.Repeat("x", 1<<20))
+				localRoute(t, d)
+				c := dialPipe(t, d, test.server)
+				c.write(test.head)
+				synctest.Wait()
+				require.True(t, d.busy())
+				require.Equal(t, int64(1<<20), d.Status().AnswerBytes)
+				time.Sleep(test.within)
+				synctest.Wait()
+				require.False(t, d.busy())
+				require.Zero(t, d.Status().AnswerBytes)
+				_, err := io.Copy(io.Discard, c.in)
+				require.NoError(t, err, "the connection is closed")
+				c.end()
+				d.guard.client.Close()
+			})
+		})
+	}
+}
+
+// Guards against cutting a response that its receiver reads slowly, but within its timeout.
+func TestResponseThatIsReadSlowlyIsNotCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := virtualDaemon(t, 6*time.Second)
+		answerWith(d, strings.Repeat("x", 1<<20))
+		localRoute(t, d)
+		c := dialPipe(t, d, callerServer)
+		for range 2 {
+			c.write("GET /x HTTP/1.1\r\nHost: app\r\nLeft: 60000\r\n\r\n")
+			resp, err := http.ReadResponse(c.in, nil)
+			require.NoError(t, err)
+			n := int64(0)
+			for err == nil {
+				time.Sleep(2 * time.Second)
+				var more int64
+				more, err = io.CopyN(io.Discard, resp.Body, 64<<10)
+				n += more
+			}
+			require.ErrorIs(t, err, io.EOF)
+			require.Equal(t, int64(1<<20), n)
+		}
+		c.end()
+		d.guard.client.Close()
+	})
+}
