Order instances with the same start time alike on all daemons

Of several instances at one address with the same start time, the one that counted as the latest depended on the order of a map. An older one was hidden or not, by chance, from view to view and from daemon to daemon.

Change: the revision of the registration and then the ID decide. TestInstancesWithTheSameStartTimeAreOrdered failed before. Tables of the catalog's tests name the service of their instances from now on.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -237,12 +237,18 @@
 	return i.Upstream == other.Upstream && i.Incarnation > other.Incarnation && i.Created >= other.Created
 }
 
+// startedAfter orders the instances at an upstream address. The registration and the ID decide between
+// equal start times, so that all daemons order them alike.
+func (h *record) startedAfter(other *record) bool {
+	return cmp.Or(cmp.Compare(h.Incarnation, other.Incarnation), cmp.Compare(h.Created, other.Created), cmp.Compare(h.ID, other.ID)) > 0
+}
+
 // View returns the current view. It omits an instance that has a successor at the same upstream
 // address: that instance has stopped, although the store lists it until its entry expires.
 func (c *Catalog) View() *View {
 	latest := make(map[string]*record, len(c.instances))
 	for _, h := range c.instances {
-		if other := latest[h.Upstream]; other == nil || h.Incarnation > other.Incarnation {
+		if other := latest[h.Upstream]; other == nil || h.startedAfter(other) {
 			latest[h.Upstream] = h
 		}
 	}
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -24,7 +24,7 @@
 }
 
 func table(t *testing.T, version uint64) *route.Table {
-	made, err := route.New(version, nil, nil, route.Limits{})
+	made, err := route.New(version, nil, []route.Service{{Name: "s"}}, route.Limits{})
 	require.NoError(t, err)
 	return made
 }
@@ -175,3 +175,22 @@
 	c.Apply(now, State{Revision: 3, Entries: []Entry{again}})
 	require.Equal(t, []string{"a", "b"}, ids(c), "a delayed write")
 }
+
+// Guards against daemons that use different instances of the same list: which of two with the same start
+// time counted as the latest depended on the order of a map.
+func TestInstancesWithTheSameStartTimeAreOrdered(t *testing.T) {
+	var entries []Entry
+	for id, created := range map[string]uint64{"first": 0, "older": 5, "second": 5} {
+		e := listed(id, 1)
+		e.Instance.Incarnation, e.Instance.Created = 1, created
+		if id == "older" {
+			e.Instance.Incarnation = 0
+		}
+		entries = append(entries, e)
+	}
+	for range 50 {
+		c := New()
+		c.Apply(now, State{Revision: 1, Table: table(t, 1), Entries: entries})
+		require.Equal(t, []string{"first", "second"}, ids(c))
+	}
+}
