Let only instances of named services decide who holds an address

Another writer had listed one entry for each, at its address, with a later start and a service that no table names.

Cause: of several entries at one address the view used that with the latest start, whatever its service. The daemon beside the instance did the same: it took the entry for its own upstream, and the instance for departed.

Change: the view is made with the table in force. Instances of services that it does not name are kept apart and passed on to other daemons, because a later table may name them; they get no requests and decide nothing. Their daemons stay members of the fleet for the retry budget, probes, announcements and readers, unless another instance has the same daemon. The daemon beside the upstream looks at no entry before the first table and keeps its instance when a table stops naming the service.

Tables in tests that named no service name that of their instances now.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -67,20 +67,65 @@
 	Entries      []Entry
 }
 
-// View is an immutable view of the fleet at a store revision. Instances are sorted by ID.
+// View is an immutable view of the fleet at a store revision.
 type View struct {
-	Revision  uint64
-	Table     *route.Table
+	Revision uint64
+	Table    *route.Table
+	// Instances are the instances that can be used, sorted by ID.
 	Instances []Instance
+	// Unnamed are the instances of services that the table does not name, sorted by ID. They get no
+	// requests, and decide nothing about the instances at their addresses: another writer may have
+	// written the entry. Daemons pass them on to each other, because a later table may name the
+	// services.
+	Unnamed []Instance
 }
 
 // ByID returns the instance with the given ID.
-func (v *View) ByID(id model.InstanceID) (*Instance, bool) {
-	i, ok := slices.BinarySearchFunc(v.Instances, id, func(inst Instance, id model.InstanceID) int { return cmp.Compare(inst.ID, id) })
+func (v *View) ByID(id model.InstanceID) (*Instance, bool) { return find(v.Instances, id) }
+
+// Listed returns the instance with the given ID, also if it is an unnamed one.
+func (v *View) Listed(id model.InstanceID) (*Instance, bool) {
+	if inst, ok := find(v.Instances, id); ok {
+		return inst, true
+	}
+	return find(v.Unnamed, id)
+}
+
+// AllListed returns the instances and the unnamed ones.
+func (v *View) AllListed() []Instance {
+	if len(v.Unnamed) == 0 {
+		return v.Instances
+	}
+	return slices.Concat(v.Instances, v.Unnamed)
+}
+
+// Daemons returns an instance for each daemon of the fleet: the instances, and the unnamed ones whose
+// daemon has no other.
+func (v *View) Daemons() []Instance {
+	if len(v.Unnamed) == 0 {
+		return v.Instances
+	}
+	list := slices.Clone(v.Instances)
+	known := make(map[string]bool, len(list)+len(v.Unnamed))
+	for i := range list {
+		known[list[i].ForwardAddr] = true
+	}
+	for i := range v.Unnamed {
+		if address := v.Unnamed[i].ForwardAddr; !known[address] {
+			known[address] = true
+			list = append(list, v.Unnamed[i])
+		}
+	}
+	return list
+}
+
+// find returns the instance with the given ID from a list that is sorted by ID.
+func find(list []Instance, id model.InstanceID) (*Instance, bool) {
+	i, ok := slices.BinarySearchFunc(list, id, func(inst Instance, id model.InstanceID) int { return cmp.Compare(inst.ID, id) })
 	if !ok {
 		return nil, false
 	}
-	return &v.Instances[i], true
+	return &list[i], true
 }
 
 // ByUpstream returns the instance with the given upstream address. If there are several, it
@@ -244,20 +289,41 @@
 }
 
 // View returns the current view. It omits an instance that has a successor at the same upstream
-// address: that instance has stopped, although the store lists it until its entry expires.
+// address: that instance has stopped, although the store lists it until its entry expires. An
+// instance of a service that the table does not name succeeds no other one.
 func (c *Catalog) View() *View {
+	v := &View{Revision: c.revision, Table: c.table, Instances: make([]Instance, 0, len(c.instances))}
+	named := c.namedServices()
 	latest := make(map[string]*record, len(c.instances))
 	for _, h := range c.instances {
+		if !named(h.Service) {
+			v.Unnamed = append(v.Unnamed, h.Instance)
+			continue
+		}
 		if other := latest[h.Upstream]; other == nil || h.startedAfter(other) {
 			latest[h.Upstream] = h
 		}
 	}
-	v := &View{Revision: c.revision, Table: c.table, Instances: make([]Instance, 0, len(c.instances))}
 	for _, h := range c.instances {
-		if !latest[h.Upstream].replaces(&h.Instance) {
+		if named(h.Service) && !latest[h.Upstream].replaces(&h.Instance) {
 			v.Instances = append(v.Instances, h.Instance)
 		}
 	}
-	slices.SortFunc(v.Instances, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
+	byID := func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) }
+	slices.SortFunc(v.Instances, byID)
+	slices.SortFunc(v.Unnamed, byID)
 	return v
 }
+
+// namedServices returns a function that reports whether the table names a service. Before the first
+// table, every service counts as named.
+func (c *Catalog) namedServices() func(service string) bool {
+	if c.table == nil {
+		return func(string) bool { return true }
+	}
+	names := make(map[string]bool, len(c.table.Services))
+	for i := range c.table.Services {
+		names[c.table.Services[i].Name] = true
+	}
+	return func(service string) bool { return names[service] }
+}
--- a/core/catalog/readers.go
+++ b/core/catalog/readers.go
@@ -20,8 +20,9 @@
 func (v *View) Ranking(region string) []string {
 	var addresses []string
 	seen := make(map[string]bool)
-	for i := range v.Instances {
-		inst := &v.Instances[i]
+	daemons := v.Daemons()
+	for i := range daemons {
+		inst := &daemons[i]
 		if inst.Place.Region == region && inst.State == model.Live && !seen[inst.ForwardAddr] {
 			seen[inst.ForwardAddr] = true
 			addresses = append(addresses, inst.ForwardAddr)
--- a/pkg/mesh/announce_suspects.go
+++ b/pkg/mesh/announce_suspects.go
@@ -80,10 +80,10 @@
 
 // randomPeers returns the addresses of at most n random other daemons.
 func (s *Sender) randomPeers(n int) []string {
-	instances := s.fleet.View().Instances
+	daemons := s.fleet.View().Daemons()
 	var out []string
-	for _, i := range rand.Perm(len(instances)) {
-		if address := instances[i].ForwardAddr; address != s.ownAddress && len(out) < n {
+	for _, i := range rand.Perm(len(daemons)) {
+		if address := daemons[i].ForwardAddr; address != s.ownAddress && len(out) < n {
 			out = append(out, address)
 		}
 	}
--- a/pkg/mesh/change.go
+++ b/pkg/mesh/change.go
@@ -11,7 +11,7 @@
 
 // change is the difference between two views, as a frame of a feed carries it.
 type change struct {
-	// Whole is set if Put contains all instances of the view.
+	// Whole is set if Put contains all instances that the view lists, used or not.
 	Whole bool               `cbor:"1,keyasint,omitempty"`
 	Table *peerTable         `cbor:"2,keyasint,omitempty"`
 	Delta *route.Delta       `cbor:"3,keyasint,omitempty"`
@@ -77,15 +77,16 @@
 			c.Delta = &delta
 		}
 	}
-	for i := range current.Instances {
-		inst := &current.Instances[i]
-		if old, ok := sent.ByID(inst.ID); !ok || *old != *inst {
+	listed, before := current.AllListed(), sent.AllListed()
+	for i := range listed {
+		inst := &listed[i]
+		if old, ok := sent.Listed(inst.ID); !ok || *old != *inst {
 			c.Put = append(c.Put, *inst)
 		}
 	}
-	for i := range sent.Instances {
-		if _, ok := current.ByID(sent.Instances[i].ID); !ok {
-			c.Gone = append(c.Gone, sent.Instances[i].ID)
+	for i := range before {
+		if _, ok := current.Listed(before[i].ID); !ok {
+			c.Gone = append(c.Gone, before[i].ID)
 		}
 	}
 	c.Lapses = removalDelaysOf(time.Now(), c.Put)
@@ -127,7 +128,8 @@
 		c.Table = encodeTable(current.Table)
 	}
 	if revision > peerRevision {
-		c.Whole, c.Put, c.Lapses = true, current.Instances, removalDelaysOf(time.Now(), current.Instances)
+		c.Whole, c.Put = true, current.AllListed()
+		c.Lapses = removalDelaysOf(time.Now(), c.Put)
 	}
 	return c
 }
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -172,7 +172,7 @@
 	d.guard.Update(now, v)
 	d.placer.Update(now, v)
 	d.reach.update(v)
-	d.budget.SetDaemons(len(v.Instances))
+	d.budget.SetDaemons(len(v.Daemons()))
 	if v.Table != nil && !d.ready.Swap(true) {
 		d.log.Info("daemon_ready", zap.Uint64("version", v.Table.Version), zap.Uint64("revision", v.Revision))
 		d.guard.logInstance(d.log)
--- a/pkg/mesh/feed_test.go
+++ b/pkg/mesh/feed_test.go
@@ -16,12 +16,12 @@
 // fleetOf returns a fleet with n daemons in one region.
 func fleetOf(t testing.TB, n int) *Fleet {
 	fleet := NewFleet(zap.NewNop(), func(time.Time, *catalog.View) {})
-	table, err := route.New(1, nil, nil, route.Limits{})
+	table, err := route.New(1, nil, []route.Service{{Name: "s"}}, route.Limits{})
 	require.NoError(t, err)
 	state := catalog.State{Revision: 1, Table: table}
 	for n := range n {
 		inst := &catalog.Instance{}
-		inst.ID, inst.ForwardAddr = model.InstanceID(fmt.Sprint(n)), fmt.Sprintf("10.0.0.%d:1", n)
+		inst.ID, inst.Service, inst.ForwardAddr = model.InstanceID(fmt.Sprint(n)), "s", fmt.Sprintf("10.0.0.%d:1", n)
 		inst.Place = model.Place{Region: "a", DataCentre: "a1"}
 		inst.Upstream = fmt.Sprintf("10.0.0.%d:2", n)
 		state.Entries = append(state.Entries, catalog.Entry{ID: inst.ID, Instance: inst, Revision: 1})
--- a/pkg/mesh/fleet.go
+++ b/pkg/mesh/fleet.go
@@ -137,6 +137,9 @@
 	close(f.changed)
 	f.changed = make(chan struct{})
 	fields := []zap.Field{zap.Uint64("revision", v.Revision), zap.String("source", source), zap.Int("instances", len(v.Instances))}
+	if len(v.Unnamed) > 0 {
+		fields = append(fields, zap.Int("unnamed", len(v.Unnamed)))
+	}
 	if v.Table != nil && v.Table != old.Table {
 		f.log.Info("version_applied", append(fields, zap.Uint64("version", v.Table.Version), zap.Int("routes", len(v.Table.Routes)))...)
 	} else {
--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -162,7 +162,7 @@
 // the ranking when no reader is current. Its maximum grows with the fleet, so that the reads of
 // many daemons do not saturate the link that the readers use.
 func (f *Follower) newFallbackDelay() time.Duration {
-	return takeoverTime + rand.N(time.Duration(1+len(f.Fleet.View().Instances))*fallbackDelayPerInstance)
+	return takeoverTime + rand.N(time.Duration(1+len(f.Fleet.View().Daemons()))*fallbackDelayPerInstance)
 }
 
 // wantsFeed reports whether the daemon should have a feed: always if it is not a reader, and
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -88,11 +88,15 @@
 	return g
 }
 
-// Update applies a new view of the fleet: it sets the upstream's instance and its number of slots.
+// Update applies a new view of the fleet: it sets the upstream's instance and its number of slots. A
+// view without a table changes nothing, because it does not tell which entries name an instance.
 func (g *Guard) Update(now time.Time, v *catalog.View) {
+	if v.Table == nil {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	current, listed := v.ByUpstream(g.address)
+	current, listed := g.listedInstance(v)
 	g.checkReplaced(now, g.instance, current)
 	if g.instance != nil && (!listed || current.ID != g.instance.ID) {
 		g.markDeparted(g.instance.ID, time.Time{})
@@ -114,6 +118,19 @@
 	}
 }
 
+// listedInstance returns the instance that a view lists at the upstream's address. An instance that is
+// known already stays the upstream's when a table stops naming its service. The caller holds the mutex.
+func (g *Guard) listedInstance(v *catalog.View) (*catalog.Instance, bool) {
+	if current, ok := v.ByUpstream(g.address); ok {
+		return current, true
+	}
+	if g.instance == nil {
+		return nil, false
+	}
+	kept, ok := v.Listed(g.instance.ID)
+	return kept, ok && kept.Upstream == g.address
+}
+
 // markDeparted records that an instance is no longer at the address, until the given time or, if
 // that is zero, until the store lists it there again. The caller holds the mutex.
 func (g *Guard) markDeparted(id model.InstanceID, until time.Time) {
--- a/pkg/mesh/guard_quarantine_test.go
+++ b/pkg/mesh/guard_quarantine_test.go
@@ -16,6 +16,7 @@
 	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/quarantine"
 	"mangoshed.example/mangoshed/core/refusal"
+	"mangoshed.example/mangoshed/core/route"
 	"mangoshed.example/mangoshed/pkg/exchange"
 )
 
@@ -330,11 +331,11 @@
 			g := newTestGuard(u)
 			listed := catalog.Instance{Upstream: u.address, Slots: 4}
 			listed.ID, listed.Incarnation, listed.State = "a", 1, state
-			g.Update(time.Now(), &catalog.View{Instances: []catalog.Instance{listed}})
+			g.Update(time.Now(), &catalog.View{Table: &route.Table{}, Instances: []catalog.Instance{listed}})
 			run, _ := g.suspects.start(time.Now(), "id", g.job("/dying").fingerprints())
 			g.suspects.end(time.Now(), run, quarantine.Unanswered)
 			listed.Incarnation, listed.State = 2, model.Live
-			g.Update(time.Now(), &catalog.View{Instances: []catalog.Instance{listed}})
+			g.Update(time.Now(), &catalog.View{Table: &route.Table{}, Instances: []catalog.Instance{listed}})
 			if state == model.Leaving {
 				require.Zero(t, g.suspects.table.Len(), "it left as planned")
 				return
--- a/pkg/mesh/reachability.go
+++ b/pkg/mesh/reachability.go
@@ -48,8 +48,9 @@
 	defer r.mu.Unlock()
 	clear(r.addresses)
 	var hosts []string
-	for i := range v.Instances {
-		inst := &v.Instances[i]
+	daemons := v.Daemons()
+	for i := range daemons {
+		inst := &daemons[i]
 		if host := inst.Host(); host != r.ownHost && r.addresses[host] == "" {
 			r.addresses[host] = inst.ForwardAddr
 			hosts = append(hosts, host)
--- a/pkg/mesh/sender.go
+++ b/pkg/mesh/sender.go
@@ -162,7 +162,7 @@
 	defer s.mu.Unlock()
 	addresses := slices.Concat(s.seeds(), s.introduced)
 	if view := s.fleet.View(); view.Table != nil {
-		for _, inst := range view.Instances {
+		for _, inst := range view.Daemons() {
 			addresses = append(addresses, inst.ForwardAddr)
 		}
 	}
@@ -177,7 +177,7 @@
 // Prune closes connections that are not reused or that lead to instances that have left the mesh.
 func (s *Sender) Prune(now time.Time) {
 	known := make(map[string]bool)
-	for _, inst := range s.fleet.View().Instances {
+	for _, inst := range s.fleet.View().Daemons() {
 		known[inst.ForwardAddr] = true
 	}
 	s.client.Prune(now, func(address string) bool { return known[address] })
--- a/pkg/mesh/state.go
+++ b/pkg/mesh/state.go
@@ -105,11 +105,12 @@
 	if err != nil {
 		return nil, err
 	}
-	instances, err := compress(view.Instances)
+	listed := view.AllListed()
+	instances, err := compress(listed)
 	if err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(peerState{Revision: view.Revision, Table: table, Instances: instances, Lapses: removalDelaysOf(time.Now(), view.Instances)})
+	return cbor.Marshal(peerState{Revision: view.Revision, Table: table, Instances: instances, Lapses: removalDelaysOf(time.Now(), listed)})
 }
 
 // pack returns the compressed form of a table, from the cache if it is the last one.
--- a/pkg/mesh/status.go
+++ b/pkg/mesh/status.go
@@ -17,9 +17,12 @@
 	Revision  uint64 `json:"revision"`
 	Routes    int    `json:"routes"`
 	Instances int    `json:"instances"`
-	Running   int    `json:"running"`
-	Slots     int    `json:"slots"`
-	Queued    int    `json:"queued"`
+	// Unnamed is the number of entries of the store that are not used because the table does not name
+	// their service.
+	Unnamed int `json:"unnamed"`
+	Running int `json:"running"`
+	Slots   int `json:"slots"`
+	Queued  int `json:"queued"`
 	// AwaitingBody is the number of running jobs whose body is still arriving from another daemon.
 	AwaitingBody int64 `json:"awaiting_body"`
 	// Suspects is the number of requests that are suspected of crashing upstreams or blocked for it,
@@ -44,7 +47,7 @@
 	v, load := d.fleet.View(), d.guard.Load()
 	suspected, blocked := d.guard.suspects.count()
 	s := Status{
-		Ready: d.Ready(), Revision: v.Revision, Instances: len(v.Instances),
+		Ready: d.Ready(), Revision: v.Revision, Instances: len(v.Instances), Unnamed: len(v.Unnamed),
 		Running: load.Running, Slots: load.Slots, Queued: load.Queued, AwaitingBody: d.guard.awaitingBody.Load(), Suspects: suspected, Blocked: blocked,
 		Limit:       d.guard.Limit(),
 		AnswerBytes: d.platform.Answers.Held(),
