--- a/pkg/mesh/meshtest/upstream.go
+++ b/pkg/mesh/meshtest/upstream.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -365,10 +366,7 @@
 // Body returns the body of the answer to a request.
 func Body(id string, size int) string {
 	text := "answer to " + id + "\n"
-	for len(text) < size {
-		text += "."
-	}
-	return text
+	return text + strings.Repeat(".", max(0, size-len(text)))
 }
 
 func (u *Upstream) reply(c net.Conn, r *Request, fault Fault) bool {
