Compare the address before an unnamed instance stays the upstream's

An instance that restarts under its ID at another address while the table does not name its service was compared with the one at this address before it was dropped, and counted as a crash of the upstream: requests in flight would have become suspects.

Change: such an instance is no longer looked at. A long line of the servers' settings and two comments are reworded, and a test closes the body of a response, which the linter asks for.

--- a/pkg/mesh/body.go
+++ b/pkg/mesh/body.go
@@ -42,7 +42,7 @@
 }
 
 // setReadDeadline sets the time at which reads from the request's connection fail; the zero time for
-// never. An error would mean that the connection is closed already, so that reads fail anyway.
+// never. It fails only if the connection is closed already, so that reads fail anyway.
 func setReadDeadline(w http.ResponseWriter, at time.Time) {
 	_ = http.NewResponseController(w).SetReadDeadline(at)
 }
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -202,7 +202,8 @@
 			return &SocketError{Key: s.key, Address: s.address, Err: err}
 		}
 		d.servers = append(d.servers, newServer(s.key, listener, &http.Server{
-			Handler: boundBodies(s.handler), ReadHeaderTimeout: headerTimeout, WriteTimeout: maxExchangeTime, IdleTimeout: s.idle, MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.errorLog(s.key),
+			Handler: boundBodies(s.handler), MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.errorLog(s.key),
+			ReadHeaderTimeout: headerTimeout, WriteTimeout: maxExchangeTime, IdleTimeout: s.idle,
 			DisableGeneralOptionsHandler: true, ConnContext: withConnection, BaseContext: func(net.Listener) context.Context { return d.requestsCtx },
 		}))
 	}
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -128,7 +128,10 @@
 		return nil, false
 	}
 	kept, ok := v.Listed(g.instance.ID)
-	return kept, ok && kept.Upstream == g.address
+	if !ok || kept.Upstream != g.address {
+		return nil, false
+	}
+	return kept, true
 }
 
 // markDeparted records that an instance is no longer at the address, until the given time or, if
--- a/pkg/mesh/response.go
+++ b/pkg/mesh/response.go
@@ -22,8 +22,8 @@
 	maxExchangeTime = route.MaxTimeout + time.Minute
 )
 
-// setWriteDeadline sets the time at which writes of the response fail. An error would mean that the
-// connection is closed already, so that writes fail anyway.
+// setWriteDeadline sets the time at which writes of the response fail. It fails only if the connection
+// is closed already, so that writes fail anyway.
 func setWriteDeadline(w http.ResponseWriter, at time.Time) {
 	_ = http.NewResponseController(w).SetWriteDeadline(at)
 }
--- a/pkg/mesh/silent_sender_test.go
+++ b/pkg/mesh/silent_sender_test.go
@@ -290,6 +290,7 @@
 				n += more
 			}
 			require.ErrorIs(t, err, io.EOF)
+			require.NoError(t, resp.Body.Close())
 			require.Equal(t, int64(1<<20), n)
 		}
 		c.end()
