--- a/pkg/mesh/body.go
+++ b/pkg/mesh/body.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"mangoshed.example/mangoshed/core/intake"
 	"mangoshed.example/mangoshed/core/refusal"
 )
 
@@ -30,6 +31,9 @@
 // errBodyLate is the error of readBody if the body has not arrived in time.
 var errBodyLate = errors.New("the body did not arrive in time")
 
+// bodyLateRemedy is the remedy of requests whose body did not arrive in time.
+const bodyLateRemedy = "the body of the request did not arrive in time; see whether the connection that it came on still works, or allow more time"
+
 // boundBodies returns a handler that passes requests on with a time limit for their bodies. Without
 // one, a sender that falls silent without closing its connection is waited for without end.
 func boundBodies(next http.Handler) http.Handler {
@@ -116,3 +120,30 @@
 		}
 	})
 }
+
+// loadBody reads the body of an admitted job if it has not been read yet: a sender that uses "Expect:
+// 100-continue" sends the body only after the job is admitted. The job holds its slot meanwhile, so the
+// read ends when the upstream could no longer respond in time. ok is false if the job is refused.
+func (g *Guard) loadBody(j *Job, call *intake.Call) (refused Result, ok bool) {
+	if j.ReadBody == nil {
+		return Result{}, true
+	}
+	g.awaitingBody.Add(1)
+	defer g.awaitingBody.Add(-1)
+	g.mu.Lock()
+	by := g.queue.LatestStart(time.Now(), call)
+	call.AwaitingBody = true
+	g.mu.Unlock()
+	body, err := j.ReadBody(by)
+	j.Body, j.ReadBody = body, nil
+	g.mu.Lock()
+	call.AwaitingBody = false
+	g.mu.Unlock()
+	switch {
+	case err == nil:
+		return Result{}, true
+	case errors.Is(err, errBodyLate):
+		return Result{Refusal: notRun(refusal.Cut, bodyLateRemedy, 0), bodyLate: true}, false
+	}
+	return Result{Refusal: notRun(refusal.Cut, "the body of the request could not be read: "+err.Error(), 0)}, false
+}
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -278,36 +278,6 @@
 	return notRun(refusal.Quarantined, "the request crashes the upstreams that run it; change it", quarantinedRetryAfter)
 }
 
-// bodyLateRemedy is the remedy of requests whose body did not arrive in time.
-const bodyLateRemedy = "the body of the request did not arrive in time; see whether the connection that it came on still works, or allow more time"
-
-// loadBody reads the body of an admitted job if it has not been read yet: a sender that uses "Expect:
-// 100-continue" sends the body only after the job is admitted. The job holds its slot meanwhile, so the
-// read ends when the upstream could no longer respond in time. ok is false if the job is refused.
-func (g *Guard) loadBody(j *Job, call *intake.Call) (refused Result, ok bool) {
-	if j.ReadBody == nil {
-		return Result{}, true
-	}
-	g.awaitingBody.Add(1)
-	defer g.awaitingBody.Add(-1)
-	g.mu.Lock()
-	by := g.queue.LatestStart(time.Now(), call)
-	call.AwaitingBody = true
-	g.mu.Unlock()
-	body, err := j.ReadBody(by)
-	j.Body, j.ReadBody = body, nil
-	g.mu.Lock()
-	call.AwaitingBody = false
-	g.mu.Unlock()
-	switch {
-	case err == nil:
-		return Result{}, true
-	case errors.Is(err, errBodyLate):
-		return Result{Refusal: notRun(refusal.Cut, bodyLateRemedy, 0), bodyLate: true}, false
-	}
-	return Result{Refusal: notRun(refusal.Cut, "the body of the request could not be read: "+err.Error(), 0)}, false
-}
-
 // withdraw frees the slot of an admitted job that is not sent to the upstream.
 func (g *Guard) withdraw(call *intake.Call) {
 	g.mu.Lock()
