Let a route list the regions whose upstreams it may use

A route has no field for the regions to which its requests are restricted.

Change: Route.Regions with its CSV column, which is written only if a route has a list, so that existing files keep their form and are still read; comparison, changes, deltas, validation of the names, and the encoding between daemons, which is unchanged for routes without a list. New sorts the list, so that its order makes no difference. Table.Allows tells by the table in force whether a request may reach a region. "routes check" warns of regions without a data centre when it is given settings; "routes explain" shows the list.

--- a/core/route/csv.go
+++ b/core/route/csv.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"encoding/csv"
 	"errors"
 	"fmt"
@@ -14,18 +15,34 @@
 // columns holds the column names of the CSV format, in order.
 var columns = []string{"route", "host", "prefix", "kind", "timeout_ms", "goal_ms", "priority", "max_attempts", "services"}
 
+// regionsColumn is the name of the last column, which is left out of a table without lists of regions.
+const regionsColumn = "regions"
+
+// regionalColumns holds the column names of a table with lists of regions.
+var regionalColumns = append(slices.Clone(columns), regionsColumn)
+
+// columns returns the column names of the table.
+func (t *Table) columns() []string {
+	if t.regional {
+		return regionalColumns
+	}
+	return columns
+}
+
 // maxFileBytes bounds the size of a CSV file; 1,000 routes need 0.1 MB.
 const maxFileBytes = 16 << 20
 
 // WriteCSV writes the routes as CSV. The column services holds SERVICE:WEIGHT pairs separated by
-// spaces.
+// spaces. The column regions holds region names separated by spaces, none for all regions; it is
+// written only if a route has such a list.
 func (t *Table) WriteCSV(w io.Writer) error {
 	writer := csv.NewWriter(w)
-	if err := writer.Write(columns); err != nil {
+	header := t.columns()
+	if err := writer.Write(header); err != nil {
 		return err
 	}
 	for i := range t.Routes {
-		if err := writer.Write(t.Routes[i].cells()); err != nil {
+		if err := writer.Write(t.Routes[i].cells()[:len(header)]); err != nil {
 			return err
 		}
 	}
@@ -33,7 +50,7 @@
 	return writer.Error()
 }
 
-// cells returns the CSV cells of the route, in the order of columns.
+// cells returns the CSV cells of the route, in the order of regionalColumns.
 func (r *Route) cells() []string {
 	shares := make([]string, len(r.Shares))
 	for i, s := range r.Shares {
@@ -42,6 +59,7 @@
 	return []string{
 		r.Name, r.Host, r.Prefix, r.Kind.String(), strconv.FormatInt(r.Timeout.Milliseconds(), 10), strconv.FormatInt(r.Goal.Milliseconds(), 10),
 		strconv.Itoa(r.Priority), strconv.Itoa(r.MaxAttempts), strings.Join(shares, " "),
+		strings.Join(r.Regions, " "),
 	}
 }
 
@@ -51,10 +69,10 @@
 // name.
 func ParseCSV(r io.Reader) (*Table, error) {
 	reader := csv.NewReader(io.LimitReader(r, maxFileBytes))
-	reader.FieldsPerRecord = len(columns)
-	header, err := reader.Read()
-	if err != nil || !slices.Equal(header, columns) {
-		return nil, singleFault("header", "", strings.Join(header, ","), "the header does not have the columns of a route table", "use "+strings.Join(columns, ","))
+	header, err := reader.Read() // sets the number of fields of all lines
+	if err != nil || !slices.Equal(header, columns) && !slices.Equal(header, regionalColumns) {
+		return nil, singleFault("header", "", strings.Join(header, ","), "the header does not have the columns of a route table",
+			"use "+strings.Join(columns, ",")+" and, for lists of regions, "+regionsColumn)
 	}
 	c := &checker{}
 	var routes []Route
@@ -65,7 +83,7 @@
 		}
 		line, _ := reader.FieldPos(0)
 		if err != nil {
-			c.add(fmt.Sprintf("line %d", line), "", "", err.Error(), "write each line with "+strconv.Itoa(len(columns))+" cells")
+			c.add(fmt.Sprintf("line %d", line), "", "", err.Error(), "write each line with "+strconv.Itoa(len(header))+" cells")
 			break
 		}
 		routes = append(routes, c.parseRoute(line, record))
@@ -114,6 +132,9 @@
 		}
 		r.Shares = append(r.Shares, Share{Service: service, Weight: uint32(n)})
 	}
+	if len(cells) > len(columns) {
+		r.Regions = strings.Fields(cells[len(columns)])
+	}
 	return r
 }
 
@@ -158,13 +179,16 @@
 	return lines
 }
 
+// none stands for an empty cell in a list of changes.
+const none = "(none)"
+
 // changedCells lists the cells that differ between two versions of a route.
 func changedCells(previous, current *Route) string {
 	before, after := previous.cells(), current.cells()
 	var parts []string
-	for i, column := range columns {
+	for i, column := range regionalColumns {
 		if before[i] != after[i] {
-			parts = append(parts, fmt.Sprintf("%s %s -> %s", column, before[i], after[i]))
+			parts = append(parts, fmt.Sprintf("%s %s -> %s", column, cmp.Or(before[i], none), cmp.Or(after[i], none)))
 		}
 	}
 	return strings.Join(parts, ", ")
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -65,12 +65,21 @@
 	MaxAttempts int
 	// Shares is not empty; a single share receives all requests.
 	Shares []Share
+	// Regions are the regions whose upstreams may get the route's requests, sorted; empty means all
+	// regions. An empty list adds nothing to the messages between daemons.
+	Regions []string `cbor:",omitempty" json:",omitempty"`
+}
+
+// Allows reports whether the route's requests may reach upstreams in a region.
+func (r *Route) Allows(region string) bool {
+	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
 }
 
 // Equal reports whether both routes hold the same values.
 func (r *Route) Equal(other *Route) bool {
 	return r.Name == other.Name && r.Host == other.Host && r.Prefix == other.Prefix && r.Kind == other.Kind && r.Timeout == other.Timeout &&
-		r.Goal == other.Goal && r.Priority == other.Priority && r.MaxAttempts == other.MaxAttempts && slices.Equal(r.Shares, other.Shares)
+		r.Goal == other.Goal && r.Priority == other.Priority && r.MaxAttempts == other.MaxAttempts && slices.Equal(r.Shares, other.Shares) &&
+		slices.Equal(r.Regions, other.Regions)
 }
 
 // Service holds the health check path and the connection limit of a service's upstreams.
@@ -98,6 +107,8 @@
 	Limits   Limits
 
 	hosts map[string]*hostRoutes
+	// regional is set if a route has a list of regions.
+	regional bool
 }
 
 // hostRoutes indexes the routes of one host by prefix.
@@ -114,6 +125,9 @@
 		}
 		return strings.Compare(a.Prefix, b.Prefix)
 	})
+	for i := range t.Routes {
+		t.Routes[i].Regions = sortedSet(t.Routes[i].Regions)
+	}
 	if err := t.validate(); err != nil {
 		return nil, err
 	}
@@ -121,6 +135,17 @@
 	return t, nil
 }
 
+// sortedSet returns the names sorted and without duplicates, nil if there are none. Two lists of the
+// same regions are then equal, whatever their order.
+func sortedSet(names []string) []string {
+	if len(names) == 0 {
+		return nil
+	}
+	sorted := slices.Clone(names)
+	slices.Sort(sorted)
+	return slices.Compact(sorted)
+}
+
 func (t *Table) index() {
 	t.hosts = make(map[string]*hostRoutes)
 	for i := range t.Routes {
@@ -131,9 +156,13 @@
 			t.hosts[r.Host] = h
 		}
 		h.byPrefix[r.Prefix] = r
+		t.regional = t.regional || len(r.Regions) > 0
 	}
 }
 
+// Regional reports whether a route has a list of regions.
+func (t *Table) Regional() bool { return t.regional }
+
 // Match returns the route whose prefix is the longest one that matches the path, or nil if no
 // route matches. The host may include a port.
 func (t *Table) Match(host, path string) *Route {
@@ -152,6 +181,31 @@
 	return nil
 }
 
+// Governing returns the route whose rules apply to a request that was accepted under the route with the
+// name, possibly in another version of the table: the one that matches the request now or, if none
+// does, the one with that name. It returns nil if the table has neither.
+func (t *Table) Governing(name, host, path string) *Route {
+	if r := t.Match(host, path); r != nil {
+		return r
+	}
+	for i := range t.Routes {
+		if t.Routes[i].Name == name {
+			return &t.Routes[i]
+		}
+	}
+	return nil
+}
+
+// Allows reports whether a request that was accepted under the route with the name may reach
+// upstreams in a region. A request that has no route in the table is not restricted by it.
+func (t *Table) Allows(name, host, path, region string) bool {
+	if !t.regional {
+		return true
+	}
+	r := t.Governing(name, host, path)
+	return r == nil || r.Allows(region)
+}
+
 // Service returns the service with the name.
 func (t *Table) Service(name string) (Service, bool) {
 	for _, s := range t.Services {
--- a/core/route/validate.go
+++ b/core/route/validate.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"mangoshed.example/mangoshed/core/faultlist"
 )
@@ -12,6 +14,8 @@
 const (
 	MaxRoutes = 100_000
 	MaxShares = 64
+	// MaxRegions bounds the list of a route, which every choice of an instance goes through.
+	MaxRegions = 64
 	// MaxWeight keeps the sum of a route's weights far below an integer overflow.
 	MaxWeight = 1_000_000
 	// MaxTimeout is the longest timeout that a route may have.
@@ -108,9 +112,24 @@
 	if r.MaxAttempts < 1 {
 		c.add(r.Name, "max_attempts", fmt.Sprint(r.MaxAttempts), "at least one attempt is required", "use 1 or more")
 	}
+	c.checkRegions(r)
 	c.checkShares(r, services)
 }
 
+// checkRegions checks the form of the names only. Whether a region exists is not known here: the
+// deployment may grow.
+func (c *checker) checkRegions(r *Route) {
+	if len(r.Regions) > MaxRegions {
+		c.add(r.Name, regionsColumn, fmt.Sprint(len(r.Regions)), "too many regions", fmt.Sprintf("list at most %d, or none to allow all", MaxRegions))
+	}
+	for _, region := range r.Regions {
+		// A name that can never match would take the route out of service, and an empty list allows all regions.
+		if region == "" || strings.ContainsFunc(region, func(c rune) bool { return unicode.IsSpace(c) || unicode.IsControl(c) }) {
+			c.add(r.Name, regionsColumn, strconv.Quote(region), "region is empty or has a space or control character", "use the name of a region, or no list to allow all")
+		}
+	}
+}
+
 func (c *checker) checkShares(r *Route, services map[string]bool) {
 	var total uint64
 	for _, s := range r.Shares {
--- a/pkg/ctl/routes_test.go
+++ b/pkg/ctl/routes_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"mangoshed.example/mangoshed/pkg/mesh"
 )
 
 const routesHeader = "route,host,prefix,kind,timeout_ms,goal_ms,priority,max_attempts,services\n"
@@ -53,3 +55,35 @@
 	_, err = runRoutes("check", "absent.csv")
 	require.ErrorContains(t, err, "absent.csv")
 }
+
+// Guards against a table that goes out with a misspelt region, which takes its route out of service, and
+// against a warning where the program cannot know the regions.
+func TestRoutesWithRegions(t *testing.T) {
+	directory := t.TempDir()
+	table, settings := filepath.Join(directory, "routes.csv"), filepath.Join(directory, "settings.yaml")
+	require.NoError(t, os.WriteFile(settings, []byte(mesh.Example()), 0o600))
+	rows := "route,host,prefix,kind,timeout_ms,goal_ms,priority,max_attempts,services,regions\n" +
+		"a,h,/a/,safe,1200,300,1,2,s:1,klang\nb,h,/b/,safe,1200,300,1,2,s:1,klagn\nc,h,/c/,safe,1200,300,1,2,s:1,klang borneo\nd,h,/d/,safe,1200,300,1,2,s:1,\n"
+	require.NoError(t, os.WriteFile(table, []byte(rows), 0o600))
+	out, err := runRoutes("check", table)
+	require.NoError(t, err)
+	require.NotContains(t, out, "warning")
+	out, err = runRoutes("check", "--settings", settings, table)
+	require.NoError(t, err)
+	require.NotContains(t, out, "route a")
+	require.Contains(t, out, "route b: no data centre is in the regions [klagn], so that every request is refused")
+	require.Contains(t, out, "route c: no data centre is in the regions [borneo]\n")
+	require.NotContains(t, out, "route d")
+	out, err = runRoutes("check", "--settings", settings, "--format", "json", table)
+	require.NoError(t, err)
+	require.Contains(t, out, `"warnings": [`)
+	out, err = runRoutes("explain", table, "h", "/c/1")
+	require.NoError(t, err)
+	require.Contains(t, out, "in regions borneo, klang only")
+	out, err = runRoutes("explain", table, "h", "/d/1")
+	require.NoError(t, err)
+	require.Contains(t, out, "in all regions")
+	out, err = runRoutes("diff", writeRoutes(t, "a,h,/a/,safe,1200,300,1,2,s:1\n"), table)
+	require.NoError(t, err)
+	require.Contains(t, out, "changed a: regions (none) -> klang\n")
+}
