Choose only among instances in the regions of a query

The placer compares instances of all regions and knows no rule that excludes some of them.

Change: Query.Regions and Query.ExcludeRegions. Candidates, and the instances excluded for a time that are tried if there are no others, are drawn from the lists of the allowed regions only. These lists are built with the view if the table has a list of regions. Queries without regions draw as before, with the same random numbers.

Trial: with Query.Regions ignored, TestOnlyListedRegionsAreChosen, TestExcludedRegionIsNotChosen, TestRequestsWithoutAListLeaveAFullRegion and TestRegionsAreIndexedWithTheView fail.

--- a/core/placement/candidates.go
+++ b/core/placement/candidates.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"mangoshed.example/mangoshed/core/catalog"
@@ -11,6 +13,8 @@
 type group struct {
 	// near are the instances of the daemon's own data centre, far those of all others.
 	near, far []*catalog.Instance
+	// farByRegion holds the instances of far by region. It is nil until it is needed.
+	farByRegion map[string][]*catalog.Instance
 }
 
 // group returns the group of a service and creates it if there is none.
@@ -32,21 +36,67 @@
 	g.far = append(g.far, inst)
 }
 
+// indexRegions sets farByRegion.
+func (g *group) indexRegions() {
+	g.farByRegion = make(map[string][]*catalog.Instance)
+	for _, inst := range g.far {
+		g.farByRegion[inst.Place.Region] = append(g.farByRegion[inst.Place.Region], inst)
+	}
+}
+
+// allowed returns the lists of instances that the regions of a query allow: that of the daemon's own
+// data centre, and those of the others, appended to far.
+func (g *group) allowed(q *Query, self model.Place, far [][]*catalog.Instance) (near []*catalog.Instance, allFar [][]*catalog.Instance) {
+	if len(q.Regions) == 0 && len(q.ExcludeRegions) == 0 {
+		return g.near, append(far, g.far)
+	}
+	if g.farByRegion == nil {
+		// The table has no list, but the request has one from an earlier table, or a daemon with a later
+		// table has refused it. Both end within the time in which a table takes effect.
+		g.indexRegions()
+	}
+	if q.allows(self.Region) {
+		near = g.near
+	}
+	if len(q.Regions) > 0 {
+		for _, region := range q.Regions {
+			if list := g.farByRegion[region]; len(list) > 0 && q.allows(region) {
+				far = append(far, list)
+			}
+		}
+		return near, far
+	}
+	// In a fixed order, so that placers with equal seeds make equal choices.
+	for _, region := range slices.Sorted(maps.Keys(g.farByRegion)) {
+		if q.allows(region) {
+			far = append(far, g.farByRegion[region])
+		}
+	}
+	return near, far
+}
+
+// allows reports whether the query allows instances in a region.
+func (q *Query) allows(region string) bool {
+	return (len(q.Regions) == 0 || slices.Contains(q.Regions, region)) && !slices.Contains(q.ExcludeRegions, region)
+}
+
 // candidates returns the instances to compare: all that may get the request, or a random sample of
 // them if there are many. Instances that are excluded for a time are returned only if there are no
-// others. The work does not grow with the number of instances while most of them can be used.
+// others. The work does not grow with the number of instances while most of them can be used, and never
+// with the number of those in regions that the query does not allow.
 func (p *Placer) candidates(now time.Time, q Query) []*catalog.Instance {
 	g := p.groups[q.Service]
 	if g == nil {
 		return nil
 	}
+	near, far := g.allowed(&q, p.self, p.lists[:0])
+	p.lists = far
 	s := sampler{p: p, now: now, q: q}
-	if len(g.near)+len(g.far) <= nearCandidates {
-		s.add(g.near, nearCandidates)
-		s.add(g.far, nearCandidates)
+	s.add(nearCandidates, near)
+	if len(near)+total(far) <= nearCandidates {
+		s.add(nearCandidates, far...)
 	} else {
-		s.add(g.near, nearCandidates)
-		s.add(g.far, farCandidates)
+		s.add(farCandidates, far...)
 	}
 	if len(s.available) == 0 {
 		return s.excluded
@@ -64,16 +114,11 @@
 	available, excluded []*catalog.Instance
 }
 
-// add draws instances of the list at random until n of them are available, or none is left. It
-// reorders the list.
-func (s *sampler) add(list []*catalog.Instance, n int) {
-	for i := range list {
-		if n == 0 {
-			return
-		}
-		j := i + s.p.random.IntN(len(list)-i)
-		list[i], list[j] = list[j], list[i]
-		inst := list[i]
+// add draws instances of all lists together at random until n of them are available, or none is left.
+// It reorders the lists.
+func (s *sampler) add(n int, lists ...[]*catalog.Instance) {
+	for left := total(lists); left > 0 && n > 0; left-- {
+		inst := draw(lists, s.p.random.IntN(left))
 		stats := s.p.stats[inst.ID]
 		switch {
 		case contains(s.q.Exclude, inst.ID) || s.p.unreachable[inst.Host()] || stats.leaving:
@@ -86,6 +131,29 @@
 	}
 }
 
+// total returns the number of instances in all lists.
+func total(lists [][]*catalog.Instance) int {
+	n := 0
+	for _, list := range lists {
+		n += len(list)
+	}
+	return n
+}
+
+// draw removes the instance at an index into all lists together and returns it. It changes the slices in
+// lists, and the order of the elements of the list with the instance.
+func draw(lists [][]*catalog.Instance, index int) *catalog.Instance {
+	for i, list := range lists {
+		if index < len(list) {
+			list[0], list[index] = list[index], list[0]
+			lists[i] = list[1:]
+			return list[0]
+		}
+		index -= len(list)
+	}
+	return nil // not reached: the index is below the number of all instances
+}
+
 func contains(list []model.InstanceID, id model.InstanceID) bool {
 	for _, other := range list {
 		if other == id {
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -161,6 +161,7 @@
 	random *rand.Rand
 	view   *catalog.View
 	groups map[string]*group
+	lists  [][]*catalog.Instance // buffer of candidates
 	stats  map[model.InstanceID]*instanceStats
 	runs   map[string]*routeAverages
 	means  map[string]float64 // mean run time by service, in nanoseconds
@@ -214,6 +215,11 @@
 		}
 	}
 	p.warmUpEnd = warmUpEnd
+	if v.Table != nil && v.Table.Regional() {
+		for _, g := range p.groups {
+			g.indexRegions()
+		}
+	}
 }
 
 // SetLink sets the name of this daemon's host and the rate of its link in bits per second. The
@@ -267,6 +273,10 @@
 	Bytes int
 	// Exclude lists instances that must not be chosen.
 	Exclude []model.InstanceID
+	// Regions lists the only regions whose instances may be chosen; empty means all regions.
+	Regions []string
+	// ExcludeRegions lists regions whose instances must not be chosen.
+	ExcludeRegions []string
 }
 
 // Choice is a chosen instance. The request ends with a call of Done.
