Keep requests of a route with a list in the listed regions

The ingress passes no regions to the placer, and no daemon checks the region of a job.

Change: each attempt (first, repeat or nested) is placed by the list in the table in force at that time. The guard refuses as region_not_allowed, not run, a job whose route does not list its region in its own table: on arrival, in the queue as soon as such a table takes effect, before the body and before the upstream. The sender then leaves out that region for the request, without counting a refusal, and excludes no instance. It does not send a deferred body once its own table excludes the region. Without a usable instance in the listed regions the answer is 503, not run, with a Retry-After.

--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -62,6 +62,9 @@
 	UpstreamFailed Kind = "upstream_failed" // the upstream or its daemon is unreachable, or its response is invalid
 	Cut            Kind = "cut"             // the call was cut off: a connection broke, a body stalled or the daemon stopped
 	TooLarge       Kind = "too_large"       // the headers or the body are too large
+	// RegionNotAllowed is the refusal by a daemon whose region the route does not list. It is sent only
+	// between daemons, or if no other region is left.
+	RegionNotAllowed Kind = "region_not_allowed"
 	// NoSlot is the response to a call with HeaderNoWait if no slot is free. It is sent only
 	// between daemons.
 	NoSlot Kind = "no_slot"
@@ -114,7 +117,7 @@
 	NotOwner: http.StatusServiceUnavailable, InternalOnly: http.StatusForbidden,
 	BadRequest: http.StatusBadRequest, UpstreamFailed: http.StatusBadGateway,
 	Cut: http.StatusBadGateway, TooLarge: http.StatusRequestHeaderFieldsTooLarge,
-	NoSlot: http.StatusServiceUnavailable,
+	NoSlot: http.StatusServiceUnavailable, RegionNotAllowed: http.StatusServiceUnavailable,
 }
 
 // StatusCode returns the HTTP status code of the refusal.
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -54,7 +54,7 @@
 	// request does not cost its bytes, and one that breaks before cannot have run it.
 	Confirm bool
 	// Abandoned reports whether the answer is of no use any more; it is asked right before the
-	// first byte is sent, and may be nil.
+	// first byte is sent and, with Confirm, before the body is. It may be nil.
 	Abandoned func() bool
 	// Answering is called when the head of the answer has arrived; it may be nil.
 	Answering func()
@@ -205,7 +205,11 @@
 	head, body := x.head(), x.request.Body
 	if x.request.Confirm {
 		x.held = len(body) > 0
-		if err := x.confirm(head); err != nil || x.refused != nil {
+		err := x.confirm(head)
+		if err == nil && x.refused == nil && x.request.Abandoned != nil && x.request.Abandoned() {
+			err = ErrAbandoned
+		}
+		if err != nil || x.refused != nil {
 			done <- err
 			return done, func() {}
 		}
--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -140,7 +140,9 @@
 	if verdict == quarantine.Refused {
 		return Result{Refusal: quarantinedRefusal()}, false
 	}
+	regions := i.allowedRegions(req)
 	choice, ok := i.placer.Choose(now, placement.Query{
+		Regions: regions, ExcludeRegions: req.refusedRegions,
 		Service: req.service, Route: req.route.Name, Exclude: req.excluded(), Slack: req.goal.Sub(now), Remaining: req.deadline.Sub(now),
 		Bytes: len(req.job.Body) + headerBytesEstimate, DeferredBody: req.job.deferBody(),
 	})
@@ -148,7 +150,7 @@
 		return Result{Refusal: i.tooLittleTime()}, false
 	}
 	if !ok {
-		return Result{Refusal: notRun(refusal.NoInstance, "no live instance of "+req.service+" can be reached; try again", noInstanceRetry)}, false
+		return Result{Refusal: noInstance(req.service, regions)}, false
 	}
 	job := req.job
 	job.Instance, job.Limit = choice.Instance.ID, choice.Limit
@@ -162,7 +164,12 @@
 	// The request may wait at an instance that is the best choice although it is known to be full.
 	// An instance that seems to have a free slot is tried without waiting.
 	job.MayWait = req.mayQueue() && (choice.Wait > placement.FreeSlotWait || req.refusals >= retry.FreeSlotAttempts)
+	region := choice.Instance.Place.Region
+	job.Withdrawn = func() bool { return !i.allows(req, region) }
 	res := i.sender.Send(ctx, &job, choice.Instance)
+	if res.regionNotAllowed() {
+		req.refusedRegions = append(req.refusedRegions, region)
+	}
 	if res.Unreachable && res.Arrived && ctx.Err() == nil {
 		i.sender.guard.suspects.recordLoss(time.Now(), &job, run)
 	}
@@ -190,7 +197,7 @@
 		// Earlier refusals are out of date after the time of the run.
 		req.daemonEnded, req.refusals, req.queueFull = true, 0, nil
 	}
-	if !res.Arrived {
+	if !res.Arrived && !res.regionNotAllowed() {
 		req.refusals++
 	}
 	switch full := res.Refusal.Kind == refusal.Overloaded && !res.Arrived; {
@@ -209,6 +216,12 @@
 	return r.Refusal != nil && r.Refusal.Kind == refusal.Cut && r.Refusal.Run == refusal.MayHaveRun && r.Arrived && !r.Unreachable
 }
 
+// regionNotAllowed reports whether the job was refused because the route does not list the instance's
+// region. It is then not sent to that region again, so that such refusals need no other bound.
+func (r *Result) regionNotAllowed() bool {
+	return r.Refusal != nil && r.Refusal.Kind == refusal.RegionNotAllowed && r.Refusal.Run == refusal.NotRun && !r.Arrived
+}
+
 // bytes returns the size of the response body.
 func (r *Result) bytes() int {
 	if r.Response == nil {
@@ -234,7 +247,7 @@
 		return placement.Cancelled
 	case res.Refusal.Kind == refusal.Leaving, res.Refusal.Kind == refusal.NoInstance:
 		return placement.Leaving
-	case res.Refusal.Run == refusal.NotRun && !res.Arrived && res.Refusal.Kind == refusal.Overloaded:
+	case res.Refusal.Run == refusal.NotRun && !res.Arrived && res.Refusal.Kind == refusal.Overloaded, res.regionNotAllowed():
 		return placement.Refused
 	case res.Refusal.Kind == refusal.UpstreamFailed && !res.Arrived:
 		return placement.Unreachable
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -134,6 +134,7 @@
 	seed := uint64(now.UnixNano()) ^ uint64(os.Getpid())<<48
 	d.fleet = NewFleet(d.log, d.applyView)
 	d.guard = NewGuard(s.Upstream.Address, d.platform.Headers, d.platform.Answers, log)
+	d.guard.region = s.Instance.Region
 	d.placer = placement.New(s.Place(), placement.DefaultCosts, seed)
 	d.placer.SetLink(hostOf(s.Listen.ForwardAddress), s.Limits.LinkMbps*1e6)
 	d.budget = retry.NewFleetBudget(retry.FleetRules{
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -17,6 +17,7 @@
 	"mangoshed.example/mangoshed/core/model"
 	"mangoshed.example/mangoshed/core/quarantine"
 	"mangoshed.example/mangoshed/core/refusal"
+	"mangoshed.example/mangoshed/core/route"
 	"mangoshed.example/mangoshed/pkg/exchange"
 )
 
@@ -49,6 +50,9 @@
 // admitted requests and blocks those that crash the upstream. It is safe for concurrent use.
 type Guard struct {
 	address string
+	region  string // of this daemon
+	// table is the route table in force; nil until the first one arrives.
+	table   atomic.Pointer[route.Table]
 	headers Headers
 	client  *exchange.Client
 	log     *requestLog
@@ -74,6 +78,8 @@
 	downUntil time.Time
 	stopping  bool
 	timer     *time.Timer
+	// tableChanged is closed and replaced when a table takes effect that has a list of regions.
+	tableChanged chan struct{}
 }
 
 // NewGuard returns a guard for the upstream at the address. budget limits the memory for responses
@@ -81,7 +87,7 @@
 func NewGuard(address string, headers Headers, budget *exchange.Budget, log *requestLog) *Guard {
 	g := &Guard{
 		suspects: newSuspects(log.log), address: address, headers: headers, log: log, queue: intake.New(0), departed: make(map[model.InstanceID]time.Time),
-		runs:   newRuns(),
+		runs: newRuns(), tableChanged: make(chan struct{}),
 		client: exchange.NewClient(exchange.Config{RequestID: headers.RequestID, DialTimeout: upstreamDialTimeout, Budget: budget}),
 	}
 	g.timer = time.AfterFunc(time.Hour, g.tick)
@@ -96,6 +102,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.setTable(v.Table)
 	current, listed := g.listedInstance(v)
 	g.checkReplaced(now, g.instance, current)
 	if g.instance != nil && (!listed || current.ID != g.instance.ID) {
@@ -236,11 +243,20 @@
 	if refused := g.admit(ctx, j, call); refused != nil {
 		return Result{Refusal: refused}
 	}
+	if refused := g.checkRegion(j); refused != nil {
+		g.withdraw(call)
+		return Result{Refusal: refused}
+	}
 	started := time.Now()
 	if refused, ok := g.loadBody(j, call); !ok {
 		g.withdraw(call)
 		return refused
 	}
+	// A table may have taken effect during the wait for the body.
+	if refused := g.checkRegion(j); refused != nil {
+		g.withdraw(call)
+		return Result{Refusal: refused}
+	}
 	res := g.sendUnlessBlocked(ctx, j, started)
 	now := time.Now()
 	g.mu.Lock()
@@ -296,6 +312,7 @@
 	g.mu.Lock()
 	refused := g.checkBeforeAdmission(now, j)
 	g.adoptLimit(now, j)
+	tableChanged := g.tableChanged
 	var verdict intake.Verdict
 	var retryAfter time.Duration
 	if refused == nil {
@@ -308,27 +325,33 @@
 		return refused
 	}
 	if verdict == intake.Waiting {
-		if verdict, retryAfter = g.wait(ctx, call, decided); verdict == intake.Started {
+		if verdict, retryAfter = g.wait(ctx, j, call, decided, tableChanged); verdict == intake.Started {
 			return nil
 		}
+		if refused = g.checkRegion(j); refused != nil {
+			return refused
+		}
 	}
 	return refusalFor(verdict, retryAfter)
 }
 
-// wait waits for the verdict on a queued call. If the context ends first, the call is removed
-// from the queue.
-func (g *Guard) wait(ctx context.Context, call *intake.Call, decided <-chan intake.Verdict) (intake.Verdict, time.Duration) {
+// wait waits for the verdict on a queued call. If the context ends first, or a table takes effect that
+// does not allow the job in this region, the call is removed from the queue.
+func (g *Guard) wait(ctx context.Context, j *Job, call *intake.Call, decided <-chan intake.Verdict, tableChanged <-chan struct{}) (intake.Verdict, time.Duration) {
 	var verdict intake.Verdict
-	select {
-	case verdict = <-decided:
-	case <-ctx.Done():
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		now := time.Now()
-		if !g.queue.Cancel(now, call) && <-decided == intake.Started {
-			g.queue.Done(now, call, false)
+	for waiting := true; waiting; {
+		select {
+		case verdict = <-decided:
+			waiting = false
+		case <-tableChanged:
+			if tableChanged = g.followTable(); g.checkRegion(j) != nil {
+				g.cancel(call, decided)
+				return intake.Overloaded, 0
+			}
+		case <-ctx.Done():
+			g.cancel(call, decided)
+			return intake.Overloaded, 0
 		}
-		return intake.Overloaded, 0
 	}
 	if verdict == intake.Started {
 		return verdict, 0
@@ -338,9 +361,23 @@
 	return verdict, g.queue.RetryAfter(time.Now(), call)
 }
 
-// checkBeforeAdmission refuses a job whose deadline has passed, whose instance is leaving or no
-// longer at the address, or whose upstream is down. The caller holds the mutex.
+// cancel removes a queued call from the queue, or frees its slot if it has got one meanwhile.
+func (g *Guard) cancel(call *intake.Call, decided <-chan intake.Verdict) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if !g.queue.Cancel(now, call) && <-decided == intake.Started {
+		g.queue.Done(now, call, false)
+	}
+}
+
+// checkBeforeAdmission refuses a job whose deadline has passed, that the table in force does not allow in
+// this region, whose instance is leaving or no longer at the address, or whose upstream is down. The
+// caller holds the mutex.
 func (g *Guard) checkBeforeAdmission(now time.Time, j *Job) *refusal.Refusal {
+	if refused := g.checkRegion(j); refused != nil {
+		return refused
+	}
 	switch {
 	case !now.Before(j.Deadline):
 		return notRun(refusal.Deadline, "allow more time", 0)
@@ -381,7 +418,7 @@
 	request := g.request(j)
 	started := time.Now()
 	resp, err := g.client.Do(ctx, request)
-	if j.MayRepeat && reusedConnFailed(err) && ctx.Err() == nil && time.Since(started) < immediateFailureLimit {
+	if j.MayRepeat && reusedConnFailed(err) && ctx.Err() == nil && time.Since(started) < immediateFailureLimit && g.checkRegion(j) == nil {
 		request.MaxIdle = -1
 		g.chargeResend()
 		resp, resendErr := g.client.Do(ctx, request)
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -108,6 +108,9 @@
 	refusals int
 	// queueFull are the instances whose queue had no room for the request.
 	queueFull []model.InstanceID
+	// refusedRegions are the regions whose daemons have refused the request because the route does not
+	// list them.
+	refusedRegions []string
 	// failed are the other instances to which the request is not sent again, because an attempt
 	// failed there.
 	failed       []model.InstanceID
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -70,6 +70,9 @@
 	ReadBody func(by time.Time) ([]byte, error)
 	// Disconnected reports whether the sender has disconnected. It is nil if the context covers that.
 	Disconnected func() bool
+	// Withdrawn reports whether the table in force at the sender no longer allows the instance's region.
+	// It is nil at the receiver.
+	Withdrawn func() bool
 }
 
 // Result is the outcome of a job. Exactly one of Response and Refusal is set.
@@ -124,10 +127,15 @@
 	}
 	return &exchange.Request{
 		Address: address, Method: j.Method, Target: j.Target, Host: j.Host, Header: h, Body: j.Body, HasBody: j.HasBody, ID: j.ID,
-		MaxIdle: peerIdle, Confirm: j.deferBody(), Abandoned: j.Disconnected,
+		MaxIdle: peerIdle, Confirm: j.deferBody(), Abandoned: j.abandoned,
 	}
 }
 
+// abandoned reports whether the job must not be sent any more.
+func (j *Job) abandoned() bool {
+	return j.Disconnected != nil && j.Disconnected() || j.Withdrawn != nil && j.Withdrawn()
+}
+
 // deferBody reports whether the body is sent only after the other daemon has a slot for the job.
 // Sending a large body to a full instance wastes bandwidth. A request that may not run twice
 // certainly has not run if the other daemon fails before the body was sent.
--- a/pkg/mesh/sender.go
+++ b/pkg/mesh/sender.go
@@ -72,6 +72,9 @@
 	defer s.removeWaiting(inst.ForwardAddr, j.ID)
 	now := time.Now()
 	resp, err := s.client.Do(ctx, j.encode(now, inst.ForwardAddr, s.fleet.View().Revision, s.guard.suspects.gossip(now, s.blockedBy(inst.ForwardAddr))))
+	if errors.Is(err, exchange.ErrAbandoned) && j.Withdrawn != nil && j.Withdrawn() {
+		return Result{Refusal: regionRefusal(inst.Place.Region)}
+	}
 	if errors.Is(err, exchange.ErrAbandoned) {
 		return Result{Refusal: notRun(refusal.Cut, "the caller has disconnected", 0)}
 	}
