Take a response that ends with its connection as whole only after the whole request

Callers could get a part of a response as a complete one: an upstream that answers a long request at once without a length and resets the connection makes the write fail, and the read then sees an ordinary end. Statuses below 100 counted as interim responses, which kept the connection waiting, and those above 599 were passed on.

The error of the write now counts for such a response, and a status outside of 100 to 599 ends the exchange as one that may have run.

--- a/pkg/exchange/answer.go
+++ b/pkg/exchange/answer.go
@@ -33,6 +33,7 @@
 		if err != nil {
 			return nil, true, err
 		}
+		x.endsWithConn = !framed(head) && head.Body != http.NoBody
 		x.conn.lifetime = parseKeepAlive(head.Header.Get("Keep-Alive"))
 		x.reusable = !head.Close && framed(head) && x.conn.reader.Buffered() == 0
 		return &Response{Status: head.StatusCode, Header: head.Header, Body: body, held: held}, true, nil
@@ -45,6 +46,11 @@
 	return head.ContentLength >= 0 || len(head.TransferEncoding) > 0
 }
 
+// validStatus reports whether HTTP defines the class of a status. A status below 100 is no interim one.
+func validStatus(status int) bool {
+	return status >= http.StatusContinue && status < 600
+}
+
 // unusable returns an error if an answer cannot be that to any request: it names none, although answers
 // repeat the ID of their request, or it leaves the protocol.
 func (x *transfer) unusable(head *http.Response) error {
@@ -85,6 +91,10 @@
 			}
 			return nil, buffered || source.taken > 0, err
 		}
+		if !validStatus(resp.StatusCode) {
+			x.closeBody(resp, errStatus)
+			return nil, true, errStatus
+		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 			return resp, true, nil
 		}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -33,6 +33,8 @@
 	errClosing = errors.New("the connection ends with the answer to another request")
 	errUnnamed = errors.New("the answer does not name its request; let the peer repeat the request's ID")
 	errSwitch  = errors.New("the peer switches protocols, which nobody asked for; let it answer in HTTP/1.1")
+	errStatus  = errors.New("the status of the answer is not between 100 and 599")
+	errCut     = errors.New("the connection ended before the request was written; let the peer read the request, or announce the length of its answer")
 )
 
 // Request is one request. The body is held in memory, so that it can be sent again.
@@ -149,6 +151,8 @@
 	conn     *conn
 	request  *Request
 	reusable bool
+	// endsWithConn is set if only the end of the connection shows where the answer ends.
+	endsWithConn bool
 	// refused is the final answer of a peer that did not ask for the body; held says that the
 	// peer has not got the body.
 	refused *http.Response
@@ -175,6 +179,12 @@
 		return nil, &Error{Reused: x.conn.used, Err: <-written}
 	}
 	resp, began, err := x.read()
+	if err == nil && x.endsWithConn {
+		err = x.checkWritten(written, join)
+		if err != nil {
+			resp.Release()
+		}
+	}
 	if err == nil {
 		// A whole answer counts, also if the context has ended since. The rest of a body that was answered early is not sent.
 		select {
@@ -199,8 +209,22 @@
 	return nil, &Error{Sent: !x.held, Reused: x.conn.used, Began: began, Err: err}
 }
 
+// checkWritten returns an error unless the whole request was written before the end of the connection
+// that ends the answer. If the peer resets the connection during a write, the write gets the error, and
+// the read sees an ordinary end.
+func (x *transfer) checkWritten(written chan error, join func()) error {
+	_ = x.conn.SetWriteDeadline(past)
+	join()
+	err := <-written
+	written <- err
+	if err != nil {
+		return fmt.Errorf("%w: %w", errCut, err)
+	}
+	return nil
+}
+
 // write sends the request. Its error arrives on the channel; join waits for the writer.
-func (x *transfer) write() (<-chan error, func()) {
+func (x *transfer) write() (chan error, func()) {
 	done := make(chan error, 1)
 	head, body := x.head(), x.request.Body
 	if x.request.Confirm {
@@ -237,6 +261,10 @@
 		if err != nil {
 			return err
 		}
+		if !validStatus(resp.StatusCode) {
+			x.closeBody(resp, errStatus)
+			return errStatus
+		}
 		if resp.StatusCode >= http.StatusOK {
 			x.refused = resp // readBody closes it
 			return nil
--- a/pkg/exchange/faulty_peer_test.go
+++ b/pkg/exchange/faulty_peer_test.go
@@ -110,3 +110,101 @@
 	require.ErrorAs(t, err, &failed)
 	require.True(t, failed.Sent && failed.Began)
 }
+
+// Guards against a response that is cut by a reset while the request is still being written. The write
+// takes the error of the connection, so that the read sees an ordinary end of a response without length.
+func TestResponseCutWhileTheRequestIsWrittenIsNotWhole(t *testing.T) {
+	const plays = 25 // the reset reached the write first in about nine of ten plays
+	body := make([]byte, 16<<20)
+	for range plays {
+		address := peer(t, func(c net.Conn, r *bufio.Reader) {
+			_, err := http.ReadRequest(r)
+			require.NoError(t, err)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\na part of the body")
+			require.NoError(t, c.(*net.TCPConn).SetLinger(0)) // the close resets the connection
+		})
+		x := client()
+		r := get(address, "1")
+		r.Method, r.Body, r.HasBody = http.MethodPost, body, true
+		resp, err := x.Do(context.Background(), r)
+		x.Close()
+		require.Nil(t, resp)
+		var failed *Error
+		require.ErrorAs(t, err, &failed)
+		require.True(t, failed.Sent && failed.Began, "the request may have run")
+	}
+}
+
+// Guards against a response that ends with its connection before the request has been written and counts
+// as whole: whether the peer closed the connection or lost it can no longer be told.
+func TestResponseWithoutLengthToAnUnfinishedRequestIsNotWhole(t *testing.T) {
+	read := make(chan struct{})
+	address := peer(t, func(c net.Conn, r *bufio.Reader) {
+		_, err := http.ReadRequest(r)
+		require.NoError(t, err)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nearly")
+		require.NoError(t, c.(*net.TCPConn).CloseWrite())
+		<-read
+	})
+	defer close(read)
+	x := client()
+	defer x.Close()
+	r := get(address, "1")
+	r.Method, r.Body, r.HasBody = http.MethodPost, make([]byte, 64<<20), true
+	_, err := x.Do(context.Background(), r)
+	var failed *Error
+	require.ErrorAs(t, err, &failed)
+	require.True(t, failed.Sent && failed.Began)
+}
+
+// Guards against a response without length to a long request that was read as a whole: it is complete.
+func TestResponseWithoutLengthToALongRequest(t *testing.T) {
+	address := peer(t, func(c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, req.Body)
+		require.NoError(t, err)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nwhole")
+	})
+	x := client()
+	defer x.Close()
+	r := get(address, "1")
+	r.Method, r.Body, r.HasBody = http.MethodPost, make([]byte, 16<<20), true
+	resp, err := x.Do(context.Background(), r)
+	require.NoError(t, err)
+	require.Equal(t, "whole", string(resp.Body))
+}
+
+// Guards against a status that HTTP does not define: below 100 it was taken for an interim response, so
+// that the client waited for another one, and above 599 it was passed on.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999"} {
+		for name, next := range map[string]string{"alone": "", "before another response": "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 2\r\n\r\nok"} {
+			_, err := doTwice(t, "HTTP/1.1 "+status+" X\r\nX-Id: 2\r\nContent-Length: 0\r\n\r\n"+next)
+			var failed *Error
+			require.ErrorAs(t, err, &failed, "%s %s", status, name)
+			require.True(t, failed.Sent && failed.Began, "%s %s", status, name)
+			require.ErrorIs(t, err, errStatus, "%s %s", status, name)
+
+		}
+	}
+}
+
+// Guards against an invalid status in place of the interim response that asks for the body.
+func TestInvalidStatusDoesNotAskForTheBody(t *testing.T) {
+	for _, status := range []string{"000", "600"} {
+		address := peer(t, func(c net.Conn, r *bufio.Reader) {
+			_, err := http.ReadRequest(r)
+			require.NoError(t, err)
+			_, _ = io.WriteString(c, "HTTP/1.1 "+status+" X\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n")
+		})
+		x := client()
+		r := get(address, "1")
+		r.Method, r.Body, r.HasBody, r.Confirm = http.MethodPost, []byte("body"), true, true
+		_, err := x.Do(context.Background(), r)
+		x.Close()
+		var failed *Error
+		require.ErrorAs(t, err, &failed, status)
+		require.False(t, failed.Sent, status)
+	}
+}
