Read evacuations of data centres from the store

Part 2 of docs/load-requirements.md: while an item op/evacuate/NAME exists, nothing may be sent to the upstreams of that data centre. The adapter ignored such items.

It now decodes them into catalog.State, and the catalog keeps the evacuated data centres with the revision of their last change and lists them in its view. Several changes in one answer count in the order of their revisions.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -65,6 +65,8 @@
 	// TableProblem describes why the stored route table is invalid.
 	TableProblem string
 	Entries      []Entry
+	// Evacuations are the evacuated data centres, and in an update those whose evacuation has ended.
+	Evacuations []Evacuation
 }
 
 // View is an immutable view of the fleet at a store revision.
@@ -78,6 +80,9 @@
 	// written the entry. Daemons pass them on to each other, because a later table may name the
 	// services.
 	Unnamed []Instance
+	// Evacuated are the evacuated data centres, sorted by name. The settings of a daemon need not know
+	// them.
+	Evacuated []Evacuation
 }
 
 // ByID returns the instance with the given ID.
@@ -161,11 +166,15 @@
 	revision  uint64
 	table     *route.Table
 	instances map[model.InstanceID]*record
-	outage    outage
+	// evacuations holds the revision of the last known change of each evacuated data centre.
+	evacuations map[string]uint64
+	outage      outage
 }
 
 // New returns an empty catalog.
-func New() *Catalog { return &Catalog{instances: make(map[model.InstanceID]*record)} }
+func New() *Catalog {
+	return &Catalog{instances: make(map[model.InstanceID]*record), evacuations: make(map[string]uint64)}
+}
 
 // Revision returns the highest store revision that the catalog includes.
 func (c *Catalog) Revision() uint64 { return c.revision }
@@ -177,8 +186,8 @@
 	c.outage = outage{revision, now.Add(recoveryGrace)}
 }
 
-// Replace applies a snapshot: instances that it does not contain are removed. It reports whether
-// the view changed.
+// Replace applies a snapshot: instances that it does not contain are removed, and evacuations that it
+// does not contain end. It reports whether the view changed.
 func (c *Catalog) Replace(now time.Time, s State) bool {
 	if s.Revision < c.revision {
 		return false
@@ -193,6 +202,7 @@
 			changed = c.remove(now, id, s.Revision) || changed
 		}
 	}
+	changed = c.endUnlistedEvacuations(s) || changed
 	return c.apply(now, s) || changed
 }
 
@@ -204,7 +214,7 @@
 	return c.apply(now, s)
 }
 
-// apply applies the entries and the table of s that are newer than those of the catalog.
+// apply applies the entries, the evacuations and the table of s that are newer than those of the catalog.
 func (c *Catalog) apply(now time.Time, s State) bool {
 	changed := false
 	for _, e := range s.Entries {
@@ -218,6 +228,7 @@
 		}
 		changed = c.upsert(e, h) || changed
 	}
+	changed = c.applyEvacuations(s) || changed
 	if s.Table != nil && (c.table == nil || s.Table.Version > c.table.Version) {
 		c.table = s.Table
 		changed = true
@@ -292,7 +303,7 @@
 // address: that instance has stopped, although the store lists it until its entry expires. An
 // instance of a service that the table does not name succeeds no other one.
 func (c *Catalog) View() *View {
-	v := &View{Revision: c.revision, Table: c.table, Instances: make([]Instance, 0, len(c.instances))}
+	v := &View{Revision: c.revision, Table: c.table, Instances: make([]Instance, 0, len(c.instances)), Evacuated: c.evacuated()}
 	named := c.namedServices()
 	latest := make(map[string]*record, len(c.instances))
 	for _, h := range c.instances {
