Pass evacuations between daemons

A daemon that starts from the state of another one, or gets a feed, had no evacuations in its view: only the readers of the store did.

The full state and the first frame of a feed now list the evacuated data centres with their revisions, and a later frame what has begun, changed or ended. A daemon that loses its reader gets everything with the first frame of the next one.

--- a/pkg/mesh/change.go
+++ b/pkg/mesh/change.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -11,7 +12,8 @@
 
 // change is the difference between two views, as a frame of a feed carries it.
 type change struct {
-	// Whole is set if Put contains all instances that the view lists, used or not.
+	// Whole is set if Put contains all instances that the view lists, used or not, and Evacuations all
+	// evacuated data centres.
 	Whole bool               `cbor:"1,keyasint,omitempty"`
 	Table *peerTable         `cbor:"2,keyasint,omitempty"`
 	Delta *route.Delta       `cbor:"3,keyasint,omitempty"`
@@ -19,11 +21,13 @@
 	Gone  []model.InstanceID `cbor:"5,keyasint,omitempty"`
 	// Lapses holds the remaining times of the instances in Put that are to be removed.
 	Lapses removalDelays `cbor:"6,keyasint,omitempty"`
+	// Evacuations are those that have changed, including those that have ended.
+	Evacuations []catalog.Evacuation `cbor:"7,keyasint,omitempty"`
 }
 
 // empty reports whether the change contains no difference.
 func (c *change) empty() bool {
-	return !c.Whole && c.Table == nil && c.Delta == nil && len(c.Put) == 0 && len(c.Gone) == 0
+	return !c.Whole && c.Table == nil && c.Delta == nil && len(c.Put) == 0 && len(c.Gone) == 0 && len(c.Evacuations) == 0
 }
 
 // pack encodes and compresses a change. It returns nil for an empty one.
@@ -46,7 +50,7 @@
 
 // state converts the change to an update of the given view.
 func (c *change) state(view *catalog.View, revision uint64) (catalog.State, error) {
-	s := catalog.State{Revision: revision}
+	s := catalog.State{Revision: revision, Evacuations: c.Evacuations}
 	var err error
 	switch {
 	case c.Table != nil:
@@ -90,9 +94,26 @@
 		}
 	}
 	c.Lapses = removalDelaysOf(time.Now(), c.Put)
+	c.Evacuations = diffEvacuations(sent, current)
 	return c
 }
 
+// diffEvacuations returns the evacuations that have begun, changed or ended between two views.
+func diffEvacuations(sent, current *catalog.View) []catalog.Evacuation {
+	var list []catalog.Evacuation
+	for _, e := range current.Evacuated {
+		if !slices.Contains(sent.Evacuated, e) {
+			list = append(list, e)
+		}
+	}
+	for _, e := range sent.Evacuated {
+		if !current.IsEvacuated(e.DataCentre) {
+			list = append(list, catalog.Evacuation{DataCentre: e.DataCentre, Revision: current.Revision, Ended: true})
+		}
+	}
+	return list
+}
+
 // packer encodes the changes for all feeds of a reader. It caches the last change, because most
 // feeds are at the same view. It is safe for concurrent use.
 type packer struct {
@@ -128,7 +149,7 @@
 		c.Table = encodeTable(current.Table)
 	}
 	if revision > peerRevision {
-		c.Whole, c.Put = true, current.AllListed()
+		c.Whole, c.Put, c.Evacuations = true, current.AllListed(), current.Evacuated
 		c.Lapses = removalDelaysOf(time.Now(), c.Put)
 	}
 	return c
--- a/pkg/mesh/meshtest/store.go
+++ b/pkg/mesh/meshtest/store.go
@@ -23,20 +23,22 @@
 	revision uint64
 	table    *route.Table
 	entries  map[model.InstanceID]catalog.Entry
-	history  []catalog.State // a change for each revision
-	first    uint64          // lowest revision that a watch may start after
-	down     bool
-	silent   bool
-	transfer time.Duration
-	listTime time.Duration
-	changed  chan struct{}
+	// evacuated holds the items of evacuated data centres.
+	evacuated map[string]catalog.Evacuation
+	history   []catalog.State // a change for each revision
+	first     uint64          // lowest revision that a watch may start after
+	down      bool
+	silent    bool
+	transfer  time.Duration
+	listTime  time.Duration
+	changed   chan struct{}
 	// lists and watches count the calls.
 	lists, watches int
 }
 
 // NewStore returns an empty store at revision 1.
 func NewStore() *Store {
-	return &Store{revision: 1, first: 1, entries: make(map[model.InstanceID]catalog.Entry), changed: make(chan struct{})}
+	return &Store{revision: 1, first: 1, entries: make(map[model.InstanceID]catalog.Entry), evacuated: make(map[string]catalog.Evacuation), changed: make(chan struct{})}
 }
 
 // change appends a change. The caller holds the mutex.
@@ -46,6 +48,9 @@
 	for i := range c.Entries {
 		c.Entries[i].Revision = s.revision
 	}
+	for i := range c.Evacuations {
+		c.Evacuations[i].Revision = s.revision
+	}
 	s.history = append(s.history, c)
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -86,6 +91,22 @@
 	s.change(catalog.State{Entries: []catalog.Entry{{ID: id}}})
 }
 
+// Evacuate lists the evacuation of a data centre.
+func (s *Store) Evacuate(dataCentre string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.change(catalog.State{Evacuations: []catalog.Evacuation{{DataCentre: dataCentre}}})
+	s.evacuated[dataCentre] = catalog.Evacuation{DataCentre: dataCentre, Revision: s.revision}
+}
+
+// EndEvacuation removes the evacuation of a data centre.
+func (s *Store) EndEvacuation(dataCentre string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.evacuated, dataCentre)
+	s.change(catalog.State{Evacuations: []catalog.Evacuation{{DataCentre: dataCentre, Ended: true}}})
+}
+
 // SetDown makes every call fail, or ends that.
 func (s *Store) SetDown(down bool) {
 	s.mu.Lock()
@@ -174,6 +195,9 @@
 	for _, e := range s.entries {
 		state.Entries = append(state.Entries, e)
 	}
+	for _, e := range s.evacuated {
+		state.Evacuations = append(state.Evacuations, e)
+	}
 	return state, nil
 }
 
@@ -200,12 +224,12 @@
 	defer timer.Stop()
 	for {
 		state, changed, err := s.since(after)
-		if transfer := s.transferTime(); transfer > 0 && err == nil && (len(state.Entries) > 0 || state.Table != nil) {
+		if transfer := s.transferTime(); transfer > 0 && err == nil && hasChanges(state) {
 			answering()
 			time.Sleep(transfer)
 			return state, ctx.Err()
 		}
-		if err != nil || len(state.Entries) > 0 || state.Table != nil {
+		if err != nil || hasChanges(state) {
 			answering()
 			return state, err
 		}
@@ -224,6 +248,10 @@
 	}
 }
 
+func hasChanges(s catalog.State) bool {
+	return len(s.Entries) > 0 || len(s.Evacuations) > 0 || s.Table != nil
+}
+
 // since returns the changes after a revision, and a channel that is closed at the next one.
 func (s *Store) since(after uint64) (catalog.State, <-chan struct{}, error) {
 	s.mu.Lock()
@@ -242,6 +270,7 @@
 			continue
 		}
 		state.Entries = append(state.Entries, c.Entries...)
+		state.Evacuations = append(state.Evacuations, c.Evacuations...)
 		if c.Table != nil {
 			state.Table = c.Table
 		}
--- a/pkg/mesh/state.go
+++ b/pkg/mesh/state.go
@@ -22,6 +22,7 @@
 	Table     []byte // compressed peerTable
 	Instances []byte // compressed list of catalog.Instance
 	Lapses    removalDelays
+	Evacuated []catalog.Evacuation
 }
 
 // removalDelays holds the remaining time in milliseconds until instances are removed, for those whose
@@ -110,7 +111,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(peerState{Revision: view.Revision, Table: table, Instances: instances, Lapses: removalDelaysOf(time.Now(), listed)})
+	return cbor.Marshal(peerState{Revision: view.Revision, Table: table, Instances: instances, Lapses: removalDelaysOf(time.Now(), listed), Evacuated: view.Evacuated})
 }
 
 // pack returns the compressed form of a table, from the cache if it is the last one.
@@ -147,7 +148,7 @@
 	if err != nil {
 		return catalog.State{}, err
 	}
-	state := catalog.State{Revision: s.Revision, Table: table}
+	state := catalog.State{Revision: s.Revision, Table: table, Evacuations: s.Evacuated}
 	for i := range instances {
 		inst := &instances[i]
 		state.Entries = append(state.Entries, catalog.Entry{ID: inst.ID, Instance: inst, Revision: s.Revision})
