Choose no instances in evacuated data centres

The placer took no notice of View.Evacuated. It now leaves the instances there out of the lists that it draws from, so that they are never chosen, and a choice costs as much as before.

A report of a daemon there may come before the view: it excludes the data centre for a second.

Trial: without the check of the view TestEvacuatedDataCentreIsNeverChosen fails.

--- a/core/placement/candidates.go
+++ b/core/placement/candidates.go
@@ -7,7 +7,8 @@
 	"mangoshed.example/mangoshed/core/model"
 )
 
-// group holds the live instances of one service. The order of both lists is random: sample changes it.
+// group holds the live instances of one service outside evacuated data centres. The order of both
+// lists is random: sample changes it.
 type group struct {
 	// near are the instances of the daemon's own data centre, far those of all others.
 	near, far []*catalog.Instance
@@ -77,7 +78,7 @@
 		stats := s.p.stats[inst.ID]
 		switch {
 		case contains(s.q.Exclude, inst.ID) || s.p.unreachable[inst.Host()] || stats.leaving:
-		case s.now.Before(stats.excludedUntil):
+		case s.now.Before(stats.excludedUntil) || s.now.Before(s.p.evacuatedUntil[inst.Place.DataCentre]):
 			s.excluded = append(s.excluded, inst)
 		default:
 			s.available = append(s.available, inst)
--- a/core/placement/learn.go
+++ b/core/placement/learn.go
@@ -17,6 +17,11 @@
 	}
 	// The report may come from the process before, if the choice is older than the present one.
 	s.leaving = s.leaving || r.Leaving && c.Instance.Incarnation == s.incarnation
+	if r.Evacuated {
+		// Without this, a request would be refused by one instance after the other until the view
+		// includes the evacuation.
+		p.evacuatedUntil[c.Instance.Place.DataCentre] = now.Add(evacuatedExclusion)
+	}
 	p.updateSlowness(now, s, route, r)
 	p.measureRoundTrip(now, c.Instance, r.RoundTrip)
 	switch r.Outcome {
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -53,6 +53,9 @@
 	// leavingExclusion is the time for which an instance whose daemon is shutting down is
 	// excluded. It is tried again afterwards, because the daemon may have restarted.
 	leavingExclusion = time.Second
+	// evacuatedExclusion is the time for which the instances of a data centre are excluded after one of
+	// its daemons has reported an evacuation. By then the view says whether it is evacuated.
+	evacuatedExclusion = time.Second
 	// suspectTime is the time for which an instance is excluded after a failure. It doubles with
 	// each further failure in a row, up to maxSuspectTime.
 	suspectTime    = 400 * time.Millisecond
@@ -126,6 +129,8 @@
 	// 0 if there is no limit. Leaving means that the instance leaves and must get no new requests.
 	Limit   float64
 	Leaving bool
+	// Evacuated means that the data centre of the instance is evacuated.
+	Evacuated bool
 }
 
 // instanceStats holds the load, slowness and failures of one instance.
@@ -171,6 +176,8 @@
 	unreachable map[string]bool
 	warmUpEnd   map[model.InstanceID]time.Time
 	roundTrips  map[model.Place]measuredRoundTrip
+	// evacuatedUntil holds the end of evacuatedExclusion by data centre.
+	evacuatedUntil map[string]time.Time
 }
 
 // New returns a placer for requests that arrive at a place. Placers with equal seeds make equal
@@ -180,10 +187,12 @@
 		self: self, costs: costs, random: rand.New(rand.NewPCG(seed, seed)), stats: make(map[model.InstanceID]*instanceStats),
 		runs: make(map[string]*routeAverages), means: make(map[string]float64), groups: make(map[string]*group), warmUpEnd: make(map[model.InstanceID]time.Time),
 		unreachable: make(map[string]bool), roundTrips: make(map[model.Place]measuredRoundTrip),
+		evacuatedUntil: make(map[string]time.Time),
 	}
 }
 
-// Update sets a new view. The statistics of instances that are in both views are kept.
+// Update sets a new view. The statistics of instances that are in both views are kept. Instances that
+// are leaving or in an evacuated data centre are never chosen, even if there are no others.
 func (p *Placer) Update(now time.Time, v *catalog.View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -209,7 +218,7 @@
 				warmUpEnd[inst.ID] = now.Add(inst.Warm)
 			}
 		}
-		if inst.State == model.Live {
+		if inst.State == model.Live && !v.IsEvacuated(inst.Place.DataCentre) {
 			p.group(inst.Service).add(inst, p.self)
 		}
 	}
