Refuse jobs for an upstream in an evacuated data centre

A sender may have an older view, and requests already wait when an evacuation begins. The guard ran both.

While the data centre of its daemon is evacuated, the guard refuses new and waiting jobs with the kind leaving, not run, also one whose body arrives only then, and a daemon that has no table yet does so as well. Running jobs finish, and admission resumes at the end.

The daemon logs evacuation_began and evacuation_ended, and /v1/status lists the evacuated data centres. One that the settings do not name is kept, has no effect and is logged once, as a warning.

Trials: without the check after the body TestBodyThatArrivesDuringAnEvacuation fails; with a queue that is closed only while the daemon stops, or open then, and with neither the closed queue nor the check of new jobs TestGuardRefusesJobsDuringAnEvacuation; with the evacuation taken only from views with a table both.

--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -134,6 +134,7 @@
 	seed := uint64(now.UnixNano()) ^ uint64(os.Getpid())<<48
 	d.fleet = NewFleet(d.log, d.applyView)
 	d.guard = NewGuard(s.Upstream.Address, d.platform.Headers, d.platform.Answers, log)
+	d.guard.dataCentre = s.Instance.DataCentre
 	d.placer = placement.New(s.Place(), placement.DefaultCosts, seed)
 	d.placer.SetLink(hostOf(s.Listen.ForwardAddress), s.Limits.LinkMbps*1e6)
 	d.budget = retry.NewFleetBudget(retry.FleetRules{
@@ -169,6 +170,7 @@
 // applyView passes a new view of the fleet to the components. The daemon is ready once a view has a
 // route table.
 func (d *Daemon) applyView(now time.Time, v *catalog.View) {
+	d.logEvacuations(d.fleet.View(), v)
 	d.guard.Update(now, v)
 	d.placer.Update(now, v)
 	d.reach.update(v)
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -52,6 +52,8 @@
 	headers Headers
 	client  *exchange.Client
 	log     *requestLog
+	// dataCentre is the data centre of the upstream.
+	dataCentre string
 
 	suspects *suspects
 	runs     *runs
@@ -73,6 +75,8 @@
 	departed  map[model.InstanceID]time.Time
 	downUntil time.Time
 	stopping  bool
+	// evacuated is set while the upstream's data centre is evacuated.
+	evacuated bool
 	timer     *time.Timer
 }
 
@@ -88,14 +92,17 @@
 	return g
 }
 
-// Update applies a new view of the fleet: it sets the upstream's instance and its number of slots. A
-// view without a table changes nothing, because it does not tell which entries name an instance.
+// Update applies a new view of the fleet: it sets the upstream's instance and its number of slots, and
+// whether its data centre is evacuated. A view without a table sets only the latter, because it does
+// not tell which entries name an instance.
 func (g *Guard) Update(now time.Time, v *catalog.View) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	defer g.openOrClose()
+	g.evacuated = v.IsEvacuated(g.dataCentre)
 	if v.Table == nil {
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	current, listed := g.listedInstance(v)
 	g.checkReplaced(now, g.instance, current)
 	if g.instance != nil && (!listed || current.ID != g.instance.ID) {
@@ -111,7 +118,12 @@
 		}
 		g.queue.Resize(now, current.Slots)
 	}
-	if g.stopping || g.leaving() {
+}
+
+// openOrClose closes the queue, which refuses what waits in it, while the upstream must get no new
+// requests. The caller holds the mutex.
+func (g *Guard) openOrClose() {
+	if g.stopping || g.evacuated || g.leaving() {
 		g.queue.Close()
 	} else {
 		g.queue.Open()
@@ -219,7 +231,7 @@
 	g.mu.Lock()
 	now := time.Now()
 	res.Load, res.Expected = g.queue.Load(now), g.queue.Expected(now, j.Route)
-	res.Limit = g.queue.Limit(now)
+	res.Limit, res.Evacuated = g.queue.Limit(now), g.evacuated
 	g.mu.Unlock()
 	if res.Refusal != nil {
 		g.log.logUpstreamRefusal(j, &res)
@@ -237,7 +249,12 @@
 		return Result{Refusal: refused}
 	}
 	started := time.Now()
-	if refused, ok := g.loadBody(j, call); !ok {
+	refused, ok := g.loadBody(j, call)
+	if ok && g.isEvacuated() {
+		// The evacuation has begun while the body was arriving.
+		refused, ok = Result{Refusal: evacuatedRefusal()}, false
+	}
+	if !ok {
 		g.withdraw(call)
 		return refused
 	}
@@ -338,12 +355,14 @@
 	return verdict, g.queue.RetryAfter(time.Now(), call)
 }
 
-// checkBeforeAdmission refuses a job whose deadline has passed, whose instance is leaving or no
-// longer at the address, or whose upstream is down. The caller holds the mutex.
+// checkBeforeAdmission refuses a job whose deadline has passed, whose instance is leaving, in an
+// evacuated data centre or no longer at the address, or whose upstream is down. The caller holds the mutex.
 func (g *Guard) checkBeforeAdmission(now time.Time, j *Job) *refusal.Refusal {
 	switch {
 	case !now.Before(j.Deadline):
 		return notRun(refusal.Deadline, "allow more time", 0)
+	case g.evacuated:
+		return evacuatedRefusal()
 	case g.stopping, g.leaving(), g.hasDeparted(now, j.Instance):
 		return notRun(refusal.Leaving, "the instance is leaving; send the request to another one", 0)
 	case now.Before(g.downUntil):
@@ -366,7 +385,7 @@
 func refusalFor(v intake.Verdict, after time.Duration) *refusal.Refusal {
 	switch v {
 	case intake.Closed:
-		return notRun(refusal.Leaving, "the instance is leaving; send the request to another one", 0)
+		return notRun(refusal.Leaving, "the instance is leaving, or its data centre is evacuated; send the request to another one", 0)
 	case intake.Busy:
 		return notRun(refusal.Overloaded, "all slots of the instance are in use", after)
 	}
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -24,6 +24,8 @@
 	headerEnds = refusal.HeaderPrefix + "Ends"
 	// headerHeld carries the time from the arrival of a job to its result, in microseconds.
 	headerHeld = refusal.HeaderPrefix + "Held"
+	// headerEvacuated is set in results if Result.Evacuated is.
+	headerEvacuated = refusal.HeaderPrefix + "Evacuated"
 )
 
 // Flags of a job in headerJob.
@@ -89,6 +91,8 @@
 	// Leaving is set if the upstream has answered this job and said that it is leaving.
 	Limit   float64
 	Leaving bool
+	// Evacuated is set if the data centre of the instance is evacuated.
+	Evacuated bool
 	// Calls are the calls that runs of the route make at this instance, nil if unknown. CallFailed is
 	// set if a call that this run made was given up.
 	Calls      retry.Calls
@@ -260,6 +264,9 @@
 	if text := encodeNotices(res.Limit, res.Leaving); text != "" {
 		h[headerNotices] = []string{text}
 	}
+	if res.Evacuated {
+		h[headerEvacuated] = []string{"1"}
+	}
 	if text := encodeCalls(res.Calls, res.CallFailed); text != "" {
 		h[headerCalls] = []string{text}
 	}
@@ -290,6 +297,7 @@
 	res := Result{Load: decodeLoad(fields[0]), Arrived: fields[2] != ""}
 	res.Limit, res.Leaving = decodeNotices(resp.Header.Get(headerNotices))
 	res.Calls, res.CallFailed = decodeCalls(resp.Header.Get(headerCalls))
+	res.Evacuated = resp.Header.Get(headerEvacuated) != ""
 	revision, _ := strconv.ParseUint(fields[1], 10, 64) // 0 if unknown
 	from := peerInfo{revision, fields[7]}
 	if us, err := strconv.ParseInt(fields[3], 10, 64); err == nil && us <= maxRunMicros {
--- a/pkg/mesh/status.go
+++ b/pkg/mesh/status.go
@@ -34,6 +34,8 @@
 	Limit float64 `json:"limit"`
 	// AnswerBytes is the size of the upstreams' responses that the daemon holds in memory.
 	AnswerBytes int64 `json:"answer_bytes"`
+	// Evacuated are the evacuated data centres, sorted by name.
+	Evacuated []EvacuatedDataCentre `json:"evacuated"`
 }
 
 // View returns the daemon's current view of the fleet.
@@ -50,7 +52,7 @@
 		Ready: d.Ready(), Revision: v.Revision, Instances: len(v.Instances), Unnamed: len(v.Unnamed),
 		Running: load.Running, Slots: load.Slots, Queued: load.Queued, AwaitingBody: d.guard.awaitingBody.Load(), Suspects: suspected, Blocked: blocked,
 		Limit:       d.guard.Limit(),
-		AnswerBytes: d.platform.Answers.Held(),
+		AnswerBytes: d.platform.Answers.Held(), Evacuated: d.evacuatedDataCentres(v),
 	}
 	if v.Table != nil {
 		s.Version, s.Routes = v.Table.Version, len(v.Table.Routes)
