Show evacuated data centres in mesh status

mangoshedctl mesh status did not show the evacuations that /v1/status lists. It has a column EVACUATED now if a daemon knows of any: names with the revision, and a mark for names that its settings lack. Without evacuations the output is as before; TestMeshStatus is unchanged.

--- a/pkg/ctl/mesh.go
+++ b/pkg/ctl/mesh.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 
@@ -32,9 +34,14 @@
 	}
 }
 
-// meshLines is the text form: one line for each daemon.
+// meshLines is the text form: one line for each daemon. The column of the evacuated data centres is left
+// out if no daemon knows of any.
 func meshLines(answers []answer[mesh.Status]) []string {
 	rows := [][]string{{"ADDRESS", "READY", "VERSION", "REVISION", "ROUTES", "INSTANCES", "LOAD", "SUSPECTS"}}
+	evacuating := slices.ContainsFunc(answers, func(a answer[mesh.Status]) bool { return a.Answer != nil && len(a.Answer.Evacuated) > 0 })
+	if evacuating {
+		rows[0] = append(rows[0], "EVACUATED")
+	}
 	for _, a := range answers {
 		s := a.Answer
 		if s == nil {
@@ -45,10 +52,29 @@
 		if s.Ready {
 			ready = "yes"
 		}
-		rows = append(rows, []string{
+		row := []string{
 			a.Address, ready, fmt.Sprint(s.Version), fmt.Sprint(s.Revision), fmt.Sprint(s.Routes), fmt.Sprint(s.Instances),
 			fmt.Sprintf("%d/%d+%d", s.Running, s.Slots, s.Queued), fmt.Sprint(s.Suspects),
-		})
+		}
+		if evacuating {
+			row = append(row, evacuatedText(s.Evacuated))
+		}
+		rows = append(rows, row)
 	}
 	return columns(rows)
 }
+
+// evacuatedText lists data centres with the revisions of their evacuations, such as "klang-a@412".
+func evacuatedText(list []mesh.EvacuatedDataCentre) string {
+	if len(list) == 0 {
+		return "-"
+	}
+	texts := make([]string, len(list))
+	for i, e := range list {
+		texts[i] = fmt.Sprintf("%s@%d", e.Name, e.Revision)
+		if e.Unknown {
+			texts[i] += " (unknown)"
+		}
+	}
+	return strings.Join(texts, ", ")
+}
--- a/pkg/ctl/mesh_test.go
+++ b/pkg/ctl/mesh_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"mangoshed.example/mangoshed/pkg/mesh"
 	"mangoshed.example/mangoshed/pkg/mesh/meshtest"
 )
 
@@ -31,3 +32,16 @@
 	require.Regexp(t, `(?m)^`+address+` +yes +7 +3 +3 +1 +0/4\+0 +0$`, out.String())
 	require.Contains(t, out.String(), "127.0.0.1:1")
 }
+
+// Guards against an operator who cannot see which data centres are evacuated, at which daemons, or that a name is wrong.
+func TestMeshStatusShowsEvacuations(t *testing.T) {
+	lines := meshLines([]answer[mesh.Status]{
+		{Address: "10.0.0.1:1", Answer: &mesh.Status{Evacuated: []mesh.EvacuatedDataCentre{{Name: "a2", Revision: 9}, {Name: "mars", Revision: 7, Unknown: true}}}},
+		{Address: "10.0.0.2:1", Answer: &mesh.Status{}},
+		{Address: "10.0.0.3:1"},
+	})
+	require.Regexp(t, `SUSPECTS +EVACUATED$`, lines[0])
+	require.Regexp(t, `^10.0.0.1:1 .* a2@9, mars@7 \(unknown\)$`, lines[1])
+	require.Regexp(t, `^10.0.0.2:1 .* -$`, lines[2])
+	require.Regexp(t, `^10.0.0.3:1 +no answer`, lines[3])
+}
