Let requests in the test of an evacuation wait for longer

TestEvacuatedDataCentreGetsNoRequests sends requests with a timeout of 2 s that wait for up to 1.2 s, so that a machine under load could make them fail by their deadline.

--- a/pkg/mesh/evacuation_fleet_test.go
+++ b/pkg/mesh/evacuation_fleet_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"mangoshed.example/mangoshed/core/catalog"
+	"mangoshed.example/mangoshed/core/route"
 	"mangoshed.example/mangoshed/pkg/mesh"
 	"mangoshed.example/mangoshed/pkg/mesh/meshtest"
 )
@@ -65,6 +66,11 @@
 // and against a data centre that stays unused afterwards.
 func TestEvacuatedDataCentreGetsNoRequests(t *testing.T) {
 	fleet, ingress, left := newFleet(t, 1, "a1", "a1")
+	patient := slowTable(t)
+	table, err := route.New(2, patient.Routes, patient.Services, patient.Limits)
+	require.NoError(t, err)
+	fleet.Store.SetTable(table)
+	awaitSynced(t, fleet)
 	seen := func() int { return len(left[0].Upstream.Seen()) + len(left[1].Upstream.Seen()) }
 	for _, m := range left {
 		m.Upstream.SetWork(400 * time.Millisecond)
