Use the pace of an upstream's host in the queue and in placement

Cause: an upstream's host may be slow for a part of a second. Run times taken as they were made such an upstream look slow for long afterwards, and nobody knew that it was slow now.

Change: the queue keeps the last reported pace with its time, learns run times at the usual pace, and multiplies its estimates by the current one; what the pace explains makes no run overdue. Reports to the placer carry both, so that it keeps the slowness and the pace apart.

--- a/core/intake/estimate.go
+++ b/core/intake/estimate.go
@@ -3,27 +3,29 @@
 import "time"
 
 // updateSlowdown compares the running calls with their estimates. When an upstream becomes slow,
-// the age of its running calls shows it long before the first of them completes.
+// the age of its running calls shows it long before the first of them completes. The age is counted at
+// the usual pace: what the pace of the host explains does not make a call overdue.
 func (q *Queue) updateSlowdown(now time.Time) {
+	q.hostPaceNow = q.hostPace.Current(now)
 	sum, n := float64(slowdownSamples), float64(slowdownSamples)
 	for _, c := range q.running {
 		e, ok := q.estimate[c.Route]
 		if !ok || e <= 0 || c.AwaitingBody {
 			continue
 		}
-		if ratio := float64(now.Sub(c.started)) / e; ratio > overdueFactor {
+		if ratio := float64(q.workDone(now, c)) / e; ratio > overdueFactor {
 			sum, n = sum+ratio, n+1
 		}
 	}
 	q.slowdown = sum / n
 }
 
-// expected returns the expected run time of the call on this upstream.
+// expected returns the expected run time of the call on this upstream at the current pace of its host.
 func (q *Queue) expected(c *Call) time.Duration {
 	if e, ok := q.estimate[c.Route]; ok {
-		return time.Duration(e * q.slowdown)
+		return q.pacedRun(time.Duration(e * q.slowdown))
 	}
-	return firstGuess(c)
+	return q.pacedRun(firstGuess(c))
 }
 
 // LatestStart returns the time from which on a run of the call could not complete before the call's
@@ -42,14 +44,17 @@
 	return defaultRun
 }
 
-// Expected returns the expected run time of a route, or 0 if no run time has been recorded.
+// Expected returns the expected run time of a route at the usual pace of the upstream's host, or 0 if no
+// run time has been recorded.
 func (q *Queue) Expected(now time.Time, route string) time.Duration {
 	q.updateSlowdown(now)
 	return time.Duration(q.estimate[route] * q.slowdown)
 }
 
-func (q *Queue) recordRun(route string, runTime time.Duration) {
-	q.recordRecentRun(route, runTime)
+// recordRun records a run: its time at the usual pace for the estimate, and the time that it took for the
+// slow run, which includes what the pace adds.
+func (q *Queue) recordRun(route string, runTime, took time.Duration) {
+	q.recordRecentRun(route, took)
 	e, ok := q.estimate[route]
 	if !ok {
 		if len(q.estimate) >= maxEstimates {
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -139,6 +139,9 @@
 	started      time.Time
 	running      bool
 	admittedLate bool
+	// work is how long the call had run at workAt, in time at the usual pace; see SetHostPace.
+	work   time.Duration
+	workAt time.Time
 }
 
 // Queue assigns the slots of one upstream to calls.
@@ -169,6 +172,9 @@
 	// start by it while slots are free; zero if the limit keeps no call waiting.
 	pace       pace
 	pacedUntil time.Time
+	// hostPace is the last pace of the upstream's host, hostPaceNow its factor as of the last event.
+	hostPace    HostPace
+	hostPaceNow float64
 }
 
 // New returns an open queue with a number of slots, or with DefaultSlots if slots is not
@@ -177,7 +183,7 @@
 	if slots <= 0 {
 		slots = DefaultSlots
 	}
-	return &Queue{slots: slots, estimate: make(map[string]float64), runHistory: make(map[string]*runHistory), lateShare: 1, slowdown: 1}
+	return &Queue{slots: slots, estimate: make(map[string]float64), runHistory: make(map[string]*runHistory), lateShare: 1, slowdown: 1, hostPaceNow: 1}
 }
 
 // Resize sets the number of slots; values that are not positive are ignored.
@@ -343,7 +349,7 @@
 	ends := q.ends[:0]
 	for _, c := range q.running {
 		run := q.expected(c)
-		ends = append(ends, max(run-now.Sub(c.started), run/remainingDivisor))
+		ends = append(ends, max(run-q.pacedRun(q.workDone(now, c)), run/remainingDivisor))
 	}
 	for range free {
 		ends = append(ends, 0)
@@ -393,7 +399,7 @@
 }
 
 func (q *Queue) start(now time.Time, c *Call) {
-	c.started, c.running = now, true
+	c.started, c.running, c.work, c.workAt = now, true, 0, time.Time{}
 	q.running = append(q.running, c)
 	q.pace.take(now)
 	if c.Nested {
@@ -401,21 +407,22 @@
 	}
 }
 
-// Done frees the slot of a started call. A completed call updates the estimate of its route's run
-// time. A call that was aborted updates it only if it had already run for longer than the
-// estimate.
-func (q *Queue) Done(now time.Time, c *Call, completed bool) {
+// Done frees the slot of a started call and returns its run time at the usual pace of the upstream's
+// host. A completed call updates the estimate of its route's run time with it. A call that was aborted
+// updates it only if it had already run for longer than the estimate.
+func (q *Queue) Done(now time.Time, c *Call, completed bool) time.Duration {
 	if !c.running {
-		return
+		return 0
 	}
 	q.release(c)
-	runTime := now.Sub(c.started)
+	work := q.workDone(now, c)
 	if known, ok := q.estimate[c.Route]; completed {
-		q.recordRun(c.Route, runTime)
-	} else if ok && float64(runTime) > known {
-		q.recordRun(c.Route, time.Duration(min(float64(runTime), incompleteRunFactor*known)))
+		q.recordRun(c.Route, work, now.Sub(c.started))
+	} else if ok && float64(work) > known {
+		q.recordRun(c.Route, time.Duration(min(float64(work), incompleteRunFactor*known)), now.Sub(c.started))
 	}
 	q.advance(now)
+	return work
 }
 
 // Withdraw frees the slot of a started call that was not passed on to the upstream.
--- a/core/loadsim/pattern.go
+++ b/core/loadsim/pattern.go
@@ -29,6 +29,11 @@
 	Instances int    `yaml:"instances"`
 	// Slots is the number of requests that an instance runs at a time.
 	Slots int `yaml:"slots"`
+	// Speeds are the factors by which the run times of instances differ, in turn over the instances. All
+	// instances are of usual speed if there are none.
+	Speeds []float64 `yaml:"speeds"`
+	// Pace is how the pace of the instances' hosts changes; nil for a constant one.
+	Pace *Pace `yaml:"pace"`
 }
 
 // Repeats are the limits on repeats over the whole fleet.
@@ -131,6 +136,9 @@
 		if s.Name == "" || services[s.Name] || s.Instances < 1 || s.Slots < 1 {
 			return &PatternError{key, "the service is not usable", "give it a name of its own, instances and slots"}
 		}
+		if err := s.validateSpeed(key); err != nil {
+			return err
+		}
 		services[s.Name] = true
 		instances += s.Instances
 	}
--- a/core/loadsim/result.go
+++ b/core/loadsim/result.go
@@ -203,14 +203,14 @@
 // capacity returns the slots of a service at a time, in slots of usual speed, and the share of requests
 // that its best instances neither refuse nor fail.
 func (p *Pattern) capacity(service Service, at time.Duration) (slots, pass float64) {
-	share, worst := float64(service.Slots*service.Instances), 1.0
+	share, worst := float64(service.Slots*service.Instances)*service.relativeSpeed(), 1.0
 	allBad := 0.0
 	for i := range p.Troubles {
 		t := &p.Troubles[i]
 		if t.Service != service.Name || !t.active(at) {
 			continue
 		}
-		hit := t.Share * float64(service.Slots*service.Instances)
+		hit := t.Share * float64(service.Slots*service.Instances) * service.relativeSpeed()
 		switch t.What {
 		case Slow:
 			share -= hit * (1 - 1/t.Factor)
--- a/core/loadsim/sim.go
+++ b/core/loadsim/sim.go
@@ -29,6 +29,8 @@
 	queue    *intake.Queue
 	meter    *retry.CallMeter
 	tickAt   time.Time // of the next scheduled tick of the queue
+	speed    float64   // factor of the run times
+	pace     *paceTrack
 }
 
 // sim is one play of a pattern.
@@ -89,6 +91,7 @@
 			index: i, instance: inst, placer: placement.New(inst.Place, placement.DefaultCosts, s.pattern.Seed+uint64(i)),
 			budget: retry.NewFleetBudget(rules, s.start), queue: intake.New(inst.Slots), meter: retry.NewCallMeter(),
 		}
+		s.setSpeed(n)
 		n.placer.SetLink(inst.Host(), 0)
 		n.placer.Update(s.start, view)
 		n.budget.SetDaemons(len(view.Instances))
--- a/core/placement/learn.go
+++ b/core/placement/learn.go
@@ -17,6 +17,7 @@
 	}
 	// The report may come from the process before, if the choice is older than the present one.
 	s.leaving = s.leaving || r.Leaving && c.Instance.Incarnation == s.incarnation
+	s.updatePace(r.Pace)
 	p.updateSlowness(now, s, route, r)
 	p.measureRoundTrip(now, c.Instance, r.RoundTrip)
 	switch r.Outcome {
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -126,6 +126,8 @@
 	// 0 if there is no limit. Leaving means that the instance leaves and must get no new requests.
 	Limit   float64
 	Leaving bool
+	// Pace is the pace of the instance's host. Run and Expected are times at the usual pace.
+	Pace intake.HostPace
 }
 
 // instanceStats holds the load, slowness and failures of one instance.
@@ -144,6 +146,9 @@
 	limit       float64
 	leaving     bool
 	incarnation uint64
+	// pace is the last known pace of the instance's host. Unlike the slowness it changes many times a
+	// second.
+	pace intake.HostPace
 }
 
 // routeAverages holds the averages over all instances for the requests of one route.
@@ -199,7 +204,7 @@
 			s = &instanceStats{slowness: 1, incarnation: inst.Incarnation}
 		}
 		if inst.Incarnation > s.incarnation {
-			s.incarnation, s.limit, s.leaving = inst.Incarnation, 0, false
+			s.incarnation, s.limit, s.leaving, s.pace = inst.Incarnation, 0, false, intake.HostPace{}
 		}
 		p.stats[inst.ID] = s
 		if inst.Warm > 0 {
@@ -337,6 +342,7 @@
 	if at, ok := p.warmUpEnd[inst.ID]; ok && now.Before(at) {
 		slowness = max(slowness, coldSlowness)
 	}
+	slowness *= s.pace.Current(now)
 	wait, busy := p.wait(now, s, inst, run*slowness)
 	roundTrip := p.roundTrip(now, inst)
 	networkTime := roundTrip
