Read load headers with four figures, and carry the pace in results

Cause: a load header of the form running,waiting,slots,pace was ignored whole, so that the slots were not learned either; TestAbsurdFiguresAreIgnored asserted that for "0,0,9,9".

Change: each figure of the header is read by itself; one that is out of range is ignored and the rest is used. Results between daemons carry the pace with its age in a header of their own, only within its lifetime; run times and expected times in results are those at the usual pace. A replaced process and the answer of another instance leave no pace behind. The status and the metric upstream_pace_percent show it.

--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -170,7 +170,7 @@
 	i.calls.Learn(req.route.Name, res.Calls)
 	i.placer.Done(time.Now(), choice, req.route.Name, placement.Report{
 		Outcome: outcome(ctx, &res), Load: res.Load, Run: res.Run, Expected: res.Expected, Bytes: res.bytes(), RoundTrip: res.RoundTrip,
-		Limit: res.Limit, Leaving: res.Leaving,
+		Limit: res.Limit, Leaving: res.Leaving, Pace: res.Pace,
 	})
 	return res, true
 }
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -219,7 +218,7 @@
 	g.mu.Lock()
 	now := time.Now()
 	res.Load, res.Expected = g.queue.Load(now), g.queue.Expected(now, j.Route)
-	res.Limit = g.queue.Limit(now)
+	res.Limit, res.Pace = g.queue.Limit(now), g.queue.HostPace()
 	g.mu.Unlock()
 	if res.Refusal != nil {
 		g.log.logUpstreamRefusal(j, &res)
@@ -244,11 +243,11 @@
 	res := g.sendUnlessBlocked(ctx, j, started)
 	now := time.Now()
 	g.mu.Lock()
-	g.queue.Done(now, call, res.Response != nil && res.Response.Status < http.StatusInternalServerError)
+	work := g.queue.Done(now, call, res.Response != nil && res.Response.Status < http.StatusInternalServerError)
 	g.schedule(now)
 	g.mu.Unlock()
 	if res.Response != nil {
-		res.Run = now.Sub(started)
+		res.Run = work
 	}
 	return res
 }
@@ -496,7 +495,7 @@
 	if resp.Status != http.StatusMisdirectedRequest {
 		g.hearNotices(now, j.Instance, resp.Header)
 	}
-	g.updateSlots(resp.Header.Get(g.headers.Load))
+	g.hearLoad(now, j.Instance, resp)
 	switch {
 	case resp.Status == http.StatusMisdirectedRequest:
 		g.markMisdirected(j.Instance)
@@ -524,22 +523,6 @@
 	g.markDeparted(id, now.Add(misdirectedTime))
 }
 
-// updateSlots sets the number of slots from the load header of the upstream, which has the form
-// "running,waiting,slots". A value of another form or out of range is ignored.
-func (g *Guard) updateSlots(load string) {
-	parts := strings.Split(load, ",")
-	if len(parts) != 3 {
-		return
-	}
-	slots, err := strconv.Atoi(strings.TrimSpace(parts[2]))
-	if err != nil || slots <= 0 || slots > catalog.MaxSlots {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.queue.Resize(time.Now(), slots)
-}
-
 // logInstance logs the instance of the local upstream, if it is known.
 func (g *Guard) logInstance(log *zap.Logger) {
 	g.mu.Lock()
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -78,10 +78,13 @@
 	Refusal  *refusal.Refusal
 	// Load is the load of the upstream. Its Slots are 0 if the load is unknown.
 	Load intake.Load
-	// Run is the time that the upstream needed for its response.
+	// Run is the time that the upstream needed for its response, at the usual pace of its host.
 	Run time.Duration
-	// Expected is the expected duration of a run of the route at this instance now; 0 if unknown.
+	// Expected is the expected duration of a run of the route at this instance now, at the usual pace of
+	// its host; 0 if unknown.
 	Expected time.Duration
+	// Pace is the last pace of the upstream's host; the zero value if it has reported none.
+	Pace intake.HostPace
 	// RoundTrip is the network round trip between the daemons, without the time that the other
 	// daemon held the job; 0 if unknown.
 	RoundTrip time.Duration
@@ -260,6 +263,9 @@
 	if text := encodeNotices(res.Limit, res.Leaving); text != "" {
 		h[headerNotices] = []string{text}
 	}
+	if text := encodePace(time.Now(), res.Pace); text != "" {
+		h[headerPace] = []string{text}
+	}
 	if text := encodeCalls(res.Calls, res.CallFailed); text != "" {
 		h[headerCalls] = []string{text}
 	}
@@ -290,6 +296,7 @@
 	res := Result{Load: decodeLoad(fields[0]), Arrived: fields[2] != ""}
 	res.Limit, res.Leaving = decodeNotices(resp.Header.Get(headerNotices))
 	res.Calls, res.CallFailed = decodeCalls(resp.Header.Get(headerCalls))
+	res.Pace = decodePace(time.Now(), resp.Header.Get(headerPace))
 	revision, _ := strconv.ParseUint(fields[1], 10, 64) // 0 if unknown
 	from := peerInfo{revision, fields[7]}
 	if us, err := strconv.ParseInt(fields[3], 10, 64); err == nil && us <= maxRunMicros {
--- a/pkg/mesh/metrics.go
+++ b/pkg/mesh/metrics.go
@@ -47,6 +47,11 @@
 
 // registerGuard registers the gauges of a guard.
 func registerGuard(registry prometheus.Registerer, g *Guard) error {
+	if err := registry.Register(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: telemetry.Namespace, Name: "upstream_pace_percent", Help: "How long work takes on the upstream's host now, in percent of the usual time.",
+	}, func() float64 { return float64(g.Pace()) })); err != nil {
+		return err
+	}
 	return registry.Register(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: telemetry.Namespace, Name: "jobs_awaiting_body", Help: "Jobs of other daemons that hold a slot while their body is still arriving.",
 	}, func() float64 { return float64(g.awaitingBody.Load()) }))
--- a/pkg/mesh/notices.go
+++ b/pkg/mesh/notices.go
@@ -107,6 +107,7 @@
 func (g *Guard) forgetNotices(now time.Time) {
 	g.notices = notices{}
 	g.queue.ResetLimit(now)
+	g.queue.ResetHostPace()
 }
 
 // instanceID returns the ID of the upstream's instance, empty if it is not known. The caller holds the
--- a/pkg/mesh/status.go
+++ b/pkg/mesh/status.go
@@ -32,6 +32,9 @@
 	// Limit is the number of requests per second that the upstream takes by its own word, 0 if it has
 	// named no limit.
 	Limit float64 `json:"limit"`
+	// Pace is how long work takes on the upstream's host now, in percent of the usual time: 100 if the
+	// upstream has not reported it, or not of late.
+	Pace int `json:"pace"`
 	// AnswerBytes is the size of the upstreams' responses that the daemon holds in memory.
 	AnswerBytes int64 `json:"answer_bytes"`
 }
@@ -49,7 +52,7 @@
 	s := Status{
 		Ready: d.Ready(), Revision: v.Revision, Instances: len(v.Instances), Unnamed: len(v.Unnamed),
 		Running: load.Running, Slots: load.Slots, Queued: load.Queued, AwaitingBody: d.guard.awaitingBody.Load(), Suspects: suspected, Blocked: blocked,
-		Limit:       d.guard.Limit(),
+		Limit: d.guard.Limit(), Pace: d.guard.Pace(),
 		AnswerBytes: d.platform.Answers.Held(),
 	}
 	if v.Table != nil {
