--- a/pkg/mesh/meshtest/upstream.go
+++ b/pkg/mesh/meshtest/upstream.go
@@ -93,6 +93,7 @@
 	fault    func(r *Request) Fault
 	down     bool
 	notices  []Notice
+	pace     string
 	crashes  []time.Time
 	seen     []Request
 	conns    map[net.Conn]bool
@@ -157,6 +158,20 @@
 	u.beginNotice(lines)
 }
 
+// SetPace sets the text behind the slots in the load header of all answers, such as ",250".
+func (u *Upstream) SetPace(text string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.pace = text
+}
+
+// loadLine returns the load header for an answer.
+func (u *Upstream) loadLine() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return fmt.Sprintf("%s: 1,0,%d%s", u.headers.Load, u.slots, u.pace)
+}
+
 // beginNotice ends the notice and begins another one. The caller holds the mutex.
 func (u *Upstream) beginNotice(lines []string) {
 	if n := len(u.notices); n > 0 {
@@ -405,7 +420,7 @@
 	case Foreign:
 		u.write(c, http.StatusOK, "other", Body("other", u.Size), proof)
 	}
-	u.write(c, http.StatusOK, r.ID, body, proof, fmt.Sprintf("%s: 1,0,%d", u.headers.Load, u.slots))
+	u.write(c, http.StatusOK, r.ID, body, proof, u.loadLine())
 	if fault == Double {
 		u.write(c, http.StatusOK, r.ID, body, proof)
 	}
