--- a/pkg/ctl/load.go
+++ b/pkg/ctl/load.go
@@ -18,6 +18,9 @@
 //go:embed load.example.yaml
 var examplePattern string
 
+//go:embed load.pace.yaml
+var pacePattern string
+
 // loadCommand plays load patterns against the decisions of the daemon.
 func loadCommand() *cli.Command {
 	return &cli.Command{
@@ -33,7 +36,10 @@
 				},
 			},
 			{Name: "check", Usage: "report the first fault of a pattern", ArgsUsage: "PATTERN", Action: checkLoad, Flags: []cli.Flag{formatFlag()}},
-			{Name: "example", Usage: "print a complete, commented pattern", Action: printExamplePattern},
+			{
+				Name: "example", Usage: "print a complete, commented pattern", Action: printExamplePattern,
+				Flags: []cli.Flag{&cli.BoolFlag{Name: "pace", Usage: "print one with uneven speeds and changing paces"}},
+			},
 		},
 	}
 }
@@ -134,6 +140,10 @@
 	if _, err := arguments(cmd); err != nil {
 		return err
 	}
-	_, err := fmt.Fprint(cmd.Root().Writer, examplePattern)
+	pattern := examplePattern
+	if cmd.Bool("pace") {
+		pattern = pacePattern
+	}
+	_, err := fmt.Fprint(cmd.Root().Writer, pattern)
 	return err
 }
--- a/pkg/ctl/load_test.go
+++ b/pkg/ctl/load_test.go
@@ -30,6 +30,12 @@
 	out, err := runLoadCommand("check", path)
 	require.NoError(t, err)
 	require.Contains(t, out, "is valid: 5 kinds of request, 1 troubles")
+	paced, err := runLoadCommand("example", "--pace")
+	require.NoError(t, err)
+	write(paced)
+	out, err = runLoadCommand("check", path)
+	require.NoError(t, err)
+	require.Contains(t, out, "is valid: 3 kinds of request, 0 troubles")
 
 	write(strings.Replace(example, "duration: 30s", "duration: 2s", 1))
 	out, err = runLoadCommand("run", "--instances", "12", "--seconds", path, path)
