--- a/core/placement/learn.go
+++ b/core/placement/learn.go
@@ -22,6 +22,7 @@
 		// includes the evacuation.
 		p.evacuatedUntil[c.Instance.Place.DataCentre] = now.Add(evacuatedExclusion)
 	}
+	s.updatePace(r.Pace)
 	p.updateSlowness(now, s, route, r)
 	p.measureRoundTrip(now, c.Instance, r.RoundTrip)
 	switch r.Outcome {
