Limit the requests to a cold upstream in its queue

A cold upstream crashes well above its rate and is cold again: 31 upstreams crashed 119 times after power was restored.

The queue keeps what is known of the coldness (own start, refused connections, another process, an idle time, reports of the health path) and a token bucket that starts empty, so that two daemon processes in a row keep the bound together. It decides when a health request is due, and orders calls by value while the rate is what is short.

Order by density instead fails TestSlotTimeDoesNotCountWhileTheRateIsShort.

--- /dev/null
+++ b/core/intake/cold_queue.go
@@ -0,0 +1,111 @@
+package intake
+
+import "time"
+
+// SetColdRule sets the rate that the upstream takes while it is cold. It reports whether there was none
+// before: the upstream then counts as cold.
+func (q *Queue) SetColdRule(now time.Time, r ColdRule) bool {
+	began := q.cold.setRule(now, r)
+	q.advance(now)
+	return began
+}
+
+// AssumeCold records an event after which the upstream may be cold: another process is at its address
+// (replaced), or it was not in use for a while.
+func (q *Queue) AssumeCold(now time.Time, replaced bool) {
+	q.cold.assume(now, replaced)
+	q.advance(now)
+}
+
+// ConnectionRefused records that the upstream does not accept connections. It counts as cold until
+// it accepts them, and from then on like a new process.
+func (q *Queue) ConnectionRefused(now time.Time) { q.cold.refused(now) }
+
+// Responded records a response of the upstream to a request that was sent at the given time.
+func (q *Queue) Responded(now, sent time.Time) {
+	q.cold.accepted(now, sent)
+	q.advance(now)
+}
+
+// ReportCold records the remaining time of the cold phase, 0 for none, that the upstream has reported in
+// the response to a health request that was sent at the given time. Reports that are older than the last
+// event are ignored.
+func (q *Queue) ReportCold(now, sent time.Time, remaining time.Duration) {
+	q.cold.report(now, sent, remaining)
+	q.advance(now)
+}
+
+// Cold reports whether the upstream counts as cold and a rate applies, and when that ends; the end is
+// zero while the upstream does not accept connections.
+func (q *Queue) Cold(now time.Time) (until time.Time, active bool) {
+	if !q.cold.active(now) {
+		return time.Time{}, false
+	}
+	if q.cold.down {
+		return time.Time{}, true
+	}
+	return q.cold.until, true
+}
+
+// ColdRate returns the rate in requests per second to which calls are limited because the upstream counts
+// as cold; 0 if they are not.
+func (q *Queue) ColdRate(now time.Time) float64 {
+	if !q.cold.active(now) {
+		return 0
+	}
+	return q.cold.rate.rate
+}
+
+// ShortOfColdRate reports whether no call may start now because the upstream is cold.
+func (q *Queue) ShortOfColdRate(now time.Time) bool { return q.cold.wait(now, 1) > 0 }
+
+// PermittedRate returns the lower one of the upstream's limit and the rate while it is cold, in calls per
+// second; 0 if there is neither.
+func (q *Queue) PermittedRate(now time.Time) float64 {
+	limit, rate := q.Limit(now), q.ColdRate(now)
+	if limit == 0 || rate > 0 && rate < limit {
+		return rate
+	}
+	return limit
+}
+
+// NextHealth returns the time of the next health request to the upstream; ok is false if none is needed.
+// A closed queue needs none, because nothing may be sent to the upstream.
+func (q *Queue) NextHealth(now time.Time) (at time.Time, ok bool) {
+	if q.closed {
+		return time.Time{}, false
+	}
+	return q.cold.nextHealth(now)
+}
+
+// AskHealth charges a health request if one is due now; it reports whether to send it.
+func (q *Queue) AskHealth(now time.Time) bool { return !q.closed && q.cold.ask(now) }
+
+// Closed reports whether the queue refuses all calls.
+func (q *Queue) Closed() bool { return q.closed }
+
+// updateOrder decides whether calls are ordered by value rather than by value density: while the upstream
+// is cold and its rate is too low to fill the slots, slot time is not short.
+func (q *Queue) updateOrder(now time.Time) {
+	q.byValue = false
+	if len(q.waiting) == 0 || !q.cold.active(now) {
+		return
+	}
+	var sum time.Duration
+	for _, c := range q.waiting {
+		sum += q.expected(c)
+	}
+	for _, c := range q.running {
+		sum += q.expected(c)
+	}
+	mean := sum.Seconds() / float64(len(q.waiting)+len(q.running))
+	q.byValue = q.cold.rate.rate*mean < float64(q.slots)
+}
+
+// rank returns the figure by which waiting calls are ordered.
+func (q *Queue) rank(now time.Time, c *Call) float64 {
+	if q.byValue {
+		return q.value(now, c)
+	}
+	return q.valueDensity(now, c)
+}
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -7,7 +7,8 @@
 // another upstream is waiting, go first, because that run occupies a slot there. The other calls
 // are ordered by value density, the value of a response divided by the slot time that it needs:
 // high priority before low, short before long, calls that can still meet their latency objective
-// before late ones, and returning callers before new ones. A request that cannot be answered
+// before late ones, and returning callers before new ones. While the rate that a cold upstream takes is
+// what is short, the order is that of the value alone. A request that cannot be answered
 // before its deadline is refused as soon as that is known, so that its caller can try another
 // instance or retry later.
 //
@@ -166,9 +167,13 @@
 	// while no shutdown is planned.
 	abortAt time.Time
 	// pace is the limit that the upstream has named. pacedUntil is the time at which a waiting call may
-	// start by it while slots are free; zero if the limit keeps no call waiting.
+	// start by it, and by the rate of a cold upstream, while slots are free; zero if neither keeps a call
+	// waiting.
 	pace       pace
 	pacedUntil time.Time
+	// cold limits the calls while the upstream is cold. byValue is set while that rate is what is short.
+	cold    cold
+	byValue bool
 }
 
 // New returns an open queue with a number of slots, or with DefaultSlots if slots is not
@@ -216,8 +221,16 @@
 func (q *Queue) Limit(now time.Time) float64 { return q.pace.current(now) }
 
 // Charge counts a request to the upstream that was not admitted as a call, such as a call that is sent
-// again on another connection.
-func (q *Queue) Charge(now time.Time) { q.pace.take(now) }
+// again on another connection. It returns false, and counts nothing, if the upstream is cold and its rate
+// allows no further request.
+func (q *Queue) Charge(now time.Time) bool {
+	if q.ShortOfColdRate(now) {
+		return false
+	}
+	q.pace.take(now)
+	q.cold.take(now)
+	return true
+}
 
 // Load is the load of an upstream as daemons report it to each other in responses.
 type Load struct {
@@ -228,11 +241,11 @@
 }
 
 // Load returns the current load. Slots reserved for nested calls, and those for which the upstream's
-// limit allows no call now, count as running.
+// limit, or the rate while it is cold, allows no call now, count as running.
 func (q *Queue) Load(now time.Time) Load {
 	q.updateSlowdown(now)
 	l := Load{Running: len(q.running) + q.reservedSlots(now), Slots: q.slots, Queued: len(q.waiting)}
-	if available := q.pace.available(now); available < q.slots-l.Running {
+	if available := min(q.pace.available(now), q.cold.available(now)); available < q.slots-l.Running {
 		l.Running = q.slots - available
 	}
 	if l.Running >= q.slots || len(q.waiting) > 0 {
@@ -249,6 +262,8 @@
 	if q.closed {
 		return Closed
 	}
+	q.cold.arrive(now)
+	q.updateOrder(now)
 	c.queued, c.pressing = now, mayWait || c.Nested
 	if q.tooLateToStart(c, now) {
 		return Overloaded
@@ -329,12 +344,12 @@
 
 // wait estimates the time until a slot is free for a call that the calls in ahead precede. It
 // simulates the expected completion of the running calls and of those ahead, and allows for the
-// upstream's limit.
+// upstream's limit and the rate while it is cold.
 func (q *Queue) wait(now time.Time, ahead []*Call) time.Duration {
-	return max(q.slotWait(now, ahead), q.pace.wait(now, len(ahead)+1))
+	return max(q.slotWait(now, ahead), q.pace.wait(now, len(ahead)+1), q.cold.wait(now, len(ahead)+1))
 }
 
-// slotWait is wait without the upstream's limit.
+// slotWait is wait without these rates.
 func (q *Queue) slotWait(now time.Time, ahead []*Call) time.Duration {
 	free := q.slots - len(q.running)
 	if free > len(ahead) {
@@ -365,7 +380,7 @@
 	if a.Nested != b.Nested {
 		return a.Nested
 	}
-	da, db := q.valueDensity(now, a), q.valueDensity(now, b)
+	da, db := q.rank(now, a), q.rank(now, b)
 	if da > db*densityTolerance || db > da*densityTolerance {
 		return da > db
 	}
@@ -377,6 +392,11 @@
 
 // valueDensity returns the value of the call per second of slot time.
 func (q *Queue) valueDensity(now time.Time, c *Call) float64 {
+	return q.value(now, c) / max(q.expected(c), time.Millisecond).Seconds()
+}
+
+// value returns the value of the call's response, relative to that of other calls.
+func (q *Queue) value(now time.Time, c *Call) float64 {
 	value := 1 / float64(1+c.Priority)
 	if q.late(now, c) {
 		value *= lateValue
@@ -384,7 +404,7 @@
 	if c.Returning {
 		value *= returningValue
 	}
-	return value / max(q.expected(c), time.Millisecond).Seconds()
+	return value
 }
 
 // late reports whether the call misses its latency objective even if it starts now.
@@ -396,6 +416,7 @@
 	c.started, c.running = now, true
 	q.running = append(q.running, c)
 	q.pace.take(now)
+	q.cold.take(now)
 	if c.Nested {
 		q.nestedRunning++
 	}
@@ -499,6 +520,7 @@
 		q.prunedAt = now
 		q.prune(now)
 	}
+	q.updateOrder(now)
 	for len(q.running) < q.slots && len(q.waiting) > 0 {
 		best := 0
 		for i := range q.waiting {
@@ -520,8 +542,15 @@
 // updatePacedUntil sets pacedUntil.
 func (q *Queue) updatePacedUntil(now time.Time) {
 	q.pacedUntil = time.Time{}
-	if len(q.waiting) > 0 && len(q.running) < q.slots && !q.pace.allows(now, true) {
-		q.pacedUntil = now.Add(q.pace.wait(now, 1))
+	if len(q.waiting) == 0 || len(q.running) >= q.slots {
+		return
+	}
+	wait := q.cold.wait(now, 1)
+	if !q.pace.allows(now, true) {
+		wait = max(wait, q.pace.wait(now, 1))
+	}
+	if wait > 0 {
+		q.pacedUntil = now.Add(wait)
 	}
 }
 
@@ -573,8 +602,8 @@
 	return wait+q.expected(c) <= c.Deadline.Sub(now) && !q.tooLateToStart(c, now.Add(wait))
 }
 
-// NextTick returns the time of the next refusal by refuseExpired, or at which the upstream's limit
-// allows another call. Advance has to be called then; ok is false if no call waits.
+// NextTick returns the time of the next refusal by refuseExpired, or at which the upstream's limit, or
+// the rate while it is cold, allows another call. Advance has to be called then; ok is false if no call waits.
 func (q *Queue) NextTick() (next time.Time, ok bool) {
 	for _, c := range q.waiting {
 		at := c.Deadline.Add(-q.expected(c))
--- a/core/intake/nested.go
+++ b/core/intake/nested.go
@@ -28,9 +28,10 @@
 	return min(max(0, reserve-q.nestedRunning), max(0, q.slots-len(q.running)))
 }
 
-// hasFreeSlot reports whether a slot is free for the call and the upstream's limit allows one more.
+// hasFreeSlot reports whether a slot is free for the call, and the upstream's limit and the rate while it
+// is cold allow one more.
 func (q *Queue) hasFreeSlot(now time.Time, c *Call) bool {
-	if !q.pace.allows(now, c.pressing) {
+	if !q.pace.allows(now, c.pressing) || q.ShortOfColdRate(now) {
 		return false
 	}
 	if c.Nested {
