Read what cold upstreams take from the configuration

The table gives services a cold_start and cold_per_s, the settings the bounds cold_ratio and cold_allowance. Negative, infinite and absurd figures are rejected like those of other fields, from the store and from other daemons.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -73,13 +73,17 @@
 		r.Goal == other.Goal && r.Priority == other.Priority && r.MaxAttempts == other.MaxAttempts && slices.Equal(r.Shares, other.Shares)
 }
 
-// Service holds the health check path and the connection limit of a service's upstreams.
+// Service holds the health check path of a service's upstreams, and what one of them takes.
 type Service struct {
 	Name string
 	// HealthPath is the path of an upstream's health check.
 	HealthPath string
 	// MaxConnections bounds the connections to one upstream.
 	MaxConnections int
+	// ColdPerSecond is the number of requests per second that an upstream takes while it is cold; 0 for
+	// no limit. ColdStart is the time for which it is cold after its start; 0 if unknown.
+	ColdPerSecond float64
+	ColdStart     time.Duration
 }
 
 // Limits bounds the size and the timing of callers' requests. A zero field sets no limit.
--- a/core/route/validate.go
+++ b/core/route/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"time"
 
@@ -16,6 +17,10 @@
 	MaxWeight = 1_000_000
 	// MaxTimeout is the longest timeout that a route may have.
 	MaxTimeout = 10 * time.Minute
+	// MaxColdStart bounds the time for which an upstream is cold after its start, and MaxColdPerSecond the
+	// requests per second that it takes meanwhile.
+	MaxColdStart     = time.Hour
+	MaxColdPerSecond = 1e6
 )
 
 // Fault is one validation error of a table.
@@ -75,6 +80,7 @@
 			c.add("", "service", s.Name, "service has no name or is listed twice", "list each service once, with its name")
 		}
 		services[s.Name] = true
+		c.checkCold(&s)
 	}
 	for i := range t.Routes {
 		r := &t.Routes[i]
@@ -86,6 +92,16 @@
 	return c.err()
 }
 
+// checkCold checks what a service says about its cold upstreams.
+func (c *checker) checkCold(s *Service) {
+	if rate := s.ColdPerSecond; math.IsNaN(rate) || rate < 0 || rate > MaxColdPerSecond {
+		c.add("", "service", s.Name, fmt.Sprintf("rate of cold upstreams %g is out of range", rate), fmt.Sprintf("use 0 to %g requests per second", MaxColdPerSecond))
+	}
+	if s.ColdStart < 0 || s.ColdStart > MaxColdStart {
+		c.add("", "service", s.Name, "cold start "+s.ColdStart.String()+" is out of range", "use 0s to "+MaxColdStart.String())
+	}
+}
+
 func (c *checker) checkRoute(r *Route, services map[string]bool) {
 	switch {
 	case r.Host == "" || r.Host != strings.ToLower(r.Host):
--- /dev/null
+++ b/pkg/mesh/cold_encoding_test.go
@@ -0,0 +1,38 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoshed.example/mangoshed/core/catalog"
+	"mangoshed.example/mangoshed/core/route"
+)
+
+// Guards against a daemon that gets its table from another one, whole or as a difference, and does not know
+// what a cold upstream takes.
+func TestColdFiguresPassBetweenDaemons(t *testing.T) {
+	services := []route.Service{{Name: "s", HealthPath: "/health", ColdPerSecond: 14, ColdStart: 3 * time.Second}}
+	from, err := route.New(1, nil, []route.Service{{Name: "s"}}, route.Limits{})
+	require.NoError(t, err)
+	to, err := route.New(2, nil, services, route.Limits{})
+	require.NoError(t, err)
+
+	var encoder stateEncoder
+	data, err := encoder.encode(&catalog.View{Revision: 2, Table: to})
+	require.NoError(t, err)
+	whole, err := decodeState(data)
+	require.NoError(t, err)
+	require.Equal(t, services, whole.Table.Services)
+
+	before := &catalog.View{Revision: 1, Table: from}
+	difference := diffViews(before, &catalog.View{Revision: 2, Table: to})
+	data, err = difference.pack()
+	require.NoError(t, err)
+	received, err := unpack(data)
+	require.NoError(t, err)
+	state, err := received.state(before, 2)
+	require.NoError(t, err)
+	require.Equal(t, services, state.Table.Services)
+}
--- a/pkg/mesh/platform.go
+++ b/pkg/mesh/platform.go
@@ -57,6 +57,9 @@
 	Limit string
 	// Leaving marks the responses of an upstream that is leaving: it must get no new requests.
 	Leaving string
+	// Cold is the remaining time in milliseconds, in the response to a request for the health path, for
+	// which the upstream is cold: it then takes fewer requests per second.
+	Cold string
 }
 
 // Platform holds everything that a daemon needs from the platform that it runs on.
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -111,13 +111,19 @@
 	return exchange.NewBudget(int64(responseMemoryShare*float64(l.MemoryMB<<20)), remedy)
 }
 
-// Bounds holds the limits that the platform sets for retries and for the duration of a shutdown.
+// Bounds holds the limits that the platform sets for retries, for requests to cold upstreams and for the
+// duration of a shutdown.
 type Bounds struct {
 	// RetryRatio and RetryAllowance set the retry budget of a service: in each RetryWindow, all
 	// daemons together send at most RetryAllowance retries plus RetryRatio times the requests.
 	RetryRatio     float64       `yaml:"retry_ratio"`
 	RetryAllowance float64       `yaml:"retry_allowance"`
 	RetryWindow    time.Duration `yaml:"retry_window"`
+	// ColdRatio and ColdAllowance bound the requests to a cold upstream of a service that has a rate for
+	// that: in each second at most ColdAllowance plus ColdRatio times the rate. A ColdRatio of 0 sets no
+	// bound; the upstream then gets no more than the rate.
+	ColdRatio     float64 `yaml:"cold_ratio"`
+	ColdAllowance float64 `yaml:"cold_allowance"`
 	// Grace is the grace period from SIGTERM until the process is killed.
 	Grace time.Duration `yaml:"grace"`
 }
@@ -200,6 +206,8 @@
 		{"limits.log_lines_per_second", float64(s.Limits.LogLinesPerSecond), maxLogLines},
 		{"bounds.retry_ratio", s.Bounds.RetryRatio, maxRetryRatio},
 		{"bounds.retry_allowance", s.Bounds.RetryAllowance, maxRetryAllowance},
+		{"bounds.cold_ratio", s.Bounds.ColdRatio, maxColdRatio},
+		{"bounds.cold_allowance", s.Bounds.ColdAllowance, maxColdAllowance},
 	} {
 		if math.IsNaN(f.value) || f.value < 0 || f.value > f.most {
 			add(f.key, fmt.Sprint(f.value), "number is out of range", fmt.Sprintf("use 0 to %g", f.most))
@@ -215,6 +223,8 @@
 	maxLogLines       = 1e6
 	maxRetryRatio     = 100
 	maxRetryAllowance = 1e6
+	maxColdRatio      = 100
+	maxColdAllowance  = 1e6
 )
 
 // check validates the settings and returns all errors as a *SettingsErrors.
--- a/pkg/mesh/settings_test.go
+++ b/pkg/mesh/settings_test.go
@@ -67,6 +67,8 @@
 		"ratio":           {"retry_ratio: 0.1", "retry_ratio: -1", "bounds.retry_ratio"},
 		"grace":           {"grace: 10s", "grace: 0s", "a duration is not positive"},
 		"no number":       {"retry_ratio: 0.1", "retry_ratio: .nan", "bounds.retry_ratio"},
+		"cold ratio":      {"cold_ratio: 0", "cold_ratio: -1", "bounds.cold_ratio"},
+		"cold allowance":  {"cold_allowance: 0", "cold_allowance: .nan", "bounds.cold_allowance"},
 		"endless":         {"retry_allowance: 20", "retry_allowance: .inf", "bounds.retry_allowance"},
 		"negative memory": {"memory_mb: 0", "memory_mb: -1", "limits.memory_mb"},
 		"absurd memory":   {"memory_mb: 0", "memory_mb: 4611686018427387904", "limits.memory_mb"},
