Drop the debt of requests that another process has got, once

Requests to a warm upstream count when it becomes cold, in case it became so unnoticed.

The bucket keeps the number of tokens without that debt beside the other, and takes it over once the process before is known to be gone. Within a cold phase no allowance is given twice (TestDebtIsDroppedOnce).

--- a/core/intake/cold.go
+++ b/core/intake/cold.go
@@ -28,9 +28,9 @@
 	// without calls: the platform bills each of them.
 	healthInterval     = time.Second
 	idleHealthInterval = 10 * time.Second
-	// downHealthInterval is the time between two health requests to an upstream that refuses
-	// connections, so that the end of that is noticed before calls arrive.
-	downHealthInterval = 250 * time.Millisecond
+	// minHealthInterval is the least time between two health requests, for example to an upstream that
+	// refuses connections, or one that keeps dropping them.
+	minHealthInterval = 250 * time.Millisecond
 	// coldIdle is the time without contact after which the upstream counts as cold until it has
 	// responded: it may have restarted, or become cold, unnoticed.
 	coldIdle = 5 * time.Second
@@ -60,6 +60,9 @@
 	reserve     float64
 	at          time.Time
 	tokens      float64 // at the time at; negative after requests that were not held back
+	// fresh is the number of tokens without the debt of requests before the cold phase, for the case that
+	// the process that got them turns out to be gone.
+	fresh float64
 }
 
 // set derives rate and burst from a rule. The requests of a window of coldWindow + coldJitter stay within
@@ -79,19 +82,21 @@
 		b.burst = 1
 		b.rate = max((usable-1)/window, minColdShare*r.PerSecond)
 	}
-	b.tokens, b.at = min(b.tokens, b.burst), now
+	b.tokens, b.fresh, b.at = min(b.tokens, b.burst), min(b.fresh, b.burst), now
 }
 
 func (b *coldRate) refill(now time.Time) {
 	if elapsed := now.Sub(b.at); elapsed > 0 {
-		b.tokens, b.at = min(b.burst, b.tokens+b.rate*elapsed.Seconds()), now
+		added := b.rate * elapsed.Seconds()
+		b.tokens, b.fresh, b.at = min(b.burst, b.tokens+added), min(b.burst, b.fresh+added), now
 	}
 }
 
 // take charges a request. The debt is bounded by what one window pays off: older requests do not count.
 func (b *coldRate) take(now time.Time) {
 	b.refill(now)
-	b.tokens = max(b.tokens-1, -b.rate*coldWindow.Seconds())
+	least := -b.rate * coldWindow.Seconds()
+	b.tokens, b.fresh = max(b.tokens-1, least), max(b.fresh-1, least)
 }
 
 // wait returns the time until the nth of the next requests is allowed.
@@ -117,6 +122,8 @@
 	// earlier time do not count. asked is cleared by an event and set by the next health request.
 	assumedAt time.Time
 	asked     bool
+	// beganAt is the time at which the rule began to apply.
+	beganAt time.Time
 	// askedAt is the time of the last health request, reportedAt that of the last response to one,
 	// arrivedAt that of the last call.
 	askedAt, reportedAt, arrivedAt time.Time
@@ -139,7 +146,7 @@
 	c.rule = r
 	if began {
 		c.rate = coldRate{at: now}
-		c.askedAt, c.reportedAt, c.arrivedAt = now, now, now
+		c.beganAt, c.reportedAt, c.arrivedAt = now, now, now
 	}
 	c.rate.set(now, r)
 	if began {
@@ -155,9 +162,12 @@
 	if c.rule.PerSecond == 0 {
 		return
 	}
-	if replaced && !c.active(now) {
-		c.rate.refill(now)
-		c.rate.tokens = max(c.rate.tokens, 0)
+	c.rate.refill(now)
+	if !c.active(now) {
+		c.rate.fresh = max(c.rate.tokens, 0)
+	}
+	if replaced {
+		c.rate.tokens = c.rate.fresh
 	}
 	c.assumedAt, c.asked = now, false
 	c.until = now.Add(c.rule.Start)
@@ -172,12 +182,15 @@
 	c.down = true
 }
 
-// accepted records a response to a request that was sent at the given time.
-func (c *cold) accepted(now, sent time.Time) {
-	if c.down && !sent.Before(c.assumedAt) {
-		c.down = false
-		c.assume(now, true)
+// accepted records a response to a request that was sent at the given time. It reports whether that ends
+// a time in which the upstream refused connections.
+func (c *cold) accepted(now, sent time.Time) bool {
+	if !c.down || sent.Before(c.assumedAt) {
+		return false
 	}
+	c.down = false
+	c.assume(now, true)
+	return true
 }
 
 // report records the remaining time of the cold phase, 0 for none, as the upstream has reported it in the
@@ -243,9 +256,12 @@
 	}
 	switch {
 	case !c.asked:
-		at = c.assumedAt
+		at = c.askedAt.Add(minHealthInterval)
+		if at.Before(c.assumedAt) {
+			at = c.assumedAt
+		}
 	case c.down:
-		at = c.askedAt.Add(downHealthInterval)
+		at = c.askedAt.Add(minHealthInterval)
 	case c.arrivedAt.After(c.askedAt):
 		at = c.askedAt.Add(healthInterval)
 	default:
@@ -253,7 +269,11 @@
 	}
 	if wait := c.wait(now, 1); wait > 0 {
 		from := now.Add(wait)
-		if reserved := c.askedAt.Add(coldWindow + coldJitter); c.rate.reserve > 0 && reserved.Before(from) {
+		last := c.askedAt
+		if last.Before(c.beganAt) {
+			last = c.beganAt // an earlier process may have asked just before
+		}
+		if reserved := last.Add(coldWindow + coldJitter); c.rate.reserve > 0 && reserved.Before(from) {
 			from = reserved
 		}
 		if from.After(at) {
--- a/core/intake/cold_queue.go
+++ b/core/intake/cold_queue.go
@@ -23,8 +23,9 @@
 
 // Responded records a response of the upstream to a request that was sent at the given time.
 func (q *Queue) Responded(now, sent time.Time) {
-	q.cold.accepted(now, sent)
-	q.advance(now)
+	if q.cold.accepted(now, sent) {
+		q.advance(now)
+	}
 }
 
 // ReportCold records the remaining time of the cold phase, 0 for none, that the upstream has reported in
@@ -56,6 +57,9 @@
 	return q.cold.rate.rate
 }
 
+// ColdRuleRate returns the rate that holds while the upstream is cold, also if it is not; 0 if none does.
+func (q *Queue) ColdRuleRate() float64 { return q.cold.rate.rate }
+
 // ShortOfColdRate reports whether no call may start now because the upstream is cold.
 func (q *Queue) ShortOfColdRate(now time.Time) bool { return q.cold.wait(now, 1) > 0 }
 
--- a/core/intake/cold_test.go
+++ b/core/intake/cold_test.go
@@ -224,19 +224,46 @@
 // whole allowance within a second, and against those of a process before that are held against a new one.
 func TestRequestsBeforeTheColdPhaseCount(t *testing.T) {
 	for _, replaced := range []bool{false, true} {
-		u := newColdUpstream(3, coldRule())
-		u.q.ReportCold(u.now, u.now, 0)
-		for range 4000 {
-			u.now = u.now.Add(time.Millisecond)
-			u.q.cold.arrive(u.now)
-			u.q.cold.take(u.now)
+		for _, doubt := range []bool{false, true} {
+			u := newColdUpstream(3, coldRule())
+			u.q.ReportCold(u.now, u.now, 0)
+			for range 4000 {
+				u.now = u.now.Add(time.Millisecond)
+				u.q.cold.arrive(u.now)
+				u.q.cold.take(u.now)
+			}
+			if doubt {
+				u.q.AssumeCold(u.now, false) // a connection that may have been closed long before
+			}
+			u.q.AssumeCold(u.now, replaced)
+			if replaced {
+				require.Less(t, u.q.cold.wait(u.now, 1), 100*time.Millisecond)
+			} else {
+				require.InDelta(t, 1, u.q.cold.wait(u.now, 1).Seconds(), 0.06)
+			}
 		}
-		u.q.AssumeCold(u.now, replaced)
-		if replaced {
-			require.Less(t, u.q.cold.wait(u.now, 1), 100*time.Millisecond)
-		} else {
-			require.InDelta(t, 1, u.q.cold.wait(u.now, 1).Seconds(), 0.06)
+	}
+}
+
+// Guards against an allowance that is given again when another process shows late in a cold phase.
+func TestDebtIsDroppedOnce(t *testing.T) {
+	u := newColdUpstream(6, coldRule())
+	u.q.ReportCold(u.now, u.now, 0)
+	for range 100 {
+		u.q.cold.take(u.now)
+	}
+	u.q.AssumeCold(u.now, false)
+	u.q.ReportCold(u.now, u.now, time.Hour)
+	for range 2 {
+		u.now = u.now.Add(10 * time.Second)
+		sent := 0
+		for u.q.Charge(u.now) {
+			sent++
 		}
+		require.Positive(t, sent)
+		u.q.AssumeCold(u.now, true)
+		require.False(t, u.q.Charge(u.now))
+		u.q.ReportCold(u.now, u.now, time.Hour)
 	}
 }
 
