Keep cold upstreams within their rate

The guard applies the rate of its service, brings the events after which the upstream counts as cold (start, refused and dropped connections, another process, entries, resumed requests) and asks the health path after them and once a second while requests arrive. A request is sent again only within the rate. Before the first table, jobs are refused where the settings have the bound.

Results carry the rate as a limit that is marked as that of a cold upstream.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -267,6 +267,8 @@
 	Bytes int
 	// Exclude lists instances that must not be chosen.
 	Exclude []model.InstanceID
+	// NeedsAllowance excludes instances whose limit on requests per second is known to allow none now.
+	NeedsAllowance bool
 }
 
 // Choice is a chosen instance. The request ends with a call of Done.
@@ -294,6 +296,9 @@
 	var best Choice
 	least := 0.0
 	for _, inst := range p.candidates(now, q) {
+		if q.NeedsAllowance && p.stats[inst.ID].lacksAllowance(now) {
+			continue
+		}
 		c := p.score(now, q, inst)
 		loss := p.loss(q, c)
 		if best.Instance == nil || best.tooLate && !c.tooLate || best.tooLate == c.tooLate && loss < least {
@@ -388,6 +393,12 @@
 	return max(0, min(time.Duration(behind), maxLimitWait)+s.load.Wait-now.Sub(s.loadAt))
 }
 
+// lacksAllowance reports whether the limit of an instance allows no request now, as far as the last report
+// tells.
+func (s *instanceStats) lacksAllowance(now time.Time) bool {
+	return s.limitWait(now, float64(s.load.Slots-s.load.Running-s.load.Queued)) > FreeSlotWait
+}
+
 // maxLimitWait bounds the expected wait for the limit of an instance.
 const maxLimitWait = time.Minute
 
--- a/core/route/cold_test.go
+++ b/core/route/cold_test.go
@@ -12,8 +12,11 @@
 // encoding has numbers that JSON lacks.
 func TestColdFiguresOfAService(t *testing.T) {
 	for _, s := range []Service{
-		{Name: "s", ColdPerSecond: math.NaN()}, {Name: "s", ColdPerSecond: math.Inf(1)}, {Name: "s", ColdPerSecond: -1},
-		{Name: "s", ColdStart: -time.Second}, {Name: "s", ColdStart: MaxColdStart + 1},
+		{Name: "s", ColdPerSecond: math.NaN()},
+		{Name: "s", ColdPerSecond: math.Inf(1)},
+		{Name: "s", ColdPerSecond: -1},
+		{Name: "s", ColdStart: -time.Second},
+		{Name: "s", ColdStart: MaxColdStart + 1},
 	} {
 		_, err := New(1, nil, []Service{s}, Limits{})
 		require.ErrorContains(t, err, "out of range")
--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -142,8 +142,11 @@
 	}
 	choice, ok := i.placer.Choose(now, placement.Query{
 		Service: req.service, Route: req.route.Name, Exclude: req.excluded(), Slack: req.goal.Sub(now), Remaining: req.deadline.Sub(now),
-		Bytes: len(req.job.Body) + headerBytesEstimate, DeferredBody: req.job.deferBody(),
+		Bytes: len(req.job.Body) + headerBytesEstimate, DeferredBody: req.job.deferBody(), NeedsAllowance: req.queueOverRate,
 	})
+	if !ok && req.queueOverRate && choice.Instance == nil {
+		return Result{}, false // the last refusal stands
+	}
 	if !ok && choice.Instance != nil {
 		return Result{Refusal: i.tooLittleTime()}, false
 	}
@@ -161,7 +164,7 @@
 	}
 	// The request may wait at an instance that is the best choice although it is known to be full.
 	// An instance that seems to have a free slot is tried without waiting.
-	job.MayWait = req.mayQueue() && (choice.Wait > placement.FreeSlotWait || req.refusals >= retry.FreeSlotAttempts)
+	job.MayWait = req.mayQueue() && (choice.Wait > placement.FreeSlotWait || req.overRate || req.refusals >= retry.FreeSlotAttempts)
 	res := i.sender.Send(ctx, &job, choice.Instance)
 	if res.Unreachable && res.Arrived && ctx.Err() == nil {
 		i.sender.guard.suspects.recordLoss(time.Now(), &job, run)
@@ -193,7 +196,11 @@
 	if !res.Arrived {
 		req.refusals++
 	}
-	switch full := res.Refusal.Kind == refusal.Overloaded && !res.Arrived; {
+	full := res.Refusal.Kind == refusal.Overloaded && !res.Arrived
+	if full && res.Cold {
+		req.overRate, req.queueOverRate = true, req.queueOverRate || job.MayWait
+	}
+	switch {
 	case full && job.MayWait:
 		req.queueFull = append(req.queueFull, job.Instance)
 	case !full:
--- a/pkg/mesh/cold_encoding_test.go
+++ b/pkg/mesh/cold_encoding_test.go
@@ -36,3 +36,17 @@
 	require.NoError(t, err)
 	require.Equal(t, services, state.Table.Services)
 }
+
+// Guards against a limit, a cold phase or a leaving upstream that gets lost between daemons.
+func TestNoticesPassBetweenDaemons(t *testing.T) {
+	for _, test := range []struct {
+		limit         float64
+		leaving, cold bool
+	}{{0, false, false}, {20.37, false, true}, {20.37, true, true}, {3, true, false}, {0, true, false}} {
+		limit, leaving, cold := decodeNotices(encodeNotices(test.limit, test.leaving, test.cold))
+		require.Equal(t, test, struct {
+			limit         float64
+			leaving, cold bool
+		}{limit, leaving, cold})
+	}
+}
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -134,6 +134,7 @@
 	seed := uint64(now.UnixNano()) ^ uint64(os.Getpid())<<48
 	d.fleet = NewFleet(d.log, d.applyView)
 	d.guard = NewGuard(s.Upstream.Address, d.platform.Headers, d.platform.Answers, log)
+	d.guard.SetColdBounds(s.Instance.Service, s.Bounds.ColdRatio, s.Bounds.ColdAllowance)
 	d.placer = placement.New(s.Place(), placement.DefaultCosts, seed)
 	d.placer.SetLink(hostOf(s.Listen.ForwardAddress), s.Limits.LinkMbps*1e6)
 	d.budget = retry.NewFleetBudget(retry.FleetRules{
@@ -240,6 +241,7 @@
 	d.tasks.Go(func() { d.follower.Run(ctx) })
 	d.tasks.Go(func() { d.housekeep(ctx) })
 	d.tasks.Go(func() { d.reach.run(ctx) })
+	d.tasks.Go(func() { d.guard.watchHealth(ctx) })
 	d.tasks.Go(func() { d.sender.announceSuspects(ctx, d.log) })
 	d.log.Info("daemon_started", zap.String("service", d.settings.Instance.Service), zap.String("place", d.settings.Place().String()),
 		zap.String("caller_address", d.settings.Listen.CallerAddress), zap.String("forward_address", d.settings.Listen.ForwardAddress),
@@ -268,6 +270,7 @@
 		if n%pruneTicks == 0 {
 			d.sender.Prune(now)
 			d.guard.client.Prune(now, func(string) bool { return true })
+			d.guard.cold.client.Prune(now, func(string) bool { return true })
 		}
 	}
 }
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -74,6 +74,7 @@
 	downUntil time.Time
 	stopping  bool
 	timer     *time.Timer
+	cold      coldGuard
 }
 
 // NewGuard returns a guard for the upstream at the address. budget limits the memory for responses
@@ -84,6 +85,8 @@
 		runs:   newRuns(),
 		client: exchange.NewClient(exchange.Config{RequestID: headers.RequestID, DialTimeout: upstreamDialTimeout, Budget: budget}),
 	}
+	g.cold.wake = make(chan struct{}, 1)
+	g.cold.client = exchange.NewClient(exchange.Config{DialTimeout: upstreamDialTimeout, MaxAnswer: maxHealthResponse})
 	g.timer = time.AfterFunc(time.Hour, g.tick)
 	return g
 }
@@ -102,8 +105,10 @@
 		g.markDeparted(g.instance.ID, time.Time{})
 	}
 	g.instance = nil
+	g.applyColdRule(now, v)
 	if listed {
 		g.resetNotices(now, g.lastInstance, current)
+		g.hearListedCold(now, g.lastInstance, current)
 		copied := *current
 		g.instance, g.lastInstance = &copied, &copied
 		if g.departed[current.ID].IsZero() {
@@ -113,8 +118,9 @@
 	}
 	if g.stopping || g.leaving() {
 		g.queue.Close()
-	} else {
+	} else if g.queue.Closed() {
 		g.queue.Open()
+		g.assumeCold(now, coldResumed, false)
 	}
 }
 
@@ -219,7 +225,10 @@
 	g.mu.Lock()
 	now := time.Now()
 	res.Load, res.Expected = g.queue.Load(now), g.queue.Expected(now, j.Route)
-	res.Limit = g.queue.Limit(now)
+	res.Limit, res.Cold = g.queue.PermittedRate(now), g.queue.ColdRate(now) > 0
+	if g.unready() {
+		res.Load.Running, res.Load.Next, res.Load.Wait = res.Load.Slots, noRuleRetry, noRuleRetry
+	}
 	g.mu.Unlock()
 	if res.Refusal != nil {
 		g.log.logUpstreamRefusal(j, &res)
@@ -301,24 +310,28 @@
 	if refused == nil {
 		verdict = g.queue.Offer(now, call, j.MayWait)
 		retryAfter = g.queue.RetryAfter(now, call)
+		g.wakeIfHealthDue(now)
 		g.schedule(now)
 	}
+	cold := g.countColdRefusal(now, verdict)
 	g.mu.Unlock()
 	if refused != nil || verdict == intake.Started {
 		return refused
 	}
 	if verdict == intake.Waiting {
-		if verdict, retryAfter = g.wait(ctx, call, decided); verdict == intake.Started {
+		if verdict, retryAfter, cold = g.wait(ctx, call, decided); verdict == intake.Started {
 			return nil
 		}
 	}
+	if cold {
+		return coldRefusal(retryAfter)
+	}
 	return refusalFor(verdict, retryAfter)
 }
 
 // wait waits for the verdict on a queued call. If the context ends first, the call is removed
-// from the queue.
-func (g *Guard) wait(ctx context.Context, call *intake.Call, decided <-chan intake.Verdict) (intake.Verdict, time.Duration) {
-	var verdict intake.Verdict
+// from the queue. cold says that the call is refused because the upstream is cold.
+func (g *Guard) wait(ctx context.Context, call *intake.Call, decided <-chan intake.Verdict) (verdict intake.Verdict, retryAfter time.Duration, cold bool) {
 	select {
 	case verdict = <-decided:
 	case <-ctx.Done():
@@ -328,14 +341,15 @@
 		if !g.queue.Cancel(now, call) && <-decided == intake.Started {
 			g.queue.Done(now, call, false)
 		}
-		return intake.Overloaded, 0
+		return intake.Overloaded, 0, false
 	}
 	if verdict == intake.Started {
-		return verdict, 0
+		return verdict, 0, false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return verdict, g.queue.RetryAfter(time.Now(), call)
+	now := time.Now()
+	return verdict, g.queue.RetryAfter(now, call), g.countColdRefusal(now, verdict)
 }
 
 // checkBeforeAdmission refuses a job whose deadline has passed, whose instance is leaving or no
@@ -346,6 +360,8 @@
 		return notRun(refusal.Deadline, "allow more time", 0)
 	case g.stopping, g.leaving(), g.hasDeparted(now, j.Instance):
 		return notRun(refusal.Leaving, "the instance is leaving; send the request to another one", 0)
+	case g.unready():
+		return notRun(refusal.Overloaded, "the daemon does not know yet what a cold upstream takes; try again", noRuleRetry)
 	case now.Before(g.downUntil):
 		return notRun(refusal.UpstreamFailed, downRemedy, downTime)
 	}
@@ -381,20 +397,26 @@
 	request := g.request(j)
 	started := time.Now()
 	resp, err := g.client.Do(ctx, request)
+	g.recordExchange(ctx, started, err)
 	if j.MayRepeat && reusedConnFailed(err) && ctx.Err() == nil && time.Since(started) < immediateFailureLimit {
+		if !g.chargeResend() {
+			return g.errorResult(ctx, err)
+		}
 		request.MaxIdle = -1
-		g.chargeResend()
+		resent := time.Now()
 		resp, resendErr := g.client.Do(ctx, request)
+		g.recordExchange(ctx, resent, resendErr)
 		return g.resentResult(g.exchangeResult(ctx, j, resp, resendErr), err)
 	}
 	return g.exchangeResult(ctx, j, resp, err)
 }
 
-// chargeResend counts a request that is sent again towards the upstream's limit.
-func (g *Guard) chargeResend() {
+// chargeResend counts a request that is sent again towards the upstream's limit. It returns false if the
+// upstream is cold and does not take it.
+func (g *Guard) chargeResend() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.queue.Charge(time.Now())
+	return g.queue.Charge(time.Now())
 }
 
 // exchangeResult returns the result for the response or the error of an exchange with the
@@ -474,7 +496,9 @@
 	case !sent:
 		g.mu.Lock()
 		if !errors.Is(err, exchange.ErrTooMany) {
-			g.downUntil = time.Now().Add(downTime)
+			now := time.Now()
+			g.downUntil = now.Add(downTime)
+			g.connectionRefused(now)
 		}
 		g.mu.Unlock()
 		return Result{connectionRefused: isRefused(err), Refusal: notRun(refusal.UpstreamFailed, "the upstream does not accept connections: "+err.Error(), downTime)}
@@ -522,6 +546,7 @@
 		g.suspects.recordCrash(now, evidenceReplaced, quarantine.ReplacementDelay)
 	}
 	g.markDeparted(id, now.Add(misdirectedTime))
+	g.assumeCold(now, coldReplaced, true)
 }
 
 // updateSlots sets the number of slots from the load header of the upstream, which has the form
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -106,6 +106,10 @@
 	repeatDenied bool
 	// refusals counts the refusals by daemons whose upstream had not received the request.
 	refusals int
+	// overRate is set after a refusal by an instance whose upstream is cold: the others mostly are as well,
+	// so the next attempt may wait. queueOverRate is set if the request was allowed to wait there: further
+	// attempts go only to instances that are not known to be over their rate.
+	overRate, queueOverRate bool
 	// queueFull are the instances whose queue had no room for the request.
 	queueFull []model.InstanceID
 	// failed are the other instances to which the request is not sent again, because an attempt
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -85,9 +85,11 @@
 	// RoundTrip is the network round trip between the daemons, without the time that the other
 	// daemon held the job; 0 if unknown.
 	RoundTrip time.Duration
-	// Limit is the number of requests per second that the upstream takes; 0 if it has named none.
-	// Leaving is set if the upstream has answered this job and said that it is leaving.
+	// Limit is the number of requests per second that the upstream takes; 0 if it has named none and is
+	// not cold. Cold is set if it is the rate of a cold upstream. Leaving is set if the upstream has
+	// answered this job and said that it is leaving.
 	Limit   float64
+	Cold    bool
 	Leaving bool
 	// Calls are the calls that runs of the route make at this instance, nil if unknown. CallFailed is
 	// set if a call that this run made was given up.
@@ -119,7 +121,7 @@
 	if !j.SenderEnds.IsZero() {
 		h[headerEnds] = []string{formatMillis(j.SenderEnds.Sub(now))}
 	}
-	if text := encodeNotices(j.Limit, false); text != "" {
+	if text := encodeNotices(j.Limit, false, false); text != "" {
 		h[headerNotices] = []string{text}
 	}
 	return &exchange.Request{
@@ -216,7 +218,7 @@
 	if ms, err := strconv.ParseInt(r.Header.Get(headerEnds), 10, 32); err == nil {
 		ends = after(ms)
 	}
-	limit, _ := decodeNotices(r.Header.Get(headerNotices))
+	limit, _, _ := decodeNotices(r.Header.Get(headerNotices))
 	return &Job{
 		Limit: limit, SenderEnds: ends, Instance: model.InstanceID(fields[0]), Route: fields[1], Caller: fields[2], Service: fields[9],
 		MayWait: strings.IndexByte(flags, flagMayWait) >= 0, Returning: strings.IndexByte(flags, flagReturning) >= 0,
@@ -257,7 +259,7 @@
 	h[headerResult] = []string{joinFields(
 		encodeLoad(res.Load), strconv.FormatUint(from.revision, 10), arrived, strconv.FormatInt(res.Run.Microseconds(), 10), kind, ran, retry, from.gossip, formatMillis(res.Expected),
 	)}
-	if text := encodeNotices(res.Limit, res.Leaving); text != "" {
+	if text := encodeNotices(res.Limit, res.Leaving, res.Cold); text != "" {
 		h[headerNotices] = []string{text}
 	}
 	if text := encodeCalls(res.Calls, res.CallFailed); text != "" {
@@ -288,7 +290,7 @@
 		return Result{Arrived: true, Refusal: mayHaveRun(refusal.UpstreamFailed, "the response was not written by a daemon")}, peerInfo{}
 	}
 	res := Result{Load: decodeLoad(fields[0]), Arrived: fields[2] != ""}
-	res.Limit, res.Leaving = decodeNotices(resp.Header.Get(headerNotices))
+	res.Limit, res.Leaving, res.Cold = decodeNotices(resp.Header.Get(headerNotices))
 	res.Calls, res.CallFailed = decodeCalls(resp.Header.Get(headerCalls))
 	revision, _ := strconv.ParseUint(fields[1], 10, 64) // 0 if unknown
 	from := peerInfo{revision, fields[7]}
--- a/pkg/mesh/job_test.go
+++ b/pkg/mesh/job_test.go
@@ -58,8 +58,9 @@
 	require.Zero(t, res.Run)
 	require.Equal(t, 9, res.Load.Slots)
 	for _, text := range []string{"NaN", "Inf;leaving", "-1", "1e9999", "x;leaving", ""} {
-		limit, leaving := decodeNotices(text)
+		limit, leaving, cold := decodeNotices(text)
 		require.Zero(t, limit, text)
 		require.False(t, leaving, text)
+		require.False(t, cold, text)
 	}
 }
--- a/pkg/mesh/meshtest/upstream.go
+++ b/pkg/mesh/meshtest/upstream.go
@@ -18,7 +18,7 @@
 // Headers are the names that the stand-ins use.
 var Headers = mesh.Headers{
 	RequestID: "Test-Request", Remaining: "Test-Remaining-Ms", Proof: "Test-Proof", Expected: "Test-Expected", Instance: "Test-Instance",
-	NotRun: "Test-Not-Run", Caller: "Test-Caller", Load: "Test-Load", Limit: "Test-Limit", Leaving: "Test-Leaving",
+	NotRun: "Test-Not-Run", Caller: "Test-Caller", Load: "Test-Load", Limit: "Test-Limit", Leaving: "Test-Leaving", Cold: "Test-Cold-Ms",
 }
 
 // Request is what an upstream saw.
@@ -95,10 +95,13 @@
 	notices  []Notice
 	crashes  []time.Time
 	seen     []Request
-	conns    map[net.Conn]bool
-	running  int
-	peak     int
-	tasks    sync.WaitGroup
+	// coldUntil is the end of the cold phase that the health path reports; zero if it reports none.
+	coldUntil time.Time
+	health    []time.Time
+	conns     map[net.Conn]bool
+	running   int
+	peak      int
+	tasks     sync.WaitGroup
 }
 
 // NewUpstream starts an upstream on loopback that reports the slots as its own.
@@ -195,6 +198,36 @@
 	}
 }
 
+// HealthPath is the health path of upstreams.
+const HealthPath = "/health"
+
+// SetCold makes the health path report a cold phase that ends after the time.
+func (u *Upstream) SetCold(remaining time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.coldUntil = time.Now().Add(remaining)
+}
+
+// Health returns the times of the requests to the health path.
+func (u *Upstream) Health() []time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]time.Time(nil), u.health...)
+}
+
+// answerHealth answers a request to the health path, without the header of a cold phase if none was set.
+func (u *Upstream) answerHealth(c net.Conn, id string) {
+	u.mu.Lock()
+	u.health = append(u.health, time.Now())
+	until := u.coldUntil
+	u.mu.Unlock()
+	if until.IsZero() {
+		u.write(c, http.StatusOK, id, "")
+		return
+	}
+	u.write(c, http.StatusOK, id, "", fmt.Sprintf("%s: %d", u.headers.Cold, max(0, time.Until(until).Milliseconds())))
+}
+
 // Connections returns the number of open connections.
 func (u *Upstream) Connections() int {
 	u.mu.Lock()
@@ -324,6 +357,10 @@
 		Expected: model.InstanceID(r.Header.Get(u.headers.Expected)), Method: r.Method, Target: r.RequestURI, Host: r.Host, ID: r.Header.Get(u.headers.RequestID), Caller: r.Header.Get(u.headers.Caller),
 		Remaining: time.Duration(ms) * time.Millisecond, At: time.Now(),
 	}
+	if r.Method == http.MethodGet && r.URL.Path == HealthPath {
+		u.answerHealth(c, seen.ID)
+		return true
+	}
 	id, fault := u.choose(&seen)
 	if fault == Early {
 		u.write(c, http.StatusOK, seen.ID, "early", u.headers.Proof+": p")
--- a/pkg/mesh/metrics.go
+++ b/pkg/mesh/metrics.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -45,11 +46,31 @@
 	return m, nil
 }
 
-// registerGuard registers the gauges of a guard.
+// registerGuard registers the gauges and counters of a guard.
 func registerGuard(registry prometheus.Registerer, g *Guard) error {
-	return registry.Register(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Namespace: telemetry.Namespace, Name: "jobs_awaiting_body", Help: "Jobs of other daemons that hold a slot while their body is still arriving.",
-	}, func() float64 { return float64(g.awaitingBody.Load()) }))
+	gauge := func(name, help string, value func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: telemetry.Namespace, Name: name, Help: help}, value)
+	}
+	counter := func(name, help string, value *atomic.Int64) prometheus.Collector {
+		return prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: telemetry.Namespace, Name: name, Help: help}, func() float64 { return float64(value.Load()) })
+	}
+	for _, c := range []prometheus.Collector{
+		gauge("jobs_awaiting_body", "Jobs of other daemons that hold a slot while their body is still arriving.", func() float64 { return float64(g.awaitingBody.Load()) }),
+		gauge("upstream_cold", "1 while the upstream counts as cold and its requests are limited.", func() float64 {
+			if g.Cold() > 0 {
+				return 1
+			}
+			return 0
+		}),
+		gauge("upstream_cold_rate", "Requests per second to which a cold upstream is limited; 0 while it is not.", g.Cold),
+		counter("upstream_cold_refused_total", "Jobs refused because the upstream was cold.", &g.cold.refused),
+		counter("upstream_health_requests_total", "Requests to the upstream's health path.", &g.cold.asked),
+	} {
+		if err := registry.Register(c); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // recordOutcome records the outcome and the latency of a placed request.
--- a/pkg/mesh/notices.go
+++ b/pkg/mesh/notices.go
@@ -84,7 +84,7 @@
 // adoptLimit applies the limit that the sender of a job knows, until the upstream has answered itself:
 // this daemon may have started while the limit was in force. The caller holds the mutex.
 func (g *Guard) adoptLimit(now time.Time, j *Job) {
-	if g.notices.instance != "" || j.Limit <= 0 || g.queue.Limit(now) > 0 {
+	if g.notices.instance != "" || j.Limit <= 0 || g.queue.Limit(now) > 0 || g.isColdLimit(j.Limit) {
 		return
 	}
 	g.queue.SetLimit(now, j.Limit)
@@ -107,6 +107,7 @@
 func (g *Guard) forgetNotices(now time.Time) {
 	g.notices = notices{}
 	g.queue.ResetLimit(now)
+	g.assumeCold(now, coldReplaced, true)
 }
 
 // instanceID returns the ID of the upstream's instance, empty if it is not known. The caller holds the
@@ -126,31 +127,38 @@
 }
 
 // headerNotices carries the limit of an upstream in requests per second, 0 for none, and in results
-// leavingNotice behind a semicolon if the upstream is leaving. It is sent only if there is something to
-// say.
+// leavingNotice behind a semicolon if the upstream is leaving, and coldNotice if the limit is the rate of
+// a cold upstream. It is sent only if there is something to say.
 const (
 	headerNotices = refusal.HeaderPrefix + "Notices"
 	leavingNotice = "leaving"
+	coldNotice    = "cold"
 )
 
 // encodeNotices returns the value of headerNotices, empty if there is nothing to say.
-func encodeNotices(limit float64, leaving bool) string {
+func encodeNotices(limit float64, leaving, cold bool) string {
+	if limit <= 0 && !leaving {
+		return ""
+	}
 	text := strconv.FormatFloat(limit, 'g', 6, 64)
-	switch {
-	case leaving:
-		return text + ";" + leavingNotice
-	case limit > 0:
-		return text
+	if leaving {
+		text += ";" + leavingNotice
 	}
-	return ""
+	if cold {
+		text += ";" + coldNotice
+	}
+	return text
 }
 
 // decodeNotices reverses encodeNotices. A text that it has not written says nothing.
-func decodeNotices(text string) (limit float64, leaving bool) {
+func decodeNotices(text string) (limit float64, leaving, cold bool) {
 	number, rest, _ := strings.Cut(text, ";")
 	limit, ok := parseLimit(number)
 	if !ok {
-		return 0, false
+		return 0, false, false
+	}
+	for notice := range strings.SplitSeq(rest, ";") {
+		leaving, cold = leaving || notice == leavingNotice, cold || notice == coldNotice
 	}
-	return limit, rest == leavingNotice
+	return limit, leaving, cold
 }
--- a/pkg/mesh/status.go
+++ b/pkg/mesh/status.go
@@ -32,6 +32,9 @@
 	// Limit is the number of requests per second that the upstream takes by its own word, 0 if it has
 	// named no limit.
 	Limit float64 `json:"limit"`
+	// ColdRate is the number of requests per second that the upstream gets at most because it counts as
+	// cold, 0 if it does not.
+	ColdRate float64 `json:"cold_rate"`
 	// AnswerBytes is the size of the upstreams' responses that the daemon holds in memory.
 	AnswerBytes int64 `json:"answer_bytes"`
 }
@@ -50,6 +53,7 @@
 		Ready: d.Ready(), Revision: v.Revision, Instances: len(v.Instances), Unnamed: len(v.Unnamed),
 		Running: load.Running, Slots: load.Slots, Queued: load.Queued, AwaitingBody: d.guard.awaitingBody.Load(), Suspects: suspected, Blocked: blocked,
 		Limit:       d.guard.Limit(),
+		ColdRate:    d.guard.Cold(),
 		AnswerBytes: d.platform.Answers.Held(),
 	}
 	if v.Table != nil {
