Count a job again whose body arrives late at a cold upstream

A job is counted at its admission, and its body may arrive seconds later. Bodies that arrived together reached the upstream at once: 30 requests in a second where 29 are allowed (TestLateBodiesFitTheRate). Such a job now waits until the rate allows it.

A 421 says that another process is at the address only if the job was for the instance that is listed there: senders with an older view cause others.

--- a/core/intake/cold_queue.go
+++ b/core/intake/cold_queue.go
@@ -61,7 +61,10 @@
 func (q *Queue) ColdRuleRate() float64 { return q.cold.rate.rate }
 
 // ShortOfColdRate reports whether no call may start now because the upstream is cold.
-func (q *Queue) ShortOfColdRate(now time.Time) bool { return q.cold.wait(now, 1) > 0 }
+func (q *Queue) ShortOfColdRate(now time.Time) bool { return q.ColdWait(now) > 0 }
+
+// ColdWait returns the time until the rate of the cold upstream allows another request; 0 if it does now.
+func (q *Queue) ColdWait(now time.Time) time.Duration { return q.cold.wait(now, 1) }
 
 // PermittedRate returns the lower one of the upstream's limit and the rate while it is cold, in calls per
 // second; 0 if there is neither.
--- a/pkg/mesh/cold.go
+++ b/pkg/mesh/cold.go
@@ -23,6 +23,9 @@
 	maxHealthResponse = 64 << 10
 	// noRuleRetry is the Retry-After of jobs that arrive before the first table.
 	noRuleRetry = 100 * time.Millisecond
+	// maxBodyDelay is the time for which an admitted job may wait for its body and still count at its
+	// admission. The rate allows for 100 ms between the admission of a request and its arrival.
+	maxBodyDelay = 50 * time.Millisecond
 	// coldLimitTolerance is the part of a cold upstream's rate by which the limit in a job may differ from
 	// it, because it is rounded.
 	coldLimitTolerance = 0.01
@@ -267,6 +270,35 @@
 	return time.Duration(ms) * time.Millisecond, true
 }
 
+// chargeLateBody counts a job again whose body has taken long to arrive since the job was admitted: bodies
+// that arrive together would otherwise reach a cold upstream at once. It waits until the rate allows the
+// job, or returns a refusal if that takes too long.
+func (g *Guard) chargeLateBody(ctx context.Context, j *Job, admitted time.Time) *refusal.Refusal {
+	if time.Since(admitted) <= maxBodyDelay {
+		return nil
+	}
+	for {
+		g.mu.Lock()
+		now := time.Now()
+		wait, charged := g.queue.ColdWait(now), true
+		if g.queue.ColdRate(now) > 0 {
+			charged = g.queue.Charge(now)
+		}
+		g.mu.Unlock()
+		if charged {
+			return nil
+		}
+		if !now.Add(wait).Before(j.Deadline) {
+			return coldRefusal(wait)
+		}
+		select {
+		case <-ctx.Done():
+			return notRun(refusal.Cut, "the caller has disconnected", 0)
+		case <-time.After(max(wait, time.Millisecond)):
+		}
+	}
+}
+
 // isColdLimit reports whether the limit in a job is the rate of a cold upstream, which this daemon applies
 // by itself. The caller holds the mutex.
 func (g *Guard) isColdLimit(limit float64) bool {
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -250,6 +250,10 @@
 		g.withdraw(call)
 		return refused
 	}
+	if refused := g.chargeLateBody(ctx, j, started); refused != nil {
+		g.withdraw(call)
+		return Result{Refusal: refused}
+	}
 	res := g.sendUnlessBlocked(ctx, j, started)
 	now := time.Now()
 	g.mu.Lock()
@@ -546,7 +550,9 @@
 		g.suspects.recordCrash(now, evidenceReplaced, quarantine.ReplacementDelay)
 	}
 	g.markDeparted(id, now.Add(misdirectedTime))
-	g.assumeCold(now, coldReplaced, true)
+	if g.instance == nil || g.instance.ID == id {
+		g.assumeCold(now, coldReplaced, true)
+	}
 }
 
 // updateSlots sets the number of slots from the load header of the upstream, which has the form
--- a/pkg/mesh/guard_cold_test.go
+++ b/pkg/mesh/guard_cold_test.go
@@ -365,3 +365,33 @@
 		require.Equal(t, 2, u.healthRequests()-before, "after the event and once a second")
 	})
 }
+
+// Guards against bodies of admitted jobs that arrive together, after a while, and reach a cold upstream at
+// once.
+func TestLateBodiesFitTheRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := newPipeUpstream()
+		u.start(time.Hour, false)
+		g := startColdGuard(t, u)
+		g.Update(time.Now(), coldView(t, 14, func(i *catalog.Instance) { i.Slots = 40 }))
+		var group sync.WaitGroup
+		arrives := time.Now().Add(1500 * time.Millisecond)
+		for n := range 28 {
+			group.Go(func() {
+				j := coldJob(fmt.Sprint(n))
+				j.HasBody, j.MayWait, j.Deadline = true, true, time.Now().Add(5*time.Second)
+				j.Goal = j.Deadline
+				j.ReadBody = func(time.Time) ([]byte, error) {
+					time.Sleep(time.Until(arrives))
+					return []byte("body"), nil
+				}
+				res := g.Run(t.Context(), j)
+				require.NotNil(t, res.Response)
+			})
+		}
+		time.Sleep(time.Until(arrives))
+		pressGuard(t, func() *Guard { return g }, time.Second)
+		group.Wait()
+		requireColdBound(t, u.requests())
+	})
+}
