--- a/core/intake/cold_load_test.go
+++ b/core/intake/cold_load_test.go
@@ -15,6 +15,7 @@
 	now    time.Time
 	queues []*Queue
 	events coldEvents
+	ticks  map[*Queue]time.Time // next tick of each queue
 	// served, late and refused count requests by priority; starts are the runs that began while requests
 	// arrived.
 	served, late, refused [2]int
@@ -110,17 +111,26 @@
 	})
 }
 
+// schedule advances a queue at its next tick, as the guard does.
 func (f *coldFleet) schedule(q *Queue) {
-	if next, ok := q.NextTick(); ok {
-		f.at(next, func() { q.Advance(f.now); f.rearm(q) })
+	next, ok := q.NextTick()
+	if !ok {
+		return
 	}
-}
-
-// rearm schedules the next tick unless it is due already, as it is after the last one of the same time.
-func (f *coldFleet) rearm(q *Queue) {
-	if next, ok := q.NextTick(); ok && next.After(f.now) {
-		f.at(next, func() { q.Advance(f.now); f.rearm(q) })
+	if earliest := f.now.Add(time.Millisecond); next.Before(earliest) {
+		next = earliest
+	}
+	if armed := f.ticks[q]; !armed.IsZero() && !next.Before(armed) {
+		return
 	}
+	f.ticks[q] = next
+	f.at(next, func() {
+		if f.ticks[q].Equal(f.now) {
+			delete(f.ticks, q)
+			q.Advance(f.now)
+			f.schedule(q)
+		}
+	})
 }
 
 // coldFleetTime is the time for which requests arrive.
@@ -130,7 +140,7 @@
 // four seconds. urgent is the share of priority 0.
 func playColdFleet(seed uint64, urgent float64) *coldFleet {
 	const perSecond, upstreams = 1300, 31
-	f := &coldFleet{rng: rand.New(rand.NewPCG(seed, 5)), now: start}
+	f := &coldFleet{rng: rand.New(rand.NewPCG(seed, 5)), now: start, ticks: make(map[*Queue]time.Time)}
 	rule := coldRule()
 	rule.Start = time.Hour
 	for range upstreams {
--- a/core/intake/cold_test.go
+++ b/core/intake/cold_test.go
@@ -146,6 +146,27 @@
 	}
 }
 
+// Guards against daemons that start one after the other, of which each sends what it may at once, and against
+// health requests beside the allowance.
+func TestRestartsInOneWindowStayWithinTheBound(t *testing.T) {
+	rule := coldRule()
+	rule.Start = time.Hour
+	for _, every := range []int{150, 400, 990, 1101, 1300} {
+		u := newColdUpstream(7, rule)
+		for ms := range 12_000 {
+			u.step()
+			if ms%every == every-1 {
+				u.startDaemon()
+			}
+			if ms%4000 >= 2000 { // the allowance grows until then
+				u.offer()
+				u.offer()
+			}
+		}
+		requireWithinColdBound(t, rule, u.sent)
+	}
+}
+
 // Guards against a limit that leaves unused what the platform tolerates: callers gain from each request.
 func TestColdRateUsesTheTolerance(t *testing.T) {
 	u := newColdUpstream(1, coldRule())
