--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -136,6 +136,7 @@
 	d.guard = NewGuard(s.Upstream.Address, d.platform.Headers, d.platform.Answers, log)
 	d.guard.region = s.Instance.Region
 	d.guard.dataCentre = s.Instance.DataCentre
+	d.guard.SetColdBounds(s.Instance.Service, s.Bounds.ColdRatio, s.Bounds.ColdAllowance)
 	d.placer = placement.New(s.Place(), placement.DefaultCosts, seed)
 	d.placer.SetLink(hostOf(s.Listen.ForwardAddress), s.Limits.LinkMbps*1e6)
 	d.budget = retry.NewFleetBudget(retry.FleetRules{
@@ -243,6 +244,7 @@
 	d.tasks.Go(func() { d.follower.Run(ctx) })
 	d.tasks.Go(func() { d.housekeep(ctx) })
 	d.tasks.Go(func() { d.reach.run(ctx) })
+	d.tasks.Go(func() { d.guard.watchHealth(ctx) })
 	d.tasks.Go(func() { d.sender.announceSuspects(ctx, d.log) })
 	d.log.Info("daemon_started", zap.String("service", d.settings.Instance.Service), zap.String("place", d.settings.Place().String()),
 		zap.String("caller_address", d.settings.Listen.CallerAddress), zap.String("forward_address", d.settings.Listen.ForwardAddress),
@@ -271,6 +273,7 @@
 		if n%pruneTicks == 0 {
 			d.sender.Prune(now)
 			d.guard.client.Prune(now, func(string) bool { return true })
+			d.guard.cold.client.Prune(now, func(string) bool { return true })
 		}
 	}
 }
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -83,6 +83,7 @@
 	timer     *time.Timer
 	// tableChanged is closed and replaced when a table takes effect that has a list of regions.
 	tableChanged chan struct{}
+	cold         coldGuard
 }
 
 // NewGuard returns a guard for the upstream at the address. budget limits the memory for responses
@@ -93,6 +94,8 @@
 		runs: newRuns(), tableChanged: make(chan struct{}),
 		client: exchange.NewClient(exchange.Config{RequestID: headers.RequestID, DialTimeout: upstreamDialTimeout, Budget: budget}),
 	}
+	g.cold.wake = make(chan struct{}, 1)
+	g.cold.client = exchange.NewClient(exchange.Config{DialTimeout: upstreamDialTimeout, MaxAnswer: maxHealthResponse})
 	g.timer = time.AfterFunc(time.Hour, g.tick)
 	return g
 }
@@ -103,7 +106,7 @@
 func (g *Guard) Update(now time.Time, v *catalog.View) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	defer g.openOrClose()
+	defer g.openOrClose(now)
 	g.evacuated = v.IsEvacuated(g.dataCentre)
 	if v.Table == nil {
 		return
@@ -115,8 +118,10 @@
 		g.markDeparted(g.instance.ID, time.Time{})
 	}
 	g.instance = nil
+	g.applyColdRule(now, v)
 	if listed {
 		g.resetNotices(now, g.lastInstance, current)
+		g.hearListedCold(now, g.lastInstance, current)
 		copied := *current
 		g.instance, g.lastInstance = &copied, &copied
 		if g.departed[current.ID].IsZero() {
@@ -128,11 +133,12 @@
 
 // openOrClose closes the queue, which refuses what waits in it, while the upstream must get no new
 // requests. The caller holds the mutex.
-func (g *Guard) openOrClose() {
+func (g *Guard) openOrClose(now time.Time) {
 	if g.stopping || g.evacuated || g.leaving() {
 		g.queue.Close()
-	} else {
+	} else if g.queue.Closed() {
 		g.queue.Open()
+		g.assumeCold(now, coldResumed, false)
 	}
 }
 
@@ -237,7 +243,11 @@
 	g.mu.Lock()
 	now := time.Now()
 	res.Load, res.Expected = g.queue.Load(now), g.queue.Expected(now, j.Route)
-	res.Limit, res.Evacuated, res.Pace = g.queue.Limit(now), g.evacuated, g.queue.HostPace()
+	res.Evacuated, res.Pace = g.evacuated, g.queue.HostPace()
+	res.Limit, res.Cold = g.queue.PermittedRate(now), g.queue.ColdRate(now) > 0
+	if g.unready() {
+		res.Load.Running, res.Load.Next, res.Load.Wait = res.Load.Slots, noRuleRetry, noRuleRetry
+	}
 	g.mu.Unlock()
 	if res.Refusal != nil {
 		g.log.logUpstreamRefusal(j, &res)
@@ -273,6 +283,10 @@
 		g.withdraw(call)
 		return Result{Refusal: refused}
 	}
+	if refused := g.chargeLateBody(ctx, j, started); refused != nil {
+		g.withdraw(call)
+		return Result{Refusal: refused}
+	}
 	res := g.sendUnlessBlocked(ctx, j, started)
 	now := time.Now()
 	g.mu.Lock()
@@ -334,27 +348,32 @@
 	if refused == nil {
 		verdict = g.queue.Offer(now, call, j.MayWait)
 		retryAfter = g.queue.RetryAfter(now, call)
+		g.wakeIfHealthDue(now)
 		g.schedule(now)
 	}
+	cold := g.countColdRefusal(now, verdict)
 	g.mu.Unlock()
 	if refused != nil || verdict == intake.Started {
 		return refused
 	}
 	if verdict == intake.Waiting {
-		if verdict, retryAfter = g.wait(ctx, j, call, decided, tableChanged); verdict == intake.Started {
+		if verdict, retryAfter, cold = g.wait(ctx, j, call, decided, tableChanged); verdict == intake.Started {
 			return nil
 		}
 		if refused = g.checkRegion(j); refused != nil {
 			return refused
 		}
 	}
+	if cold {
+		return coldRefusal(retryAfter)
+	}
 	return refusalFor(verdict, retryAfter)
 }
 
 // wait waits for the verdict on a queued call. If the context ends first, or a table takes effect that
-// does not allow the job in this region, the call is removed from the queue.
-func (g *Guard) wait(ctx context.Context, j *Job, call *intake.Call, decided <-chan intake.Verdict, tableChanged <-chan struct{}) (intake.Verdict, time.Duration) {
-	var verdict intake.Verdict
+// does not allow the job in this region, the call is removed from the queue. cold says that the call is
+// refused because the upstream is cold.
+func (g *Guard) wait(ctx context.Context, j *Job, call *intake.Call, decided <-chan intake.Verdict, tableChanged <-chan struct{}) (verdict intake.Verdict, retryAfter time.Duration, cold bool) {
 	for waiting := true; waiting; {
 		select {
 		case verdict = <-decided:
@@ -362,19 +381,20 @@
 		case <-tableChanged:
 			if tableChanged = g.followTable(); g.checkRegion(j) != nil {
 				g.cancel(call, decided)
-				return intake.Overloaded, 0
+				return intake.Overloaded, 0, false
 			}
 		case <-ctx.Done():
 			g.cancel(call, decided)
-			return intake.Overloaded, 0
+			return intake.Overloaded, 0, false
 		}
 	}
 	if verdict == intake.Started {
-		return verdict, 0
+		return verdict, 0, false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return verdict, g.queue.RetryAfter(time.Now(), call)
+	now := time.Now()
+	return verdict, g.queue.RetryAfter(now, call), g.countColdRefusal(now, verdict)
 }
 
 // cancel removes a queued call from the queue, or frees its slot if it has got one meanwhile.
@@ -401,6 +421,8 @@
 		return evacuatedRefusal()
 	case g.stopping, g.leaving(), g.hasDeparted(now, j.Instance):
 		return notRun(refusal.Leaving, "the instance is leaving; send the request to another one", 0)
+	case g.unready():
+		return notRun(refusal.Overloaded, "the daemon does not know yet what a cold upstream takes; try again", noRuleRetry)
 	case now.Before(g.downUntil):
 		return notRun(refusal.UpstreamFailed, downRemedy, downTime)
 	}
@@ -436,20 +458,26 @@
 	request := g.request(j)
 	started := time.Now()
 	resp, err := g.client.Do(ctx, request)
+	g.recordExchange(ctx, started, err)
 	if j.MayRepeat && reusedConnFailed(err) && ctx.Err() == nil && time.Since(started) < immediateFailureLimit && g.checkRegion(j) == nil {
+		if !g.chargeResend() {
+			return g.errorResult(ctx, err)
+		}
 		request.MaxIdle = -1
-		g.chargeResend()
+		resent := time.Now()
 		resp, resendErr := g.client.Do(ctx, request)
+		g.recordExchange(ctx, resent, resendErr)
 		return g.resentResult(g.exchangeResult(ctx, j, resp, resendErr), err)
 	}
 	return g.exchangeResult(ctx, j, resp, err)
 }
 
-// chargeResend counts a request that is sent again towards the upstream's limit.
-func (g *Guard) chargeResend() {
+// chargeResend counts a request that is sent again towards the upstream's limit. It returns false if the
+// upstream is cold and does not take it.
+func (g *Guard) chargeResend() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.queue.Charge(time.Now())
+	return g.queue.Charge(time.Now())
 }
 
 // exchangeResult returns the result for the response or the error of an exchange with the
@@ -529,7 +557,9 @@
 	case !sent:
 		g.mu.Lock()
 		if !errors.Is(err, exchange.ErrTooMany) {
-			g.downUntil = time.Now().Add(downTime)
+			now := time.Now()
+			g.downUntil = now.Add(downTime)
+			g.connectionRefused(now)
 		}
 		g.mu.Unlock()
 		return Result{connectionRefused: isRefused(err), Refusal: notRun(refusal.UpstreamFailed, "the upstream does not accept connections: "+err.Error(), downTime)}
@@ -577,6 +607,9 @@
 		g.suspects.recordCrash(now, evidenceReplaced, quarantine.ReplacementDelay)
 	}
 	g.markDeparted(id, now.Add(misdirectedTime))
+	if g.instance == nil || g.instance.ID == id {
+		g.assumeCold(now, coldReplaced, true)
+	}
 }
 
 // logInstance logs the instance of the local upstream, if it is known.
--- a/pkg/mesh/status.go
+++ b/pkg/mesh/status.go
@@ -35,6 +35,9 @@
 	// Pace is how long work takes on the upstream's host now, in percent of the usual time: 100 if the
 	// upstream has not reported it, or not of late.
 	Pace int `json:"pace"`
+	// ColdRate is the number of requests per second that the upstream gets at most because it counts as
+	// cold, 0 if it does not.
+	ColdRate float64 `json:"cold_rate"`
 	// AnswerBytes is the size of the upstreams' responses that the daemon holds in memory.
 	AnswerBytes int64 `json:"answer_bytes"`
 	// Evacuated are the evacuated data centres, sorted by name.
@@ -54,7 +57,7 @@
 	s := Status{
 		Ready: d.Ready(), Revision: v.Revision, Instances: len(v.Instances), Unnamed: len(v.Unnamed),
 		Running: load.Running, Slots: load.Slots, Queued: load.Queued, AwaitingBody: d.guard.awaitingBody.Load(), Suspects: suspected, Blocked: blocked,
-		Limit: d.guard.Limit(), Pace: d.guard.Pace(),
+		Limit: d.guard.Limit(), Pace: d.guard.Pace(), ColdRate: d.guard.Cold(),
 		AnswerBytes: d.platform.Answers.Held(), Evacuated: d.evacuatedDataCentres(v),
 	}
 	if v.Table != nil {
