Notice the end of a connection behind unread bytes

exchange.Closed peeked at the next byte, so that a byte of a further request hid that the peer had closed its side or reset the connection. It polls for POLLRDHUP now.

TestClosed with unread bytes failed before (condition never satisfied in 10 s) and passes.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -76,11 +76,28 @@
 	return &conn{Conn: c, source: source, reader: bufio.NewReaderSize(source, readBuffer)}
 }
 
-// Closed reports whether the peer has closed a connection or reset it, without reading from it.
-// It takes unread bytes for an open connection.
+// Closed reports whether the peer has closed its side of a connection or reset it, without reading from
+// it. Bytes that have not been read do not hide that.
 func Closed(c net.Conn) bool {
-	n, err, ok := peek(c)
-	return ok && (err == nil && n == 0 || err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR))
+	tcp, isSocket := c.(syscall.Conn)
+	if !isSocket {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var closed bool
+	err = raw.Control(func(fd uintptr) { closed = HungUp(int(fd)) })
+	return closed || err != nil && !errors.Is(err, unix.EAGAIN)
+}
+
+// HungUp reports whether the peer of a socket has closed its side or reset the connection, also if there
+// are bytes that have not been read.
+func HungUp(fd int) bool {
+	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(polled, 0)
+	return err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR|unix.POLLNVAL) != 0
 }
 
 // Unread reports whether bytes that have arrived on a connection were not read yet.
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -335,7 +335,7 @@
 }
 
 // Guards against work for a peer that closed its connection right behind its request, and
-// against taking one that only waits for gone.
+// against taking one that only waits for gone. Bytes that nobody has read do not hide the end.
 func TestClosed(t *testing.T) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -352,6 +352,8 @@
 	_, err = io.ReadFull(far, one)
 	require.NoError(t, err)
 	require.False(t, Closed(far))
+	_, err = near.Write([]byte("unread"))
+	require.NoError(t, err)
 	require.NoError(t, near.Close())
 	require.Eventually(t, func() bool { return Closed(far) }, 10*time.Second, time.Millisecond)
 }
