Read pipelined requests ahead and start them

net/http reads the next request only after it has answered the one before, so that pipelined requests run one after the other. A connection of closing.Server can now read requests ahead, within bounds of requests and bytes, while a handler runs: it passes net/http no bytes beyond the end of a request, and the read by which net/http waits for the end of the connection fills a buffer and starts what may run. Anything unusual (chunked bodies, Expect, bare LF) ends read-ahead on the connection. The end of the connection drops all runs.

--- a/pkg/closing/conn.go
+++ b/pkg/closing/conn.go
@@ -21,7 +21,10 @@
 }
 
 // listener wraps the connections that it accepts in conn, which tracks whether they are idle.
-type listener struct{ net.Listener }
+type listener struct {
+	net.Listener
+	pipelining *Pipelining // nil without read-ahead
+}
 
 // Accept waiting for a connection. Connections other than sockets are returned unwrapped.
 func (l listener) Accept() (net.Conn, error) {
@@ -37,19 +40,30 @@
 	if err != nil {
 		return c, nil // closed already; the server finds that out when it reads
 	}
-	return &conn{socket: s, raw: raw, accepted: time.Now()}, nil
+	return &conn{socket: s, raw: raw, accepted: time.Now(), pipelining: l.pipelining}, nil
 }
 
 // conn tracks whether a connection is idle: the last response has been sent and no byte of the next
 // request has been read.
 type conn struct {
 	socket
-	raw      syscall.RawConn
-	accepted time.Time
+	raw        syscall.RawConn
+	accepted   time.Time
+	pipelining *Pipelining // nil without read-ahead
 
 	mu   sync.Mutex
 	idle bool
 	used bool // at least one byte has been read
+
+	// The state of read-ahead. admitted is set if requests may be started behind the one that is being
+	// handled, held if none may on this connection, and ended if the connection has been closed by
+	// either side. bodyLeft is the number of bytes of a request's body that the server does not have.
+	position position
+	admitted bool
+	held     bool
+	ended    bool
+	bodyLeft int64
+	ahead    *ahead
 }
 
 func (c *conn) setIdle(idle bool) {
@@ -60,7 +74,22 @@
 
 // Read marks the connection as used and no longer idle if it reads any bytes. It does so in one step
 // with the read: between the two, a connection with a request would look idle to closeIfIdle.
+//
+// With read-ahead it passes no bytes beyond the end of a request: they would reach net/http's buffer, where
+// they cannot be seen.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.pipelining != nil {
+		switch n, state := c.beginRead(p); state {
+		case readEnded:
+			return 0, io.EOF
+		case readBackground:
+			return c.readInBackground(p)
+		case readBuffered:
+			return n, nil
+		case readSocketUpTo:
+			p = p[:n]
+		}
+	}
 	var n int
 	var failed error
 	err := c.raw.Read(func(fd uintptr) bool {
@@ -69,6 +98,9 @@
 		n, failed = readSocket(int(fd), p)
 		if n > 0 {
 			c.idle, c.used = false, true
+			if c.pipelining != nil {
+				n = c.passRead(p[:n])
+			}
 		}
 		return !errors.Is(failed, syscall.EAGAIN)
 	})
@@ -78,13 +110,61 @@
 	case err != nil:
 		return 0, err
 	case failed != nil:
-		return 0, &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", failed)}
+		return 0, c.readError(failed)
 	case n == 0 && len(p) > 0:
 		return 0, io.EOF
 	}
 	return n, nil
 }
 
+func (c *conn) readError(err error) error {
+	return &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
+}
+
+// readState tells how to read on a connection with read-ahead.
+type readState uint8
+
+const (
+	readSocketUpTo readState = iota // read that many bytes from the socket at most
+	readBuffered                    // that many bytes were taken from those read ahead
+	readBackground                  // net/http waits for the end of the connection
+	readEnded                       // the connection has ended
+)
+
+// beginRead passes bytes that were read ahead, or tells how to read others.
+func (c *conn) beginRead(p []byte) (int, readState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.ended:
+		return 0, readEnded
+	case c.position == between && len(p) == 1:
+		return 0, readBackground
+	case c.buffered() > 0 && len(p) > 0:
+		return c.passBuffered(p), readBuffered
+	case c.position == inBody && int64(len(p)) > c.bodyLeft:
+		return int(c.bodyLeft), readSocketUpTo
+	}
+	return len(p), readSocketUpTo
+}
+
+// readInBackground waits for the end of the connection and reads ahead meanwhile.
+func (c *conn) readInBackground(p []byte) (int, error) {
+	err := c.awaitEnd()
+	if errors.Is(err, errors.ErrUnsupported) {
+		return c.readPlain(p)
+	}
+	return 0, err
+}
+
+// Close closes the connection and drops the runs of the requests behind the one that is being handled.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	c.drop()
+	c.mu.Unlock()
+	return c.socket.Close()
+}
+
 // readPlain reads from a connection without a file descriptor.
 func (c *conn) readPlain(p []byte) (int, error) {
 	n, err := c.socket.Read(p)
@@ -116,7 +196,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	waiting := c.idle || !c.used && unusedTimeout > 0 && time.Since(c.accepted) >= unusedTimeout
-	if !waiting || exchange.Unread(c) {
+	if !waiting || c.buffered() > 0 || exchange.Unread(c) {
 		return false
 	}
 	_ = c.SetReadDeadline(time.Unix(1, 0))
--- a/pkg/closing/server.go
+++ b/pkg/closing/server.go
@@ -22,6 +22,8 @@
 	// UnusedTimeout is the time after which a connection on which no byte has ever arrived counts
 	// as idle; 0 means never. It must be set before Serve.
 	UnusedTimeout time.Duration
+	// Pipelining makes the server read requests ahead; nil for not. It must be set before Serve.
+	Pipelining *Pipelining
 
 	http *http.Server
 	// serving counts the calls of Serve that have not returned.
@@ -48,7 +50,7 @@
 		return http.ErrServerClosed
 	}
 	defer s.serving.Done()
-	err := s.http.Serve(listener{l})
+	err := s.http.Serve(listener{l, s.Pipelining})
 	if errors.Is(err, net.ErrClosed) && s.hasStopped() {
 		return http.ErrServerClosed
 	}
