Run pipelined requests of callers at the same time

Requests without a body on routes whose kind may repeat run as soon as they are read now, up to limits.pipelined_requests (16) behind the one that is being answered and 64 kB, and their responses wait in the budget until it is their turn. In a shutdown the response to the last of them bears Connection: close. senderDisconnected sees the end of a connection behind unread bytes.

Of the new tests in ahead_test.go, run on the code before: RunAtTheSameTime, UnsafeRequestWaits, OfADisconnectedCallerDoNotRun, WaitingResult, AnsweredInADrain and AnsweredAtTheEndOfADrain failed, RequestsBehindARefusedOneRun passed. All pass now, four times with the race detector.

--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -143,7 +143,7 @@
 	d.reach = newReachability(now, hostOf(s.Listen.ForwardAddress), seed, d.sender.client, d.placer, d.log)
 	d.sender.reach = d.reach
 	d.ingress = &Ingress{
-		service: s.Instance.Service, parent: d.platform.Parent, headers: d.platform.Headers, fleet: d.fleet, placer: d.placer, sender: d.sender,
+		requestsCtx: d.requestsCtx, service: s.Instance.Service, parent: d.platform.Parent, headers: d.platform.Headers, fleet: d.fleet, placer: d.placer, sender: d.sender,
 		budget: d.budget, metrics: d.metrics, log: log, random: random{src: rand.New(rand.NewPCG(seed, uint64(os.Getpid())))},
 	}
 	d.follower = &Follower{
@@ -179,6 +179,9 @@
 	}
 }
 
+// callerKey is the key of the address for callers and the name of the server there.
+const callerKey = "caller_address"
+
 // bind opens the listeners and creates a server for each.
 func (d *Daemon) bind() error {
 	l := d.settings.Listen
@@ -188,7 +191,7 @@
 		handler      http.Handler
 		idle         time.Duration
 	}{
-		{"caller_address", l.CallerAddress, d.ingress, idleTimeout},
+		{callerKey, l.CallerAddress, d.ingress, idleTimeout},
 		{"forward_address", l.ForwardAddress, peers, peerServerIdle},
 		{"ready_address", l.ReadyAddress, http.HandlerFunc(d.serveReady), idleTimeout},
 		{"seed_address", l.SeedAddress, peers, peerServerIdle},
@@ -201,11 +204,15 @@
 		if err != nil {
 			return &SocketError{Key: s.key, Address: s.address, Err: err}
 		}
-		d.servers = append(d.servers, newServer(s.key, listener, &http.Server{
+		server := newServer(s.key, listener, &http.Server{
 			Handler: boundBodies(s.handler), MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.errorLog(s.key),
 			ReadHeaderTimeout: headerTimeout, WriteTimeout: maxExchangeTime, IdleTimeout: s.idle,
 			DisableGeneralOptionsHandler: true, ConnContext: withConnection, BaseContext: func(net.Listener) context.Context { return d.requestsCtx },
-		}))
+		})
+		if s.key == callerKey {
+			server.Pipelining = d.ingress.pipelining(d.settings.Limits.PipelinedRequests)
+		}
+		d.servers = append(d.servers, server)
 	}
 	return nil
 }
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -41,6 +41,9 @@
 // Ingress receives the requests of callers, forwards each to an instance of the route's service
 // and writes the response. It implements http.Handler.
 type Ingress struct {
+	// requestsCtx is the parent of the contexts of requests that run ahead.
+	requestsCtx context.Context
+
 	service string // of the upstream on this daemon's host
 	headers Headers
 	// parent returns the ID of the request during whose run an upstream sent the request with the
@@ -118,6 +121,11 @@
 func (i *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	i.active.Add(1)
 	defer i.active.Add(-1)
+	pipeline := pipelineOf(r)
+	if run := i.takeAhead(pipeline, r); run != nil {
+		i.answerAhead(w, r, run)
+		return
+	}
 	arrived := time.Now()
 	req, refused := i.accept(w, r, arrived)
 	if refused != nil {
@@ -133,6 +141,9 @@
 	// On a busy machine the caller may disconnect between the check above and the moment at
 	// which the request is sent.
 	req.job.Disconnected = func() bool { return senderDisconnected(r) }
+	if mayRunAhead(r, req.route) {
+		pipeline.Admit()
+	}
 	i.respond(w, r, req, i.send(ctx, req))
 }
 
@@ -141,7 +152,7 @@
 	if res.Refusal == nil {
 		i.metrics.recordOutcome(req, statusClass(res.Response.Status))
 		i.log.logOutcome(req, strconv.Itoa(res.Response.Status), &res)
-		i.closeIfStopping(w)
+		i.closeIfStopping(w, r)
 		if err := writeResponse(w, res.Response, req.callerEnds); err != nil {
 			i.log.logNotTaken(req.id, "caller", res.Response, err)
 		}
@@ -180,9 +191,10 @@
 }
 
 // closeIfStopping sets "Connection: close" during a shutdown, so that the caller opens another
-// connection for its next request.
-func (i *Ingress) closeIfStopping(w http.ResponseWriter) {
-	if i.plan.Load() != nil {
+// connection for its next request. If requests behind this one run already, the response to the last
+// of them closes the connection.
+func (i *Ingress) closeIfStopping(w http.ResponseWriter, r *http.Request) {
+	if i.plan.Load() != nil && pipelineOf(r).Hold() == 0 {
 		w.Header().Set("Connection", "close")
 	}
 }
@@ -209,7 +221,7 @@
 		i.metrics.rejected(refused)
 		i.log.logRejection(r.Header.Get(i.headers.RequestID), r.Host, r.URL.Path, refused)
 	}
-	i.closeIfStopping(w)
+	i.closeIfStopping(w, r)
 	boundWrite(w, time.Time{})
 	h := w.Header()
 	h["Date"] = nil
@@ -229,6 +241,11 @@
 	if view.Table == nil {
 		return nil, notRun(refusal.NoVersion, "the daemon has no route table yet; try again", noTableRetry)
 	}
+	return i.acceptIn(w, r, arrived, view)
+}
+
+// acceptIn is accept with the view whose table routes the request.
+func (i *Ingress) acceptIn(w http.ResponseWriter, r *http.Request, arrived time.Time, view *catalog.View) (*request, *refusal.Refusal) {
 	if r.URL.Host != "" || !strings.HasPrefix(r.RequestURI, "/") {
 		return nil, &refusal.Refusal{Kind: refusal.BadRequest, Run: refusal.NotRun, Remedy: "send only the path and query as the request target", Status: http.StatusBadRequest}
 	}
--- a/pkg/mesh/meshtest/fleet.go
+++ b/pkg/mesh/meshtest/fleet.go
@@ -63,6 +63,7 @@
 	}
 	s := mesh.DefaultSettings()
 	s.Instance = mesh.Instance{Service: service, Region: DataCentres[dataCentre], DataCentre: dataCentre}
+	limits.PipelinedRequests = s.Limits.PipelinedRequests
 	s.DataCentres, s.Limits = DataCentres, limits
 	s.Upstream.Address = u.Addr()
 	s.Bounds.Grace = 4 * time.Second
--- a/pkg/mesh/meshtest/upstream.go
+++ b/pkg/mesh/meshtest/upstream.go
@@ -91,6 +91,7 @@
 	id       model.InstanceID
 	work     func(r *Request) time.Duration
 	fault    func(r *Request) Fault
+	gate     func(r *Request) <-chan struct{}
 	down     bool
 	notices  []Notice
 	crashes  []time.Time
@@ -136,6 +137,14 @@
 	u.work = work
 }
 
+// SetGate sets the function that returns a channel whose end each request awaits in addition to its work; the
+// channel may be nil.
+func (u *Upstream) SetGate(gate func(r *Request) <-chan struct{}) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.gate = gate
+}
+
 // always returns a function that tells the same time for all requests.
 func always(work time.Duration) func(*Request) time.Duration {
 	return func(*Request) time.Duration { return work }
@@ -353,7 +362,14 @@
 	u.running++
 	u.peak = max(u.peak, u.running)
 	work := u.work(&r)
+	var gate <-chan struct{}
+	if u.gate != nil {
+		gate = u.gate(&r)
+	}
 	u.mu.Unlock()
+	if gate != nil {
+		<-gate
+	}
 	if work > 0 {
 		time.Sleep(work)
 	}
--- a/pkg/mesh/metrics.go
+++ b/pkg/mesh/metrics.go
@@ -21,6 +21,7 @@
 	rejections *prometheus.CounterVec
 	retries    *prometheus.CounterVec
 	storeCalls *prometheus.CounterVec
+	pipelined  *prometheus.CounterVec
 }
 
 // newMetrics creates the metrics and registers them.
@@ -36,8 +37,9 @@
 		rejections: counter("ingress_rejected_total", "Requests refused before they were placed.", "reason"),
 		retries:    counter("ingress_retries_total", "Decisions about retries of requests to an upstream, by how much depends on the retry.", "decision", "chance"),
 		storeCalls: counter("store_calls_total", "Calls to the platform's store.", "call", "outcome"),
+		pipelined:  counter("ingress_pipelined_total", "Pipelined requests that were started before the requests before them were answered, and those of them whose result was dropped because the connection ended.", "event"),
 	}
-	for _, c := range []prometheus.Collector{m.requests, m.latency, m.rejections, m.retries, m.storeCalls} {
+	for _, c := range []prometheus.Collector{m.requests, m.latency, m.rejections, m.retries, m.storeCalls, m.pipelined} {
 		if err := registry.Register(c); err != nil {
 			return nil, err
 		}
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -76,6 +76,9 @@
 	LinkMbps float64 `yaml:"link_mbps"`
 	// LogLinesPerSecond is the maximum rate of log lines about single requests; default 40.
 	LogLinesPerSecond int `yaml:"log_lines_per_second"`
+	// PipelinedRequests is the number of pipelined requests of a caller's connection that run before the
+	// request that is being answered has been answered; 0 disables it.
+	PipelinedRequests int `yaml:"pipelined_requests"`
 }
 
 // A reader encodes each change once and sends it to all daemons that it feeds. In a fleet of 300
@@ -145,7 +148,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		LogLevel: "info",
-		Limits:   Limits{LogLinesPerSecond: 40},
+		Limits:   Limits{LogLinesPerSecond: 40, PipelinedRequests: 16},
 		Bounds:   Bounds{RetryRatio: 0.1, RetryAllowance: 20, RetryWindow: 10 * time.Second, Grace: 10 * time.Second},
 	}
 }
@@ -198,6 +201,7 @@
 		{"limits.cores", s.Limits.Cores, maxCores},
 		{"limits.link_mbps", s.Limits.LinkMbps, maxLinkMbps},
 		{"limits.log_lines_per_second", float64(s.Limits.LogLinesPerSecond), maxLogLines},
+		{"limits.pipelined_requests", float64(s.Limits.PipelinedRequests), maxPipelined},
 		{"bounds.retry_ratio", s.Bounds.RetryRatio, maxRetryRatio},
 		{"bounds.retry_allowance", s.Bounds.RetryAllowance, maxRetryAllowance},
 	} {
@@ -213,6 +217,7 @@
 	maxCores          = 4096
 	maxLinkMbps       = 10e6
 	maxLogLines       = 1e6
+	maxPipelined      = 1024
 	maxRetryRatio     = 100
 	maxRetryAllowance = 1e6
 )
