Keep speeds and loads of instances for as long as a sender needs them

Cause: in a fleet of 64 daemons and 46 instances a daemon sends to an instance once in one to two seconds. It forgot the speed that it had learned within 3 s and took an instance for empty 0.5 s after its last report. Remembering the speed alone made all daemons queue at the fast instances under load.

Change: slowness decays in 20 s, a load report in 2 s, and a wait is charged with what it costs those behind it. A load report belongs to one incarnation.

With the constants of before, TestSpeedAndLoadAreKnownForSeconds, TestSlowerInstanceWithAFreeSlotIsUsed and TestLoadBelongsToOneIncarnation fail.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -31,9 +31,10 @@
 	lateLoss = 0.5
 	// defaultBytes is the expected size of a response before one was received.
 	defaultBytes = 2000
-	// reportLifetime is the age at which a load report has no weight any more: about a few run
-	// times.
-	reportLifetime = 500 * time.Millisecond
+	// reportLifetime is the age at which a load report has no weight any more. In a fleet of 64 daemons
+	// and 46 instances a daemon gets one of an instance in one to two seconds; with 500 ms the instances
+	// that it had not used of late seemed empty.
+	reportLifetime = 2 * time.Second
 	// defaultRun is the expected run time before a response was received.
 	defaultRun = 80 * time.Millisecond
 	// runWeight is the weight of one response in the mean run time and response size of a route
@@ -43,10 +44,15 @@
 	// the mean over all instances.
 	maxSlowness, minSlowness = 10, 0.3
 	// slownessDecay is the time in which the slowness of an instance that gets no requests
-	// returns to 1.
-	slownessDecay = 3 * time.Second
+	// returns to 1. With 3 s a daemon forgot the speed of an instance between two requests to it.
+	slownessDecay = 20 * time.Second
 	// coldSlowness is the least slowness assumed for an instance that is still warming up.
 	coldSlowness = 2
+	// A request that waits delays those behind it as well: its wait counts waitWeight times, and once
+	// waitPenalty times the mean run time. Without that, all daemons that know the fast instances queue
+	// there until these are as slow as the others.
+	waitWeight  = 1.25
+	waitPenalty = 1.2
 	// busyShare is the part of a run time that is added at full utilisation, because upstreams
 	// slow down as they fill.
 	busyShare = 0.3
@@ -142,7 +148,7 @@
 	failureRateAt time.Time
 	failuresInRow int
 	excludedUntil time.Time
-	// limit and leaving are those of the last report. They belong to one incarnation.
+	// limit and leaving are those of the last report. They belong to one incarnation, as load does.
 	limit       float64
 	leaving     bool
 	incarnation uint64
@@ -204,7 +210,7 @@
 			s = &instanceStats{slowness: 1, incarnation: inst.Incarnation}
 		}
 		if inst.Incarnation > s.incarnation {
-			s.incarnation, s.limit, s.leaving, s.pace = inst.Incarnation, 0, false, intake.HostPace{}
+			s.incarnation, s.limit, s.leaving, s.pace, s.load = inst.Incarnation, 0, false, intake.HostPace{}, intake.Load{}
 		}
 		p.stats[inst.ID] = s
 		if inst.Warm > 0 {
@@ -317,7 +323,7 @@
 
 // loss returns the expected loss of a choice as a fraction of the request's value.
 func (p *Placer) loss(q Query, c Choice) float64 {
-	part := float64(c.Expected) / float64(max(q.Slack, minSlack))
+	part := (float64(c.Expected) + p.delayOfOthers(q, c)) / float64(max(q.Slack, minSlack))
 	loss := lateLoss * part * part
 	kb := (float64(q.Bytes) + p.averages(q.Route).bytes) / 1000
 	switch c.Instance.Place.DistanceTo(p.self) {
@@ -375,6 +381,10 @@
 	part := min(1, run/max(mean, 1))
 	reported := float64(s.load.Next) + part*float64(s.load.Wait-s.load.Next)
 	free := float64(s.load.Slots - s.load.Running - s.load.Queued)
+	if s.limit > 0 {
+		// The wait that a limit causes has passed by now in part.
+		reported = max(0, reported-float64(now.Sub(s.loadAt)))
+	}
 	if free > float64(s.sent) {
 		reported = 0
 	} else {
