Lose no tick when a call arrives at one

A call that arrived when a waiting one could start by a rate, but before the timer, was queued behind it, and the time of the next tick was dropped because the rate allowed a call: what waited stayed there until another run ended or its deadline. Offer now starts what is due first.

TestArrivalAtATickLosesNoTick failed before for the cold rate, at which it stopped; the named limit was not run without the change.

--- a/core/intake/cold_test.go
+++ b/core/intake/cold_test.go
@@ -338,6 +338,28 @@
 	require.Greater(t, len(u.sent), 8)
 }
 
+// Guards against a call that arrives when a waiting one may start by a rate, but before Advance: the tick for
+// that would be lost, and the waiting call stays until its deadline.
+func TestArrivalAtATickLosesNoTick(t *testing.T) {
+	for name, limit := range map[string]func(*Queue){
+		"cold":  func(q *Queue) { q.SetColdRule(at(0), coldRule()) },
+		"named": func(q *Queue) { q.SetLimit(at(0), 1) },
+	} {
+		q := New(9)
+		limit(q)
+		first, _ := call("r", 1, 0, 5000, 9000)
+		q.Offer(at(0), first, true) // the named limit allows one at once
+		waiting, decided := call("r", 1, 0, 5000, 9000)
+		require.Equal(t, Waiting, q.Offer(at(1), waiting, true), name)
+		due, ok := q.NextTick()
+		require.True(t, ok)
+		due = due.Add(2 * time.Second)
+		last, _ := call("r", 1, 0, 5000, 9000)
+		q.Offer(due, last, true)
+		require.Equal(t, []Verdict{Started}, decided.verdicts, name)
+	}
+}
+
 // Guards against a Retry-After and load reports that do not fit the rate, and against requests that wait
 // although they cannot meet their deadline.
 func TestColdRateShowsInLoadAndRetryAfter(t *testing.T) {
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -263,6 +263,9 @@
 		return Closed
 	}
 	q.cold.arrive(now)
+	if !q.pacedUntil.IsZero() && !now.Before(q.pacedUntil) {
+		q.advance(now) // calls that wait for a rate go first
+	}
 	q.updateOrder(now)
 	c.queued, c.pressing = now, mayWait || c.Nested
 	if q.tooLateToStart(c, now) {
