--- a/pkg/mesh/cold.go
+++ b/pkg/mesh/cold.go
@@ -245,7 +245,7 @@
 	var failed *exchange.Error
 	switch {
 	case err == nil:
-		if remaining, ok := parseCold(resp.Header.Get(g.headers.Cold)); ok {
+		if remaining, ok := g.reportedCold(resp); ok {
 			g.queue.ReportCold(now, sent, remaining)
 		} else {
 			g.queue.Responded(now, sent)
@@ -261,6 +261,16 @@
 	g.schedule(now)
 }
 
+// reportedCold returns the remaining cold time that a response to a health request reports; ok is false if
+// it reports none. An upstream that is not cold names its instance without a remaining time.
+func (g *Guard) reportedCold(resp *exchange.Response) (remaining time.Duration, ok bool) {
+	text := resp.Header.Get(g.headers.Cold)
+	if text == "" {
+		return 0, resp.Header.Get(g.headers.Instance) != ""
+	}
+	return parseCold(text)
+}
+
 // parseCold parses the remaining cold time in milliseconds. It returns false if the text is not one.
 func parseCold(text string) (time.Duration, bool) {
 	ms, err := strconv.ParseInt(text, 10, 32)
--- a/pkg/mesh/guard_cold_test.go
+++ b/pkg/mesh/guard_cold_test.go
@@ -29,9 +29,11 @@
 type pipeUpstream struct {
 	mu   sync.Mutex
 	work time.Duration
-	// coldUntil is what the health path reports; mute makes it leave out the header.
+	// coldUntil is what the health path reports; mute makes it leave out the header. instance is the ID that
+	// it names, empty for none.
 	coldUntil time.Time
 	mute      bool
+	instance  string
 	down      bool
 	conns     map[net.Conn]bool
 	health    int
@@ -71,6 +73,9 @@
 			if !u.mute {
 				header = fmt.Sprintf("Cold: %d\r\n", max(0, time.Until(u.coldUntil).Milliseconds()))
 			}
+			if u.instance != "" {
+				header += "Instance: " + u.instance + "\r\n"
+			}
 		}
 		u.mu.Unlock()
 		time.Sleep(work)
@@ -343,6 +348,26 @@
 	})
 }
 
+// Guards against a warm upstream that is limited for the whole time of a cold start after each event, since
+// only cold ones report a remaining time. A response that names no instance says nothing.
+func TestHealthResponseWithoutRemainingTimeEndsTheColdPhase(t *testing.T) {
+	for _, test := range []struct {
+		instance string
+		cold     bool
+	}{{"a", false}, {"", true}} {
+		synctest.Test(t, func(t *testing.T) {
+			u := newPipeUpstream()
+			u.instance = test.instance
+			u.start(0, true)
+			g := startColdGuard(t, u)
+			g.Update(time.Now(), coldView(t, 14, nil))
+			require.Positive(t, g.Cold(), "assumed until the health response")
+			time.Sleep(1500 * time.Millisecond)
+			require.Equal(t, test.cold, g.Cold() > 0, "instance %q", test.instance)
+		})
+	}
+}
+
 // Guards against health requests to an upstream whose data centre gets no requests, and against a burst
 // when it gets them again.
 func TestUpstreamIsAssumedColdWhenRequestsResume(t *testing.T) {
