Order states by the era of the store and its revision

A store that is restored from an older copy gives out revisions again. The catalog dropped states with a lower revision than it had seen, and could not tell changes with the same revision apart.

Position puts the number of the last restore into the upper 16 bits of a revision. A full state of a later era begins it: instances and evacuations that the copy lacks stay for the grace period after an outage, instances of the same incarnation stay leaving, and removed ones stay removed until their entry is written after the return (Instance.Copied, and a bounded memory of removals). A table of the same version is replaced if it was read in a later era and has other contents. Updates of a later era are ignored, since they do not say what the copy lacks. In era 0 nothing changes.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -2,7 +2,8 @@
 // of every service. The view is built from snapshots and updates of the platform's store, or
 // from the state that another daemon sends. It never goes back in time: a route table is
 // replaced only by one with a higher version, and a snapshot or an update is ignored if its
-// revision is lower than that of the catalog.
+// revision is lower than that of the catalog. A store that was restored from an older copy gives out
+// revisions again; see Position for how they are ordered, and Restore for what is kept.
 //
 // Catalog is a state machine without a clock: callers pass the time. It is not safe for
 // concurrent use. The views that it returns are immutable.
@@ -29,7 +30,8 @@
 	Upstream string
 	// Slots is the maximum number of requests that the upstream runs concurrently.
 	Slots int
-	// Created is the store revision at which the instance was first registered; 0 if unknown.
+	// Created is the store's own revision, without an era, at which the instance was first registered; 0 if
+	// unknown. The copy keeps it when the store is restored, so that it stays comparable.
 	Created uint64
 	// Warm is the remaining warm-up time of the upstream when its entry was written.
 	Warm time.Duration
@@ -38,6 +40,9 @@
 	// zero while the store lists the instance. It is not encoded, because the clocks of daemons
 	// differ.
 	LapsesAt time.Time `cbor:"-"`
+	// Copied is set after a restore of the store until the entry is written again: the entry may come from
+	// the copy, so that the instance may have been removed after the copy was made.
+	Copied bool `cbor:",omitempty"`
 }
 
 // Host returns the IP address of the daemon of the instance.
@@ -67,6 +72,11 @@
 	Entries      []Entry
 	// Evacuations are the evacuated data centres, and in an update those whose evacuation has ended.
 	Evacuations []Evacuation
+	// Restore is the last restore of the store that another daemon knows. It is nil if the state comes from the
+	// store or belongs to era 0.
+	Restore *Restore
+	// TableEra is the era in which the other daemon's table was read, if Restore is set.
+	TableEra uint64
 }
 
 // View is an immutable view of the fleet at a store revision.
@@ -83,6 +93,10 @@
 	// Evacuated are the evacuated data centres, sorted by name. The settings of a daemon need not know
 	// them.
 	Evacuated []Evacuation
+	// Restore is the last restore of the store, zero in era 0, and TableEra the era in which the table was
+	// read.
+	Restore  Restore
+	TableEra uint64
 }
 
 // ByID returns the instance with the given ID.
@@ -166,14 +180,19 @@
 	revision  uint64
 	table     *route.Table
 	instances map[model.InstanceID]*record
-	// evacuations holds the revision of the last known change of each evacuated data centre.
-	evacuations map[string]uint64
+	// evacuations holds the evacuated data centres by name.
+	evacuations map[string]evacuation
 	outage      outage
+	// restore is the last restore of the store, tableEra the era in which the table was read, and removed
+	// holds what the store may list again after the next restore.
+	restore  Restore
+	tableEra uint64
+	removed  removals
 }
 
 // New returns an empty catalog.
 func New() *Catalog {
-	return &Catalog{instances: make(map[model.InstanceID]*record), evacuations: make(map[string]uint64)}
+	return &Catalog{instances: make(map[model.InstanceID]*record), evacuations: make(map[string]evacuation)}
 }
 
 // Revision returns the highest store revision that the catalog includes.
@@ -187,28 +206,28 @@
 }
 
 // Replace applies a snapshot: instances that it does not contain are removed, and evacuations that it
-// does not contain end. It reports whether the view changed.
+// does not contain end. A snapshot of a later era begins that era. It reports whether the view changed.
 func (c *Catalog) Replace(now time.Time, s State) bool {
 	if s.Revision < c.revision {
 		return false
 	}
+	changed := c.enterEra(now, s)
 	listed := make(map[model.InstanceID]bool, len(s.Entries))
 	for _, e := range s.Entries {
 		listed[e.ID] = e.Instance != nil
 	}
-	changed := false
 	for id, h := range c.instances {
 		if !listed[id] && h.LapsesAt.IsZero() && h.revision <= s.Revision {
 			changed = c.remove(now, id, s.Revision) || changed
 		}
 	}
-	changed = c.endUnlistedEvacuations(s) || changed
+	changed = c.endUnlistedEvacuations(now, s) || changed
 	return c.apply(now, s) || changed
 }
 
-// Apply applies an update. It reports whether the view changed.
+// Apply applies an update. One of a later era is ignored. It reports whether the view changed.
 func (c *Catalog) Apply(now time.Time, s State) bool {
-	if s.Revision < c.revision {
+	if s.Revision < c.revision || c.missesEra(s) {
 		return false
 	}
 	return c.apply(now, s)
@@ -226,29 +245,28 @@
 			changed = c.remove(now, e.ID, e.Revision) || changed
 			continue
 		}
-		changed = c.upsert(e, h) || changed
+		if inst, ok := c.listedAs(s, e, h); ok {
+			changed = c.upsert(&inst, e.Revision, h) || changed
+		}
 	}
 	changed = c.applyEvacuations(s) || changed
-	if s.Table != nil && (c.table == nil || s.Table.Version > c.table.Version) {
-		c.table = s.Table
-		changed = true
-	}
+	changed = c.applyTable(s) || changed
 	c.revision = max(c.revision, s.Revision)
 	return changed
 }
 
 // upsert adds or updates an instance and reports whether the view changed. A heartbeat, which
 // writes an unchanged entry, does not change it.
-func (c *Catalog) upsert(e Entry, h *record) bool {
+func (c *Catalog) upsert(inst *Instance, revision uint64, h *record) bool {
 	if h == nil {
-		c.instances[e.ID] = &record{Instance: *e.Instance, revision: e.Revision}
+		c.instances[inst.ID] = &record{Instance: *inst, revision: revision}
 		return true
 	}
-	h.revision = e.Revision
-	if h.Instance == *e.Instance {
+	h.revision = revision
+	if h.Instance == *inst {
 		return false
 	}
-	h.Instance = *e.Instance
+	h.Instance = *inst
 	return true
 }
 
@@ -268,17 +286,25 @@
 		h.LapsesAt = c.outage.graceEnd
 		return true
 	}
-	delete(c.instances, id)
+	c.drop(now, h)
 	return true
 }
 
-// Expire removes the instances whose entries expired during a store outage and that did not
-// register again within the grace period. It reports whether the view changed.
+// drop removes an instance immediately.
+func (c *Catalog) drop(now time.Time, h *record) {
+	c.removed.add(now, &h.Instance)
+	delete(c.instances, h.ID)
+}
+
+// Expire removes the instances whose entries expired during a store outage, or that the copy lacks from
+// which the store was restored, if they did not register again within the grace period, and ends the
+// evacuations that the copy lacks. It reports whether the view changed.
 func (c *Catalog) Expire(now time.Time) bool {
-	changed := false
-	for id, h := range c.instances {
+	c.removed.expire(now)
+	changed := c.expireEvacuations(now)
+	for _, h := range c.instances {
 		if !h.LapsesAt.IsZero() && !now.Before(h.LapsesAt) {
-			delete(c.instances, id)
+			c.drop(now, h)
 			changed = true
 		}
 	}
@@ -303,7 +329,7 @@
 // address: that instance has stopped, although the store lists it until its entry expires. An
 // instance of a service that the table does not name succeeds no other one.
 func (c *Catalog) View() *View {
-	v := &View{Revision: c.revision, Table: c.table, Instances: make([]Instance, 0, len(c.instances)), Evacuated: c.evacuated()}
+	v := &View{Revision: c.revision, Table: c.table, Instances: make([]Instance, 0, len(c.instances)), Evacuated: c.evacuated(), Restore: c.restore, TableEra: c.tableEra}
 	named := c.namedServices()
 	latest := make(map[string]*record, len(c.instances))
 	for _, h := range c.instances {
