Follow a store that was restored from an older copy

After a restore the fleet followed nothing until the store's revisions had caught up, and a watch after a revision that was assigned again succeeded and missed changes. With the stand-in of the store, which can be restored from a copy now, a follower stayed at table version 1 instead of 2 when fewer changes were written than lost, and missed one of two instances when more were written (the tests before this change).

A response of another era than that of the watch leads to a read of the full state, one of an earlier era than the view's counts as failed and is logged once. Feeds carry the whole list when the era changes, end if the reader is in another era, and bring a table that was written again with other contents. States and changes carry the grace period that remains and the position of the restore. /v1/status and the log show the era apart; store_restored, the gauge mangoshed_store_era.

Two trials failed first: a test that expected a daemon which started after a removal to know of it, and a random one in which an entry was written between the return and the first read, which counts with the next write only.

--- a/pkg/mesh/change.go
+++ b/pkg/mesh/change.go
@@ -23,6 +23,10 @@
 	Lapses removalDelays `cbor:"6,keyasint,omitempty"`
 	// Evacuations are those that have changed, including those that have ended.
 	Evacuations []catalog.Evacuation `cbor:"7,keyasint,omitempty"`
+	// Restore is the last restore of the store; nil in era 0.
+	Restore *peerRestore `cbor:"8,keyasint,omitempty"`
+	// BaseEra is the era in which the table was read to which Delta applies.
+	BaseEra uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // empty reports whether the change contains no difference.
@@ -55,11 +59,12 @@
 	switch {
 	case c.Table != nil:
 		s.Table, err = route.New(c.Table.Version, c.Table.Routes, c.Table.Services, c.Table.Limits)
-	case c.Delta != nil && view.Table == nil:
+	case c.Delta != nil && (view.Table == nil || c.Delta.From == view.Table.Version && c.BaseEra != view.TableEra):
 		err = &route.BaseError{Want: c.Delta.From}
 	case c.Delta != nil && c.Delta.To > view.Table.Version:
 		s.Table, err = view.Table.Apply(*c.Delta)
 	}
+	c.Restore.addTo(time.Now(), &s)
 	c.Lapses.restore(time.Now(), c.Put)
 	for i := range c.Put {
 		s.Entries = append(s.Entries, catalog.Entry{ID: c.Put[i].ID, Instance: &c.Put[i], Revision: revision})
@@ -74,13 +79,18 @@
 func diffViews(sent, current *catalog.View) change {
 	var c change
 	if current.Table != sent.Table && current.Table != nil {
-		if sent.Table == nil {
+		if sent.Table == nil || sent.Table.Version == current.Table.Version {
 			c.Table = encodeTable(current.Table)
 		} else {
 			delta := route.Diff(sent.Table, current.Table)
-			c.Delta = &delta
+			c.Delta, c.BaseEra = &delta, sent.TableEra
 		}
 	}
+	c.Restore = encodeRestore(time.Now(), current)
+	if catalog.Era(current.Revision) != catalog.Era(sent.Revision) {
+		c.addAll(current)
+		return c
+	}
 	listed, before := current.AllListed(), sent.AllListed()
 	for i := range listed {
 		inst := &listed[i]
@@ -149,8 +159,14 @@
 		c.Table = encodeTable(current.Table)
 	}
 	if revision > peerRevision {
-		c.Whole, c.Put, c.Evacuations = true, current.AllListed(), current.Evacuated
-		c.Lapses = removalDelaysOf(time.Now(), c.Put)
+		c.addAll(current)
 	}
+	c.Restore = encodeRestore(time.Now(), current)
 	return c
 }
+
+// addAll adds all instances that the view lists and all evacuated data centres.
+func (c *change) addAll(current *catalog.View) {
+	c.Whole, c.Put, c.Evacuations = true, current.AllListed(), current.Evacuated
+	c.Lapses = removalDelaysOf(time.Now(), c.Put)
+}
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -119,6 +119,9 @@
 	if err := registerGuard(d.registry, d.guard); err != nil {
 		return nil, err
 	}
+	if err := registerFleet(d.registry, d.fleet); err != nil {
+		return nil, err
+	}
 	if err := d.bind(); err != nil {
 		d.closeListeners()
 		return nil, err
@@ -177,7 +180,7 @@
 	d.reach.update(v)
 	d.budget.SetDaemons(len(v.Daemons()))
 	if v.Table != nil && !d.ready.Swap(true) {
-		d.log.Info("daemon_ready", zap.Uint64("version", v.Table.Version), zap.Uint64("revision", v.Revision))
+		d.log.Info("daemon_ready", zap.Uint64("version", v.Table.Version), positionField(v.Revision))
 		d.guard.logInstance(d.log)
 	}
 }
@@ -263,7 +266,7 @@
 		}
 		now, boot := time.Now(), bootTime()
 		if gap := max(boot-lastBoot, now.Sub(lastTick)); gap > tickInterval+pauseThreshold {
-			d.log.Warn("process_paused", zap.Duration("gap", gap), zap.Uint64("revision", d.fleet.View().Revision))
+			d.log.Warn("process_paused", zap.Duration("gap", gap), positionField(d.fleet.View().Revision))
 			d.fleet.ProcessResumed()
 		}
 		lastTick, lastBoot = now, boot
--- a/pkg/mesh/evacuation.go
+++ b/pkg/mesh/evacuation.go
@@ -10,8 +10,9 @@
 // EvacuatedDataCentre is an evacuated data centre as reported to operators.
 type EvacuatedDataCentre struct {
 	Name string `json:"data_centre"`
-	// Revision is the store revision of the evacuation's last change that the daemon knows.
+	// Revision is the store revision of the evacuation's last change that the daemon knows, and Era its era.
 	Revision uint64 `json:"revision"`
+	Era      uint64 `json:"era,omitempty"`
 	// Unknown is set if the daemon's settings do not list the data centre.
 	Unknown bool `json:"unknown,omitempty"`
 }
@@ -33,7 +34,7 @@
 	list := make([]EvacuatedDataCentre, 0, len(v.Evacuated))
 	for _, e := range v.Evacuated {
 		_, known := d.settings.DataCentres[e.DataCentre]
-		list = append(list, EvacuatedDataCentre{Name: e.DataCentre, Revision: e.Revision, Unknown: !known})
+		list = append(list, EvacuatedDataCentre{Name: e.DataCentre, Revision: catalog.StoreRevision(e.Revision), Era: catalog.Era(e.Revision), Unknown: !known})
 	}
 	return list
 }
@@ -45,7 +46,7 @@
 		if old.IsEvacuated(e.Name) {
 			continue
 		}
-		fields := []zap.Field{zap.String("data_centre", e.Name), zap.Uint64("revision", e.Revision)}
+		fields := []zap.Field{zap.String("data_centre", e.Name), positionField(catalog.Position(e.Era, e.Revision))}
 		if e.Unknown {
 			d.log.Warn("evacuation_began", append(fields, zap.String("reason", "the settings do not list this data centre, so that the evacuation has no effect; check the name"))...)
 			continue
@@ -54,7 +55,7 @@
 	}
 	for _, e := range old.Evacuated {
 		if !v.IsEvacuated(e.DataCentre) {
-			d.log.Info("evacuation_ended", zap.String("data_centre", e.DataCentre), zap.Uint64("revision", v.Revision))
+			d.log.Info("evacuation_ended", zap.String("data_centre", e.DataCentre), positionField(v.Revision))
 		}
 	}
 }
--- a/pkg/mesh/feed_client.go
+++ b/pkg/mesh/feed_client.go
@@ -321,6 +321,9 @@
 		return err
 	}
 	target := fmt.Sprintf("%s?revision=%d&version=%d", feedPath, f.fleet.Revision(), version)
+	if view.TableEra > 0 {
+		target += fmt.Sprintf("&%s=%d", tableEraParam, view.TableEra)
+	}
 	if f.decline {
 		target += "&declines=" + f.ownAddr
 	}
@@ -386,6 +389,9 @@
 		} else {
 			f.fleet.Apply(state, address)
 		}
+		if err := checkFrameEra(f.fleet.Revision(), next.Revision); err != nil {
+			return err
+		}
 		if len(next.Declines) > 0 {
 			f.declined.merge(time.Now(), next.Declines, f.ranking())
 		}
--- a/pkg/mesh/feed_server.go
+++ b/pkg/mesh/feed_server.go
@@ -77,6 +77,7 @@
 	}
 	sent, latest, changed := s.fleet.Follow()
 	first := initialChange(sent, latest, revision, version)
+	first.addRewrittenTable(sent, version, parseEra(query.Get(tableEraParam)))
 	data, err := first.pack()
 	if err != nil {
 		http.Error(w, "the state cannot be encoded: "+err.Error(), http.StatusInternalServerError)
--- a/pkg/mesh/fleet.go
+++ b/pkg/mesh/fleet.go
@@ -91,6 +91,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.logProblems(s)
+	before := f.catalog.Revision()
+	defer func() { f.logRestore(before, source) }()
 	if apply(f.catalog, now, s) {
 		f.publish(now, source)
 	}
@@ -119,11 +121,11 @@
 func (f *Fleet) logProblems(s catalog.State) {
 	for _, e := range s.Entries {
 		if e.Problem != "" {
-			f.log.Warn("entry_rejected", zap.String("instance", string(e.ID)), zap.Uint64("revision", e.Revision), zap.String("reason", e.Problem))
+			f.log.Warn("entry_rejected", zap.String("instance", string(e.ID)), positionField(e.Revision), zap.String("reason", e.Problem))
 		}
 	}
 	if s.TableProblem != "" {
-		f.log.Warn("version_rejected", zap.Uint64("revision", s.Revision), zap.String("reason", s.TableProblem))
+		f.log.Warn("version_rejected", positionField(s.Revision), zap.String("reason", s.TableProblem))
 	}
 }
 
@@ -136,7 +138,7 @@
 	f.view.Store(v)
 	close(f.changed)
 	f.changed = make(chan struct{})
-	fields := []zap.Field{zap.Uint64("revision", v.Revision), zap.String("source", source), zap.Int("instances", len(v.Instances))}
+	fields := []zap.Field{positionField(v.Revision), zap.String("source", source), zap.Int("instances", len(v.Instances))}
 	if len(v.Unnamed) > 0 {
 		fields = append(fields, zap.Int("unnamed", len(v.Unnamed)))
 	}
--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -98,6 +98,7 @@
 	backoff        time.Duration
 	fallbackDelay  time.Duration // see newFallbackDelay
 	lastResort     bool          // the daemon reads the store as a last resort
+	ignoring       bool          // the last response of the store belonged to an earlier era
 	burstDetector  burstDetector
 	announcing     sync.WaitGroup
 	// respondedAt is the time at which another daemon has last responded that it holds no newer state;
@@ -187,14 +188,17 @@
 	if a.err != nil {
 		return a.err
 	}
+	if err := f.checkEra(a.state.Revision); err != nil {
+		return err
+	}
 	f.reportStoreReturn(a.state.Revision)
 	f.listed = true
 	f.Fleet.Replace(a.state, "store")
 	return nil
 }
 
-// watch waits for the next change in the store.
-func (f *Follower) watch(ctx context.Context) (catalog.State, error) {
+// watch waits for the next change in the store after a revision.
+func (f *Follower) watch(ctx context.Context, after uint64) (catalog.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchHold+watchSlack+responseTimeout)
 	defer cancel()
 	responding, done := make(chan struct{}), make(chan struct{})
@@ -207,7 +211,7 @@
 	if f.failures > 0 {
 		hold = probeHold
 	}
-	return f.Store.Watch(ctx, f.Fleet.Revision(), hold, sync.OnceFunc(func() {
+	return f.Store.Watch(ctx, after, hold, sync.OnceFunc(func() {
 		timeout.Stop()
 		f.responding.Store(true)
 		close(responding)
@@ -257,12 +261,10 @@
 		return f.bootstrap(ctx)
 	}
 	if !f.listed || f.missedTables(time.Now()) {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
-		state, err := f.Store.List(ctx)
-		return f.applyList(listResult{state, err})
+		return f.list(ctx)
 	}
-	state, err := f.watch(ctx)
+	after := f.Fleet.Revision()
+	state, err := f.watch(ctx, after)
 	f.count("watch", err)
 	if errors.Is(err, ErrHistoryGone) {
 		f.listed = false
@@ -275,11 +277,26 @@
 	if err != nil {
 		return err
 	}
+	if err := f.checkEra(state.Revision); err != nil {
+		return err
+	}
+	if catalog.Era(state.Revision) != catalog.Era(after) {
+		f.listed = false // the store counts its changes from another state than that of the daemon
+		return f.list(ctx)
+	}
 	f.reportStoreReturn(state.Revision)
 	f.Fleet.Apply(state, "store")
 	return nil
 }
 
+// list reads and applies the full state.
+func (f *Follower) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	state, err := f.Store.List(ctx)
+	return f.applyList(listResult{state, err})
+}
+
 // missedTables reports whether the store has probably had several new tables since the daemon's
 // last freshness proof.
 func (f *Follower) missedTables(now time.Time) bool {
@@ -310,9 +327,9 @@
 
 func (f *Follower) callSucceeded() {
 	if f.failures > 0 {
-		f.Log.Info("store_regained", zap.Int("failures", f.failures), zap.Duration("away", time.Since(f.firstFailureAt)), zap.Uint64("revision", f.Fleet.Revision()))
+		f.Log.Info("store_regained", zap.Int("failures", f.failures), zap.Duration("away", time.Since(f.firstFailureAt)), positionField(f.Fleet.Revision()))
 	}
-	f.failures, f.backoff = 0, 0
+	f.failures, f.backoff, f.ignoring = 0, 0, false
 	f.freshness.responseReceived(time.Now())
 }
 
@@ -321,7 +338,7 @@
 	f.freshness.callFailed(time.Now())
 	if f.failures == 1 {
 		f.firstFailureAt = time.Now()
-		f.Log.Warn("store_lost", zap.Error(err), zap.Uint64("revision", f.Fleet.Revision()))
+		f.Log.Warn("store_lost", zap.Error(err), positionField(f.Fleet.Revision()))
 	}
 	if f.Peers != nil && (f.Fleet.View().Table == nil || time.Since(f.firstFailureAt) >= askPeersAfter) {
 		f.applyNewerPeerState(ctx)
--- a/pkg/mesh/follow_readers.go
+++ b/pkg/mesh/follow_readers.go
@@ -46,7 +46,7 @@
 	err := feedClient.receiveFeed(ctx, address, feedCallbacks{
 		accepted: func() {
 			acceptedAt = time.Now()
-			f.Log.Info("feed_started", zap.String("reader", address), zap.Uint64("revision", f.Fleet.Revision()))
+			f.Log.Info("feed_started", zap.String("reader", address), positionField(f.Fleet.Revision()))
 		},
 		frameApplied: func(now time.Time, age time.Duration) error {
 			wasStale := !f.Fresh()
@@ -69,6 +69,6 @@
 	}
 	feedClient.endAttempt(time.Now(), address, err)
 	if !errors.Is(err, context.Canceled) {
-		f.Log.Info("feed_ended", zap.String("reader", address), zap.Uint64("revision", f.Fleet.Revision()), zap.Error(err))
+		f.Log.Info("feed_ended", zap.String("reader", address), positionField(f.Fleet.Revision()), zap.Error(err))
 	}
 }
--- a/pkg/mesh/meshtest/store.go
+++ b/pkg/mesh/meshtest/store.go
@@ -32,6 +32,9 @@
 	transfer  time.Duration
 	listTime  time.Duration
 	changed   chan struct{}
+	// era counts the returns from an older copy; hideEra makes the responses carry no era.
+	era     uint64
+	hideEra bool
 	// lists and watches count the calls.
 	lists, watches int
 }
@@ -151,7 +154,7 @@
 	s.history = nil
 }
 
-// Revision returns the revision of the last change.
+// Revision returns the revision of the last change, without the era.
 func (s *Store) Revision() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -198,7 +201,7 @@
 	for _, e := range s.evacuated {
 		state.Evacuations = append(state.Evacuations, e)
 	}
-	return state, nil
+	return s.inEra(state), nil
 }
 
 // Instances implements mesh.Store.
@@ -223,7 +226,7 @@
 	timer := time.NewTimer(hold)
 	defer timer.Stop()
 	for {
-		state, changed, err := s.since(after)
+		state, changed, err := s.since(catalog.StoreRevision(after))
 		if transfer := s.transferTime(); transfer > 0 && err == nil && hasChanges(state) {
 			answering()
 			time.Sleep(transfer)
@@ -262,7 +265,7 @@
 		return catalog.State{}, make(chan struct{}), nil
 	case s.down:
 		return catalog.State{}, nil, ErrDown
-	case after < s.first:
+	case after < s.first || after > s.revision:
 		return catalog.State{}, nil, mesh.ErrHistoryGone
 	}
 	for _, c := range s.history {
@@ -275,5 +278,5 @@
 			state.Table = c.Table
 		}
 	}
-	return state, s.changed, nil
+	return s.inEra(state), s.changed, nil
 }
--- a/pkg/mesh/platform.go
+++ b/pkg/mesh/platform.go
@@ -17,7 +17,11 @@
 // revision; the full state has to be read instead.
 var ErrHistoryGone = errors.New("the store no longer has the changes after this revision; read its full state")
 
-// Store reads the platform's store.
+// ErrRestoredDuringRead is returned by Store.List if the parts of the full state belong to different eras.
+var ErrRestoredDuringRead = errors.New("the responses to the read of the full state belong to different eras of the store; it is read again")
+
+// Store reads the platform's store. The revisions of states and of their parts, and that of a watch, are positions
+// (catalog.Position): the implementation adds the era of the store's response.
 type Store interface {
 	// List reads the full state. Its revision is that of the first page, so that a watch from it
 	// includes all changes made during the read.
@@ -27,7 +31,8 @@
 	// for the full state.
 	Instances(ctx context.Context) ([]catalog.Instance, error)
 	// Watch returns the changes after a revision as soon as there are any, or an empty change
-	// after the hold time. answering is called when the response begins to arrive.
+	// after the hold time. The store gets the revision without its era, so that a response of another era
+	// tells nothing but that era. answering is called when the response begins to arrive.
 	Watch(ctx context.Context, after uint64, hold time.Duration, answering func()) (catalog.State, error)
 }
 
--- a/pkg/mesh/state.go
+++ b/pkg/mesh/state.go
@@ -23,6 +23,7 @@
 	Instances []byte // compressed list of catalog.Instance
 	Lapses    removalDelays
 	Evacuated []catalog.Evacuation
+	Restore   *peerRestore
 }
 
 // removalDelays holds the remaining time in milliseconds until instances are removed, for those whose
@@ -111,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(peerState{Revision: view.Revision, Table: table, Instances: instances, Lapses: removalDelaysOf(time.Now(), listed), Evacuated: view.Evacuated})
+	return cbor.Marshal(peerState{Revision: view.Revision, Table: table, Instances: instances, Lapses: removalDelaysOf(time.Now(), listed), Evacuated: view.Evacuated, Restore: encodeRestore(time.Now(), view)})
 }
 
 // pack returns the compressed form of a table, from the cache if it is the last one.
@@ -149,6 +150,7 @@
 		return catalog.State{}, err
 	}
 	state := catalog.State{Revision: s.Revision, Table: table, Evacuations: s.Evacuated}
+	s.Restore.addTo(time.Now(), &state)
 	for i := range instances {
 		inst := &instances[i]
 		state.Entries = append(state.Entries, catalog.Entry{ID: inst.ID, Instance: inst, Revision: s.Revision})
--- a/pkg/mesh/status.go
+++ b/pkg/mesh/status.go
@@ -12,9 +12,12 @@
 
 // Status is the state of a daemon as reported to operators.
 type Status struct {
-	Ready     bool   `json:"ready"`
-	Version   uint64 `json:"version"`
+	Ready   bool   `json:"ready"`
+	Version uint64 `json:"version"`
+	// Revision is the store's own revision of the view, and Era counts the restores of the store from an older
+	// copy.
 	Revision  uint64 `json:"revision"`
+	Era       uint64 `json:"era"`
 	Routes    int    `json:"routes"`
 	Instances int    `json:"instances"`
 	// Unnamed is the number of entries of the store that are not used because the table does not name
@@ -49,7 +52,7 @@
 	v, load := d.fleet.View(), d.guard.Load()
 	suspected, blocked := d.guard.suspects.count()
 	s := Status{
-		Ready: d.Ready(), Revision: v.Revision, Instances: len(v.Instances), Unnamed: len(v.Unnamed),
+		Ready: d.Ready(), Revision: catalog.StoreRevision(v.Revision), Era: catalog.Era(v.Revision), Instances: len(v.Instances), Unnamed: len(v.Unnamed),
 		Running: load.Running, Slots: load.Slots, Queued: load.Queued, AwaitingBody: d.guard.awaitingBody.Load(), Suspects: suspected, Blocked: blocked,
 		Limit:       d.guard.Limit(),
 		AnswerBytes: d.platform.Answers.Held(), Evacuated: d.evacuatedDataCentres(v),
