Show the store's era in mesh status

A daemon that has not noticed a restore could have a higher revision than the others. mangoshedctl mesh status has a column ERA now if some daemon has seen a restore; otherwise the output is as before.

--- a/pkg/ctl/mesh.go
+++ b/pkg/ctl/mesh.go
@@ -35,13 +35,17 @@
 }
 
 // meshLines is the text form: one line for each daemon. The column of the evacuated data centres is left
-// out if no daemon knows of any.
+// out if no daemon knows of any, and that of the store's era if the store was never restored from a copy.
 func meshLines(answers []answer[mesh.Status]) []string {
 	rows := [][]string{{"ADDRESS", "READY", "VERSION", "REVISION", "ROUTES", "INSTANCES", "LOAD", "SUSPECTS"}}
 	evacuating := slices.ContainsFunc(answers, func(a answer[mesh.Status]) bool { return a.Answer != nil && len(a.Answer.Evacuated) > 0 })
 	if evacuating {
 		rows[0] = append(rows[0], "EVACUATED")
 	}
+	restored := slices.ContainsFunc(answers, func(a answer[mesh.Status]) bool { return a.Answer != nil && a.Answer.Era > 0 })
+	if restored {
+		rows[0] = append(rows[0], "ERA")
+	}
 	for _, a := range answers {
 		s := a.Answer
 		if s == nil {
@@ -59,6 +63,9 @@
 		if evacuating {
 			row = append(row, evacuatedText(s.Evacuated))
 		}
+		if restored {
+			row = append(row, fmt.Sprint(s.Era))
+		}
 		rows = append(rows, row)
 	}
 	return columns(rows)
--- a/pkg/ctl/mesh_test.go
+++ b/pkg/ctl/mesh_test.go
@@ -45,3 +45,14 @@
 	require.Regexp(t, `^10.0.0.2:1 .* -$`, lines[2])
 	require.Regexp(t, `^10.0.0.3:1 +no answer`, lines[3])
 }
+
+// Guards against an operator who cannot see which daemons have not noticed that the store was restored from a copy.
+func TestMeshStatusShowsTheEra(t *testing.T) {
+	lines := meshLines([]answer[mesh.Status]{
+		{Address: "10.0.0.1:1", Answer: &mesh.Status{Revision: 450, Era: 1}},
+		{Address: "10.0.0.2:1", Answer: &mesh.Status{Revision: 500}},
+	})
+	require.Regexp(t, `SUSPECTS +ERA$`, lines[0])
+	require.Regexp(t, `^10.0.0.1:1 .* 450 .* 1$`, lines[1])
+	require.Regexp(t, `^10.0.0.2:1 .* 500 .* 0$`, lines[2])
+}
