Leave sources in an earlier era than other daemons have shown

All responses of the store may pass an old proxy on their way to a reader, which then stays in the earlier era while its proofs are recent. Neither it nor the daemons that it feeds left that state: each frame ends the wait after which a lagging feed is left.

--- a/pkg/mesh/feed_client.go
+++ b/pkg/mesh/feed_client.go
@@ -389,7 +389,7 @@
 		} else {
 			f.fleet.Apply(state, address)
 		}
-		if err := checkFrameEra(f.fleet.Revision(), next.Revision); err != nil {
+		if err := checkFrameEra(f.fleet, time.Now(), next.Revision); err != nil {
 			return err
 		}
 		if len(next.Declines) > 0 {
--- a/pkg/mesh/fleet.go
+++ b/pkg/mesh/fleet.go
@@ -31,6 +31,9 @@
 	// has been higher than the fleet's revision; zero if it is not higher.
 	peerRevision uint64
 	lagSince     time.Time
+	// laterEraSince is the time since which a peer has been known to be in a later era than the fleet; zero if
+	// none is.
+	laterEraSince time.Time
 }
 
 // NewFleet returns a fleet with an empty view. onChange is called with each new view before View
@@ -99,6 +102,9 @@
 	if f.catalog.Revision() >= f.peerRevision {
 		f.lagSince = time.Time{}
 	}
+	if catalog.Era(f.catalog.Revision()) >= catalog.Era(f.peerRevision) {
+		f.laterEraSince = time.Time{}
+	}
 	if f.catalog.Revision() > s.Revision {
 		return
 	}
@@ -183,6 +189,7 @@
 		return
 	}
 	f.peerRevision = max(f.peerRevision, revision)
+	f.noteLaterEra(now)
 	if f.lagSince.IsZero() {
 		f.lagSince = now
 	}
--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -98,7 +98,7 @@
 	backoff        time.Duration
 	fallbackDelay  time.Duration // see newFallbackDelay
 	lastResort     bool          // the daemon reads the store as a last resort
-	ignoring       bool          // the last response of the store belonged to an earlier era
+	ignoring       bool          // the last state of the store belonged to an earlier era
 	burstDetector  burstDetector
 	announcing     sync.WaitGroup
 	// respondedAt is the time at which another daemon has last responded that it holds no newer state;
@@ -329,7 +329,7 @@
 	if f.failures > 0 {
 		f.Log.Info("store_regained", zap.Int("failures", f.failures), zap.Duration("away", time.Since(f.firstFailureAt)), positionField(f.Fleet.Revision()))
 	}
-	f.failures, f.backoff, f.ignoring = 0, 0, false
+	f.failures, f.backoff = 0, 0
 	f.freshness.responseReceived(time.Now())
 }
 
--- a/pkg/mesh/store_era.go
+++ b/pkg/mesh/store_era.go
@@ -15,7 +15,7 @@
 
 // The errors of sources that belong to another era of the store.
 var (
-	errEarlierEra = errors.New("the response of the store belongs to an earlier era than the view; a proxy without the header of the era, or an old copy, may have sent it")
+	errEarlierEra = errors.New("the response of the store belongs to an earlier era than is known; a proxy without the header of the era, or an old copy, may have sent it")
 	errOtherEra   = errors.New("the reader is in another era of the store")
 )
 
@@ -23,25 +23,44 @@
 // was read.
 const tableEraParam = "table_era"
 
-// checkEra returns errEarlierEra if a response of the store belongs to an earlier era than the view. It then
-// counts as no response, and the first of several is logged.
+// noteLaterEra records since when a peer is in a later era. The caller holds the mutex.
+func (f *Fleet) noteLaterEra(now time.Time) {
+	if f.laterEraSince.IsZero() && catalog.Era(f.peerRevision) > catalog.Era(f.catalog.Revision()) {
+		f.laterEraSince = now
+	}
+}
+
+// knownEra returns the latest era that the fleet or a peer is in, and the time since which a peer has been ahead; zero
+// if none is.
+func (f *Fleet) knownEra() (era uint64, since time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return catalog.Era(max(f.catalog.Revision(), f.peerRevision)), f.laterEraSince
+}
+
+// checkEra returns errEarlierEra if a response of the store belongs to an earlier era than the view or than that of
+// another daemon. It then counts as no response, and the first of several is logged.
 func (f *Follower) checkEra(revision uint64) error {
-	known := f.Fleet.Revision()
-	if catalog.Era(revision) >= catalog.Era(known) {
+	known, _ := f.Fleet.knownEra()
+	if catalog.Era(revision) >= known {
+		f.ignoring = false
 		return nil
 	}
 	if !f.ignoring {
 		f.ignoring = true
 		f.Log.Warn("store_response_ignored", zap.Uint64("response_era", catalog.Era(revision)),
-			zap.Uint64("response_revision", catalog.StoreRevision(revision)), positionField(known), zap.Error(errEarlierEra))
+			zap.Uint64("response_revision", catalog.StoreRevision(revision)), zap.Uint64("known_era", known), positionField(f.Fleet.Revision()), zap.Error(errEarlierEra))
 	}
 	return errEarlierEra
 }
 
 // checkFrameEra returns errOtherEra if a frame of a feed that has been applied, or ignored, belongs to another era
-// than the view. A reader in an earlier one proves nothing about the store.
-func checkFrameEra(known, frame uint64) error {
-	if catalog.Era(known) != catalog.Era(frame) {
+// than the view, or if other daemons have been in a later one for lagTolerance: within it a reader notices a restore
+// by itself. A reader in an earlier era proves nothing about the store, although its proofs may be recent, for
+// instance if the store's responses pass an old proxy on their way to it.
+func checkFrameEra(f *Fleet, now time.Time, frame uint64) error {
+	known, since := f.knownEra()
+	if catalog.Era(f.Revision()) != catalog.Era(frame) || catalog.Era(frame) < known && now.Sub(since) > lagTolerance {
 		return errOtherEra
 	}
 	return nil
--- a/pkg/mesh/store_era_test.go
+++ b/pkg/mesh/store_era_test.go
@@ -226,6 +226,35 @@
 	})
 }
 
+// Guards against a frame of another era that counts as a proof, and against the loss of a reader that has not noticed a
+// restore within the usual time yet.
+func TestErasOfFrames(t *testing.T) {
+	began := time.Unix(1000, 0)
+	frames := func(f *Fleet, after time.Duration) (accepted []uint64) {
+		for era := range uint64(4) {
+			if checkFrameEra(f, began.Add(after), catalog.Position(era, 400)) == nil {
+				accepted = append(accepted, era)
+			}
+		}
+		return accepted
+	}
+	f := NewFleet(zap.NewNop(), func(time.Time, *catalog.View) {})
+	f.Replace(catalog.State{Revision: catalog.Position(1, 500)}, "test")
+	require.Equal(t, []uint64{1}, frames(f, time.Hour))
+	f.ObserveRevision(began, catalog.Position(1, 900))
+	require.Equal(t, []uint64{1}, frames(f, time.Hour), "the other daemon is in the same era")
+	f.ObserveRevision(began, catalog.Position(2, 3))
+	f.ObserveRevision(began.Add(time.Second), catalog.Position(2, 4))
+	f.Apply(catalog.State{Revision: catalog.Position(1, 950)}, "test")
+	require.Equal(t, []uint64{1}, frames(f, lagTolerance))
+	require.Empty(t, frames(f, lagTolerance+1))
+	f.Replace(catalog.State{Revision: catalog.Position(2, 5)}, "test")
+	require.Equal(t, []uint64{2}, frames(f, time.Hour))
+	f.ObserveRevision(began.Add(time.Hour), catalog.Position(3, 1))
+	require.Equal(t, []uint64{2}, frames(f, time.Hour+lagTolerance), "another restore")
+	require.Empty(t, frames(f, time.Hour+lagTolerance+1))
+}
+
 // Guards against queries for a newer state that compare revisions without their eras.
 func TestAskForAStateOfALaterEra(t *testing.T) {
 	view := fleetOf(t, 1).View()
--- a/pkg/mesh/store_restore_test.go
+++ b/pkg/mesh/store_restore_test.go
@@ -167,7 +167,7 @@
 		lines := logs.FilterMessage("store_response_ignored").All()
 		require.Len(t, lines, 1)
 		require.Equal(t, uint64(0), lines[0].ContextMap()["response_era"])
-		require.Equal(t, uint64(1), lines[0].ContextMap()["era"])
+		require.Equal(t, uint64(1), lines[0].ContextMap()["known_era"])
 		store.HideEra(false)
 		time.Sleep(inForce)
 		require.Contains(t, idsOf(f.Fleet), model.InstanceID("b"))
@@ -175,6 +175,48 @@
 	})
 }
 
+// All responses of the store pass an old proxy on their way to this daemon, before and after a restore that others have
+// noticed. Guards against a daemon that stays in the earlier era and counts as current, since the store responds.
+func TestDaemonBehindAnOldProxyTakesTheStateOfOthers(t *testing.T) {
+	inst := at("b", "10.0.0.2:1")
+	peers := statePeers{catalog.State{
+		Revision: catalog.Position(1, 3), Table: meshtest.Table(3, "back"), Entries: []catalog.Entry{{ID: "b", Instance: &inst, Revision: catalog.Position(1, 3)}},
+		Restore: &catalog.Restore{Position: catalog.Position(1, 2)},
+	}}
+	followLogged(t, laterPeers{peers, 1}, func(store *meshtest.Store, f *mesh.Follower, logs *observer.ObservedLogs) {
+		store.HideEra(true)
+		store.SetTable(meshtest.Table(1, "back"))
+		copied := store.Copy()
+		for range 5 {
+			store.Put(at("a", "10.0.0.1:1"))
+		}
+		time.Sleep(inForce)
+		store.Restore(copied)
+		time.Sleep(inForce)
+		require.Equal(t, []model.InstanceID{"a"}, idsOf(f.Fleet))
+		f.Fleet.ObserveRevision(time.Now(), catalog.Position(1, 3))
+		time.Sleep(inForce)
+		require.Equal(t, catalog.Position(1, 3), f.Fleet.Revision())
+		require.Equal(t, uint64(3), version(f.Fleet))
+		require.Len(t, logs.FilterMessage("store_response_ignored").All(), 1)
+		time.Sleep(inForce)
+		require.False(t, f.Fresh(), "the store's responses prove nothing")
+	})
+}
+
+// laterPeers respond only to a daemon that has a state already.
+type laterPeers struct {
+	statePeers
+	least uint64
+}
+
+func (p laterPeers) AskState(ctx context.Context, newer uint64) (mesh.PeerState, error) {
+	if newer < p.least {
+		return mesh.PeerState{}, mesh.ErrNoNewerState
+	}
+	return p.statePeers.AskState(ctx, newer)
+}
+
 // Guards against a daemon that starts during a restore and stays with the state of another daemon which has not seen
 // it, whose revision is higher than that of the store.
 func TestStartsFromANeighbourOfThePreviousEra(t *testing.T) {
