--- a/pkg/mesh/fleet.go
+++ b/pkg/mesh/fleet.go
@@ -31,6 +31,9 @@
 	// has been higher than the fleet's revision; zero if it is not higher.
 	peerRevision uint64
 	lagSince     time.Time
+	// laterEraSince is the time since which a peer has been known to be in a later era than the fleet; zero if
+	// none is.
+	laterEraSince time.Time
 }
 
 // NewFleet returns a fleet with an empty view. onChange is called with each new view before View
@@ -91,12 +94,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.logProblems(s)
+	before := f.catalog.Revision()
+	defer func() { f.logRestore(before, source) }()
 	if apply(f.catalog, now, s) {
 		f.publish(now, source)
 	}
 	if f.catalog.Revision() >= f.peerRevision {
 		f.lagSince = time.Time{}
 	}
+	if catalog.Era(f.catalog.Revision()) >= catalog.Era(f.peerRevision) {
+		f.laterEraSince = time.Time{}
+	}
 	if f.catalog.Revision() > s.Revision {
 		return
 	}
@@ -119,11 +127,11 @@
 func (f *Fleet) logProblems(s catalog.State) {
 	for _, e := range s.Entries {
 		if e.Problem != "" {
-			f.log.Warn("entry_rejected", zap.String("instance", string(e.ID)), zap.Uint64("revision", e.Revision), zap.String("reason", e.Problem))
+			f.log.Warn("entry_rejected", zap.String("instance", string(e.ID)), positionField(e.Revision), zap.String("reason", e.Problem))
 		}
 	}
 	if s.TableProblem != "" {
-		f.log.Warn("version_rejected", zap.Uint64("revision", s.Revision), zap.String("reason", s.TableProblem))
+		f.log.Warn("version_rejected", positionField(s.Revision), zap.String("reason", s.TableProblem))
 	}
 }
 
@@ -136,7 +144,7 @@
 	f.view.Store(v)
 	close(f.changed)
 	f.changed = make(chan struct{})
-	fields := []zap.Field{zap.Uint64("revision", v.Revision), zap.String("source", source), zap.Int("instances", len(v.Instances))}
+	fields := []zap.Field{positionField(v.Revision), zap.String("source", source), zap.Int("instances", len(v.Instances))}
 	if len(v.Unnamed) > 0 {
 		fields = append(fields, zap.Int("unnamed", len(v.Unnamed)))
 	}
@@ -181,6 +189,7 @@
 		return
 	}
 	f.peerRevision = max(f.peerRevision, revision)
+	f.noteLaterEra(now)
 	if f.lagSince.IsZero() {
 		f.lagSince = now
 	}
