--- a/core/intake/cold.go
+++ b/core/intake/cold.go
@@ -13,10 +13,11 @@
 	// coldJitter is the time by which requests may bunch up between their admission and their arrival at
 	// the upstream: the period of the processor quota on machines with a part of a core.
 	coldJitter = 100 * time.Millisecond
-	// coldReserve is the number of health requests in each window that do not wait for the allowance.
+	// coldReserve is the number of health requests in each window that do not wait for the allowance: one of
+	// this process and one of a process before, since the first request of a process is sent at once.
 	// minReserveBound is the least bound, in requests per window, from which that much is set aside.
-	coldReserve     = 1
-	minReserveBound = 8
+	coldReserve     = 2
+	minReserveBound = 12
 	// minColdShare keeps a rate above 0 if the bound allows less than two requests in a window.
 	minColdShare = 0.1
 	// defaultColdStart is the duration of a cold phase if the table gives a rate without one.
@@ -122,8 +123,6 @@
 	// earlier time do not count. asked is cleared by an event and set by the next health request.
 	assumedAt time.Time
 	asked     bool
-	// beganAt is the time at which the rule began to apply.
-	beganAt time.Time
 	// askedAt is the time of the last health request, reportedAt that of the last response to one,
 	// arrivedAt that of the last call.
 	askedAt, reportedAt, arrivedAt time.Time
@@ -146,7 +145,7 @@
 	c.rule = r
 	if began {
 		c.rate = coldRate{at: now}
-		c.beganAt, c.reportedAt, c.arrivedAt = now, now, now
+		c.reportedAt, c.arrivedAt = now, now
 	}
 	c.rate.set(now, r)
 	if began {
@@ -269,11 +268,11 @@
 	}
 	if wait := c.wait(now, 1); wait > 0 {
 		from := now.Add(wait)
-		last := c.askedAt
-		if last.Before(c.beganAt) {
-			last = c.beganAt // an earlier process may have asked just before
+		reserved := now
+		if !c.askedAt.IsZero() {
+			reserved = c.askedAt.Add(coldWindow + coldJitter)
 		}
-		if reserved := last.Add(coldWindow + coldJitter); c.rate.reserve > 0 && reserved.Before(from) {
+		if c.rate.reserve > 0 && reserved.Before(from) {
 			from = reserved
 		}
 		if from.After(at) {
--- a/core/intake/cold_test.go
+++ b/core/intake/cold_test.go
@@ -395,3 +395,18 @@
 	q.SetLimit(next, 3)
 	require.InDelta(t, 3, q.PermittedRate(next), 0)
 }
+
+// Guards against a warm upstream that is limited for a second after each restart of its daemon, because
+// the first health request waits for the allowance.
+func TestFirstHealthRequestIsSentAtOnce(t *testing.T) {
+	u := newColdUpstream(1, coldRule())
+	require.True(t, u.q.AskHealth(u.now))
+	u.q.ReportCold(u.now, u.now, 0)
+	_, cold := u.q.Cold(u.now)
+	require.False(t, cold)
+
+	u.startDaemon()
+	require.True(t, u.q.AskHealth(u.now))
+	u.q.AssumeCold(u.now, false)
+	require.False(t, u.q.AskHealth(u.now), "the allowance is empty")
+}
--- a/core/placement/learn.go
+++ b/core/placement/learn.go
@@ -28,16 +28,16 @@
 	switch r.Outcome {
 	case Answered:
 		s.failuresInRow, s.excludedUntil = 0, time.Time{}
-		p.recordOutcome(now, s, 0)
+		p.recordOutcome(now, c.Instance.Service, s, 0)
 		p.recordRun(c.Instance.Service, route, r)
 	case Refused:
 		s.failuresInRow = 0
 	case Leaving:
 		s.excludedUntil = now.Add(leavingExclusion)
 	case Failed:
-		p.recordOutcome(now, s, 1)
+		p.recordOutcome(now, c.Instance.Service, s, 1)
 	case TimedOut:
-		p.recordOutcome(now, s, 1)
+		p.recordOutcome(now, c.Instance.Service, s, 1)
 		if s.loadAt.Before(c.at) {
 			s.excludeAfterFailure(now)
 		}
@@ -53,12 +53,6 @@
 	s.excludedUntil = now.Add(min(suspectTime<<min(s.failuresInRow-1, 8), maxSuspectTime))
 }
 
-// recordOutcome adds an outcome (0 for success, 1 for failure) to the instance's failure rate.
-func (p *Placer) recordOutcome(now time.Time, s *instanceStats, outcome float64) {
-	rate := s.failureRate * decay(now.Sub(s.failureRateAt), failureDecay)
-	s.failureRate, s.failureRateAt = rate+failureWeight*(outcome-rate), now
-}
-
 // updateSlowness sets the slowness of an instance: the run time that its daemon expects, divided
 // by the mean over all instances.
 func (p *Placer) updateSlowness(now time.Time, s *instanceStats, route string, r Report) {
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -31,10 +31,9 @@
 	lateLoss = 0.5
 	// defaultBytes is the expected size of a response before one was received.
 	defaultBytes = 2000
-	// reportLifetime is the age at which a load report has no weight any more. In a fleet of 64 daemons
-	// and 46 instances a daemon gets one of an instance in one to two seconds; with 500 ms the instances
-	// that it had not used of late seemed empty.
-	reportLifetime = 2 * time.Second
+	// reportLifetime is the age at which a load report has no weight any more: about a few run
+	// times.
+	reportLifetime = 500 * time.Millisecond
 	// defaultRun is the expected run time before a response was received.
 	defaultRun = 80 * time.Millisecond
 	// runWeight is the weight of one response in the mean run time and response size of a route
@@ -44,15 +43,10 @@
 	// the mean over all instances.
 	maxSlowness, minSlowness = 10, 0.3
 	// slownessDecay is the time in which the slowness of an instance that gets no requests
-	// returns to 1. With 3 s a daemon forgot the speed of an instance between two requests to it.
-	slownessDecay = 20 * time.Second
+	// returns to 1.
+	slownessDecay = 3 * time.Second
 	// coldSlowness is the least slowness assumed for an instance that is still warming up.
 	coldSlowness = 2
-	// A request that waits delays those behind it as well: its wait counts waitWeight times, and once
-	// waitPenalty times the mean run time. Without that, all daemons that know the fast instances queue
-	// there until these are as slow as the others.
-	waitWeight  = 1.25
-	waitPenalty = 1.2
 	// busyShare is the part of a run time that is added at full utilisation, because upstreams
 	// slow down as they fill.
 	busyShare = 0.3
@@ -66,14 +60,6 @@
 	// each further failure in a row, up to maxSuspectTime.
 	suspectTime    = 400 * time.Millisecond
 	maxSuspectTime = 3 * time.Second
-	// failureWeight is the weight of one outcome in the failure rate.
-	failureWeight = 1.0 / 10
-	// failurePenalty is added to the expected time of an instance, multiplied by its failure
-	// rate.
-	failurePenalty = 600 * time.Millisecond
-	// failureDecay is the time in which the failure rate of an instance that gets no requests
-	// returns to 0.
-	failureDecay = 4 * time.Second
 )
 
 // neededSlotLoss is added to the loss of a request without a list of regions that would wait for an
@@ -156,11 +142,10 @@
 	sent          int // requests since the last load report
 	slowness      float64
 	slownessAt    time.Time
-	failureRate   float64
-	failureRateAt time.Time
+	failures      failureRate
 	failuresInRow int
 	excludedUntil time.Time
-	// limit and leaving are those of the last report. They belong to one incarnation, as load does.
+	// limit and leaving are those of the last report. They belong to one incarnation.
 	limit       float64
 	leaving     bool
 	incarnation uint64
@@ -190,6 +175,11 @@
 	stats  map[model.InstanceID]*instanceStats
 	runs   map[string]*routeAverages
 	means  map[string]float64 // mean run time by service, in nanoseconds
+	// failures holds the mean failure rates of services.
+	failures map[string]*failureRate
+	// stayShare is the part of the time to the latency objective within which an instance of the daemon's
+	// own data centre is chosen without a look at the others; 0 compares all.
+	stayShare float64
 	// host is the host of this daemon; byteTime is the time that a byte takes over a host's link.
 	host     string
 	byteTime float64 // nanoseconds
@@ -207,7 +197,7 @@
 	return &Placer{
 		self: self, costs: costs, random: rand.New(rand.NewPCG(seed, seed)), stats: make(map[model.InstanceID]*instanceStats),
 		runs: make(map[string]*routeAverages), means: make(map[string]float64), groups: make(map[string]*group), warmUpEnd: make(map[model.InstanceID]time.Time),
-		unreachable: make(map[string]bool), roundTrips: make(map[model.Place]measuredRoundTrip),
+		unreachable: make(map[string]bool), roundTrips: make(map[model.Place]measuredRoundTrip), failures: make(map[string]*failureRate),
 		evacuatedUntil: make(map[string]time.Time),
 	}
 }
@@ -229,7 +219,7 @@
 			s = &instanceStats{slowness: 1, incarnation: inst.Incarnation}
 		}
 		if inst.Incarnation > s.incarnation {
-			s.incarnation, s.limit, s.leaving, s.pace, s.load = inst.Incarnation, 0, false, intake.HostPace{}, intake.Load{}
+			s.incarnation, s.limit, s.leaving, s.pace = inst.Incarnation, 0, false, intake.HostPace{}
 		}
 		p.stats[inst.ID] = s
 		if inst.Warm > 0 {
@@ -322,6 +312,8 @@
 	// RoundTrip is the expected time of the request and its response on the network between the
 	// daemons. It is included in Expected.
 	RoundTrip time.Duration
+	// Distance is that from the daemon's data centre to the instance's.
+	Distance model.Distance
 	// Limit is the limit of the instance in the last report.
 	Limit   float64
 	tooLate bool
@@ -334,18 +326,7 @@
 func (p *Placer) Choose(now time.Time, q Query) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var best Choice
-	least := 0.0
-	for _, inst := range p.candidates(now, q) {
-		if q.NeedsAllowance && p.stats[inst.ID].lacksAllowance(now) {
-			continue
-		}
-		c := p.score(now, q, inst)
-		loss := p.loss(q, c)
-		if best.Instance == nil || best.tooLate && !c.tooLate || best.tooLate == c.tooLate && loss < least {
-			best, least = c, loss
-		}
-	}
+	best := p.best(now, q)
 	if best.Instance == nil || best.tooLate {
 		return best, false
 	}
@@ -358,10 +339,10 @@
 
 // loss returns the expected loss of a choice as a fraction of the request's value.
 func (p *Placer) loss(q Query, c Choice) float64 {
-	part := (float64(c.Expected) + p.delayOfOthers(q, c)) / float64(max(q.Slack, minSlack))
+	part := float64(c.Expected) / float64(max(q.Slack, minSlack))
 	loss := lateLoss * part * part
 	kb := (float64(q.Bytes) + p.averages(q.Route).bytes) / 1000
-	switch c.Instance.Place.DistanceTo(p.self) {
+	switch c.Distance {
 	case model.SameRegion:
 		loss += kb * p.costs.RegionKB
 	case model.CrossRegion:
@@ -394,12 +375,12 @@
 		networkTime += roundTrip
 	}
 	expected := networkTime + p.transfer(inst, float64(q.Bytes)+averages.bytes) + wait + time.Duration(run*slowness*(1+busyShare*busy*busy))
-	expected += time.Duration(s.failureRate * decay(now.Sub(s.failureRateAt), failureDecay) * float64(failurePenalty))
+	expected += time.Duration(p.excessFailures(now, inst.Service, s) * float64(failurePenalty))
 	// A small random part keeps daemons with equal views from making the same choice.
 	expected += time.Duration(p.random.Float64() * run / 16)
 	// A typical run takes at least half of the mean.
 	tooLate := q.Remaining > 0 && networkTime+time.Duration(run/2) > q.Remaining
-	return Choice{Instance: inst, Expected: expected, Wait: wait, RoundTrip: roundTrip, Limit: s.limit, tooLate: tooLate}
+	return Choice{Instance: inst, Expected: expected, Wait: wait, RoundTrip: roundTrip, Distance: inst.Place.DistanceTo(p.self), Limit: s.limit, tooLate: tooLate}
 }
 
 // wait returns the expected wait for a slot and the expected utilisation from 0 to 1. As a load
@@ -419,10 +400,6 @@
 	part := min(1, run/max(mean, 1))
 	reported := float64(s.load.Next) + part*float64(s.load.Wait-s.load.Next)
 	free := float64(s.load.Slots - s.load.Running - s.load.Queued)
-	if s.limit > 0 {
-		// The wait that a limit causes has passed by now in part.
-		reported = max(0, reported-float64(now.Sub(s.loadAt)))
-	}
 	if free > float64(s.sent) {
 		reported = 0
 	} else {
--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -155,6 +155,7 @@
 	if !ok {
 		return Result{Refusal: noInstance(req.service, regions)}, false
 	}
+	i.metrics.attempts.WithLabelValues(choice.Distance.String()).Inc()
 	job := req.job
 	job.Instance, job.Limit = choice.Instance.ID, choice.Limit
 	job.Returning, job.Repeated = job.Returning || req.daemonEnded, req.mayHaveRun
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -142,6 +142,7 @@
 	d.guard.SetColdBounds(s.Instance.Service, s.Bounds.ColdRatio, s.Bounds.ColdAllowance)
 	d.placer = placement.New(s.Place(), placement.DefaultCosts, seed)
 	d.placer.SetLink(hostOf(s.Listen.ForwardAddress), s.Limits.LinkMbps*1e6)
+	d.placer.SetStayShare(s.Placement.StayShare)
 	d.budget = retry.NewFleetBudget(retry.FleetRules{
 		Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance, Window: s.Bounds.RetryWindow,
 	}, now)
--- a/pkg/mesh/metrics.go
+++ b/pkg/mesh/metrics.go
@@ -23,6 +23,7 @@
 	retries    *prometheus.CounterVec
 	storeCalls *prometheus.CounterVec
 	pipelined  *prometheus.CounterVec
+	attempts   *prometheus.CounterVec
 }
 
 // newMetrics creates the metrics and registers them.
@@ -39,8 +40,9 @@
 		retries:    counter("ingress_retries_total", "Decisions about retries of requests to an upstream, by how much depends on the retry.", "decision", "chance"),
 		storeCalls: counter("store_calls_total", "Calls to the platform's store.", "call", "outcome"),
 		pipelined:  counter("ingress_pipelined_total", "Pipelined requests that were started before the requests before them were answered, and those of them whose result was dropped because the connection ended.", "event"),
+		attempts:   counter("ingress_attempts_total", "Attempts of requests at instances, by the distance of their data centre from this one.", "distance"),
 	}
-	for _, c := range []prometheus.Collector{m.requests, m.latency, m.rejections, m.retries, m.storeCalls, m.pipelined} {
+	for _, c := range []prometheus.Collector{m.requests, m.latency, m.rejections, m.retries, m.storeCalls, m.pipelined, m.attempts} {
 		if err := registry.Register(c); err != nil {
 			return nil, err
 		}
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -30,7 +30,9 @@
 	// store is unavailable.
 	Seeds  []string `yaml:"seeds"`
 	Limits Limits   `yaml:"limits"`
-	Bounds Bounds   `yaml:"bounds"`
+	// Placement configures the choice of the instance for a request.
+	Placement PlacementSettings `yaml:"placement"`
+	Bounds    Bounds            `yaml:"bounds"`
 	// LogLevel is debug, info, warn or error; default info.
 	LogLevel string `yaml:"log_level"`
 }
@@ -65,6 +67,14 @@
 	Address string `yaml:"address"`
 }
 
+// PlacementSettings configure the choice of the instance for a request.
+type PlacementSettings struct {
+	// StayShare is the share of the time to a request's latency objective within which an instance of the
+	// daemon's own data centre has to be expected to respond for the request to stay there; 0 compares the
+	// instances of all data centres for each request.
+	StayShare float64 `yaml:"stay_share"`
+}
+
 // Limits bound the daemon's resources.
 type Limits struct {
 	// MemoryMB is the memory limit of the process in MB; 0 sets no limit.
@@ -208,6 +218,7 @@
 		{"limits.link_mbps", s.Limits.LinkMbps, maxLinkMbps},
 		{"limits.log_lines_per_second", float64(s.Limits.LogLinesPerSecond), maxLogLines},
 		{"limits.pipelined_requests", float64(s.Limits.PipelinedRequests), maxPipelined},
+		{"placement.stay_share", s.Placement.StayShare, 1},
 		{"bounds.retry_ratio", s.Bounds.RetryRatio, maxRetryRatio},
 		{"bounds.retry_allowance", s.Bounds.RetryAllowance, maxRetryAllowance},
 		{"bounds.cold_ratio", s.Bounds.ColdRatio, maxColdRatio},
