--- a/pkg/ctl/mesh.go
+++ b/pkg/ctl/mesh.go
@@ -71,7 +71,7 @@
 	return columns(rows)
 }
 
-// evacuatedText lists data centres with the revisions of their evacuations, such as "klang-a@412".
+// evacuatedText lists data centres with the revisions of their evacuations, such as "a1@412".
 func evacuatedText(list []mesh.EvacuatedDataCentre) string {
 	if len(list) == 0 {
 		return "-"
