Keep a later incarnation when the copy of the store lists an earlier one

After a restore of the store from an older copy, an entry of the copy with a lower incarnation replaced the known instance: a draining entry of the predecessor closed the queue of a live upstream until its next heartbeat, and a leaving instance was used again as its live predecessor.

In an era above 0, an entry that may come from the copy is now left out if a later incarnation is known, or if its own or a later one is known as removed. The known instance then gets the grace period, also if it is leaving, so that daemons that are fed learn that the incarnation in the copy has ended. The same holds for an instance that another daemon only keeps for the grace period. Era 0 is unchanged.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -245,8 +245,12 @@
 			changed = c.remove(now, e.ID, e.Revision) || changed
 			continue
 		}
-		if inst, ok := c.listedAs(s, e, h); ok {
+		inst, use := c.listedAs(s, e, h)
+		switch {
+		case use:
 			changed = c.upsert(&inst, e.Revision, h) || changed
+		case h != nil:
+			changed = c.lapse(now, h, e.Revision) || changed
 		}
 	}
 	changed = c.applyEvacuations(s) || changed
--- a/core/catalog/restore.go
+++ b/core/catalog/restore.go
@@ -74,10 +74,10 @@
 	}
 }
 
-// contains reports whether this incarnation of an instance was removed.
+// contains reports whether this incarnation of an instance, or a later one, was removed.
 func (r *removals) contains(inst *Instance) bool {
 	known, ok := r.byID[inst.ID]
-	return ok && known.incarnation == inst.Incarnation
+	return ok && inst.Incarnation <= known.incarnation
 }
 
 // enterEra begins the era of a full state if it is later than that of the catalog, and reports whether
@@ -112,9 +112,10 @@
 // not say what the copy lacks.
 func (c *Catalog) missesEra(s State) bool { return Era(s.Revision) > Era(c.revision) }
 
-// listedAs returns an instance of a state as the catalog keeps it. The result is false if the
-// catalog must not use it: the instance was removed, and nothing shows that it has registered since.
-// h is the known instance; nil if there is none. Without a restore the instance is kept as it is.
+// listedAs returns an instance of a state as the catalog keeps it. The result is false if the catalog must
+// not use it: the entry may be older than the return of the store, and a later incarnation is known, or this
+// one or a later one was removed. h is the known instance; nil if there is none. Without a restore the
+// instance is kept as it is.
 func (c *Catalog) listedAs(s State, e Entry, h *record) (Instance, bool) {
 	inst := *e.Instance
 	if Era(c.revision) == 0 {
@@ -123,15 +124,37 @@
 	if s.Restore == nil { // from the store
 		inst.Copied = e.Revision <= c.restore.Position
 	}
-	switch {
-	case h == nil:
-		return inst, !c.removed.contains(&inst) || !inst.Copied && inst.LapsesAt.IsZero()
-	case h.State == model.Leaving && h.Incarnation == inst.Incarnation:
+	// Another daemon may also keep, for the grace period, an instance that the copy lacks.
+	if inst.Copied || !inst.LapsesAt.IsZero() {
+		switch {
+		case h != nil && inst.Incarnation < h.Incarnation:
+			return inst, false
+		case (h == nil || inst.Incarnation > h.Incarnation) && c.removed.contains(&inst):
+			return inst, false
+		}
+	}
+	if h != nil && h.State == model.Leaving && h.Incarnation == inst.Incarnation {
 		inst.State = model.Leaving
 	}
 	return inst, true
 }
 
+// lapse gives an instance the grace period because the entry with its ID in the copy is not used. A
+// leaving instance gets it as well, so that other daemons learn that the incarnation in the copy has ended.
+// After the period the instance is removed immediately. It reports whether the view changed.
+func (c *Catalog) lapse(now time.Time, h *record, revision uint64) bool {
+	h.revision = max(h.revision, revision)
+	switch {
+	case !h.LapsesAt.IsZero():
+		return false
+	case now.Before(c.outage.graceEnd):
+		h.LapsesAt = c.outage.graceEnd
+	default:
+		c.drop(now, h)
+	}
+	return true
+}
+
 // applyTable applies a table with a higher version than the known one. A table of the same version
 // replaces it if it was read in a later era: the operator has written the version again with other
 // contents after the store lost it. It reports whether the view changed.
--- a/core/catalog/restore_test.go
+++ b/core/catalog/restore_test.go
@@ -197,6 +197,66 @@
 	require.Empty(t, old.removed.order)
 }
 
+// Guards against a copy that replaces a live instance by its draining predecessor, or a leaving one by its live
+// predecessor, against a daemon that does so for another daemon, and against keeping the known instance for good.
+func TestEarlierIncarnationInTheCopy(t *testing.T) {
+	for _, known := range []model.State{model.Live, model.Leaving} {
+		predecessor := model.Leaving
+		if known == model.Leaving {
+			predecessor = model.Live
+		}
+		c, lagging := New(), New()
+		for _, each := range []*Catalog{c, lagging} {
+			each.Replace(now, State{Revision: 10, Entries: []Entry{entryOf("a", 10, predecessor, 1)}})
+		}
+		c.Apply(now, State{Revision: 20, Entries: []Entry{entryOf("a", 20, known, 2)}})
+		copied := era(1, State{Revision: 12, Entries: []Entry{entryOf("a", 10, predecessor, 1)}})
+		c.Replace(now, copied)
+		lagging.Replace(now, copied)
+		requireKnown := func() {
+			t.Helper()
+			require.Len(t, c.View().Instances, 1)
+			inst := c.View().Instances[0]
+			require.Equal(t, uint64(2), inst.Incarnation)
+			require.Equal(t, known, inst.State)
+			require.Equal(t, now.Add(recoveryGrace), inst.LapsesAt)
+		}
+		requireKnown()
+		require.False(t, c.Replace(now, copied), "a second read of the same state")
+		c.Replace(now, stateOf(lagging))
+		requireKnown()
+		lagging.Replace(now, stateOf(c))
+		require.Equal(t, c.View(), lagging.View(), "the other daemon learns the later incarnation")
+
+		written := New()
+		written.Replace(now, stateOf(c))
+		written.Apply(now, era(1, State{Revision: 13, Entries: []Entry{entryOf("a", 13, model.Live, 2)}}))
+		inst, _ := written.View().ByID("a")
+		require.Zero(t, inst.LapsesAt, "it has registered again")
+		written.Apply(now, era(1, State{Revision: 14, Entries: []Entry{entryOf("a", 14, model.Live, 1)}}))
+		inst, _ = written.View().ByID("a")
+		require.Equal(t, uint64(1), inst.Incarnation, "an entry that was written after the return counts")
+
+		require.True(t, c.Expire(now.Add(recoveryGrace)))
+		require.False(t, c.Replace(now.Add(recoveryGrace), copied), "it is earlier than the removed incarnation")
+		require.Empty(t, c.View().Instances)
+	}
+}
+
+// Guards against a deployment without the header in which an earlier incarnation no longer replaces a later one, as
+// after a clock that was set back.
+func TestEarlierIncarnationWithoutARestore(t *testing.T) {
+	c := New()
+	c.Replace(now, State{Revision: 10, Entries: []Entry{entryOf("a", 10, model.Live, 2), entryOf("b", 10, model.Live, 2)}})
+	c.Replace(now, State{Revision: 20, Entries: []Entry{entryOf("a", 15, model.Live, 1)}})
+	c.Replace(now, State{Revision: 30, Entries: []Entry{entryOf("a", 15, model.Live, 1), entryOf("b", 25, model.Live, 1)}})
+	for _, inst := range c.View().Instances {
+		require.Equal(t, uint64(1), inst.Incarnation, inst.ID)
+		require.Zero(t, inst.LapsesAt, inst.ID)
+	}
+	require.Len(t, c.View().Instances, 2)
+}
+
 // Guards against memory that grows with each instance that was ever removed, and against forgetting the last ones.
 func TestRememberedRemovalsAreBounded(t *testing.T) {
 	var r removals
--- a/pkg/mesh/store_era_test.go
+++ b/pkg/mesh/store_era_test.go
@@ -134,6 +134,26 @@
 	require.Equal(t, uint64(8), fed.View().Table.Version)
 }
 
+// Guards against a guard that refuses jobs for a live upstream until its next heartbeat because the copy lists its
+// draining predecessor.
+func TestGuardAndThePredecessorInTheCopy(t *testing.T) {
+	now := time.Now()
+	entry := func(position, incarnation uint64, state model.State) catalog.Entry {
+		e := eraEntry("a", position)
+		e.Instance.Upstream, e.Instance.Incarnation, e.Instance.State = "10.0.0.1:1", incarnation, state
+		return e
+	}
+	c, g := catalog.New(), virtualDaemon(t, 6*time.Second).guard
+	g.address = "10.0.0.1:1"
+	c.Replace(now, catalog.State{Revision: 10, Table: limitedTable(t, 1, 1), Entries: []catalog.Entry{entry(10, 1, model.Leaving)}})
+	c.Apply(now, catalog.State{Revision: 20, Entries: []catalog.Entry{entry(20, 2, model.Live)}})
+	g.Update(now, c.View())
+	require.False(t, g.queue.Closed())
+	c.Replace(now, catalog.State{Revision: catalog.Position(1, 12), Entries: []catalog.Entry{entry(catalog.Position(1, 10), 1, model.Leaving)}})
+	g.Update(now, c.View())
+	require.False(t, g.queue.Closed())
+}
+
 // feedFrom makes a daemon of the region serve the feed of a state. It returns a function that returns the eras of the
 // tables that the requests named.
 func (region *testRegion) feedFrom(address string, fleet *Fleet) func() []string {
