Remember the highest removed incarnation of an instance

Of several removals of an instance the catalog remembered only the last one, so that a copy of the store that listed another removed incarnation brought that one back into use. The removals now keep the highest incarnation; the time of the last removal still decides when it is forgotten.

Failed before: TestInstanceThatWasRemovedTwice, with the later incarnation removed first.

--- a/core/catalog/restore.go
+++ b/core/catalog/restore.go
@@ -27,7 +27,8 @@
 	GraceEnd time.Time
 }
 
-// removal is the removal of an instance.
+// removal is what is remembered of the removals of an instance: the highest incarnation that was removed,
+// since the copy may contain any of them, and the time of the last removal.
 type removal struct {
 	incarnation uint64
 	at          time.Time
@@ -51,7 +52,7 @@
 	if r.byID == nil {
 		r.byID = make(map[model.InstanceID]removal)
 	}
-	r.byID[inst.ID] = removal{inst.Incarnation, now}
+	r.byID[inst.ID] = removal{max(r.byID[inst.ID].incarnation, inst.Incarnation), now}
 	r.order = append(r.order, removedAt{inst.ID, now})
 	if len(r.order) > maxRemembered {
 		r.dropFirst()
--- a/core/catalog/restore_test.go
+++ b/core/catalog/restore_test.go
@@ -257,6 +257,21 @@
 	require.Len(t, c.View().Instances, 2)
 }
 
+// Guards against an incarnation that is known as removed and is used again because another one of the same instance
+// was removed last, also if that one is earlier, as after a clock that was set back.
+func TestInstanceThatWasRemovedTwice(t *testing.T) {
+	for _, first := range []uint64{1, 2} {
+		second := 3 - first
+		c := New()
+		c.Replace(now, State{Revision: 10, Entries: []Entry{entryOf("a", 10, model.Live, first)}})
+		c.Apply(now, State{Revision: 20, Entries: []Entry{removed("a", 20)}})
+		c.Apply(now, State{Revision: 30, Entries: []Entry{entryOf("a", 30, model.Live, second)}})
+		c.Apply(now, State{Revision: 40, Entries: []Entry{removed("a", 40)}})
+		c.Replace(now, era(1, State{Revision: 12, Entries: []Entry{entryOf("a", 10, model.Live, first)}}))
+		require.Empty(t, c.View().Instances, "incarnation %d was removed before %d", first, second)
+	}
+}
+
 // Guards against memory that grows with each instance that was ever removed, and against forgetting the last ones.
 func TestRememberedRemovalsAreBounded(t *testing.T) {
 	var r removals
