Let fed daemons adopt the era of a table that their reader has read again

When a reader reads the table that it already holds again after a restore, its frame contains no table, so that the daemons that it feeds kept the table's earlier era. The first new table then ended all feeds with a BaseError, whose text named two versions although the eras differed.

A frame without a table now names its version (ReadAgain) and the era in which it was read before (BaseEra). A daemon that holds this version of this era adopts the later one; any other daemon still gets the BaseError, because its contents may differ. Besides the whole frame that begins an era this covers a later frame, after the operator has written a lost version again with the same contents. In era 0 frames are as before. The text of BaseError names the eras if they are what differs.

Failed before: TestTableThatIsReadAgainInALaterEra (both cases) and TestOtherTableThanTheOneThatIsReadAgain (error text).

--- a/core/route/delta.go
+++ b/core/route/delta.go
@@ -41,12 +41,16 @@
 	return d
 }
 
-// BaseError reports a delta whose base version is not the version of the local table. Have is
-// the local version, Want the base version of the delta.
-type BaseError struct{ Have, Want uint64 }
+// BaseError reports a delta whose base is not the local table. Have is the local version, Want the base
+// version of the delta. If they are equal, the tables were read in different eras of the store, HaveEra and
+// WantEra, and may have different contents.
+type BaseError struct{ Have, Want, HaveEra, WantEra uint64 }
 
-// Error returns both versions and the remedy.
+// Error returns what differs and the remedy.
 func (e *BaseError) Error() string {
+	if e.Have == e.Want && e.HaveEra != e.WantEra {
+		return fmt.Sprintf("the delta applies to version %d as it was read in era %d, not to version %d of era %d; read the full table", e.Want, e.WantEra, e.Have, e.HaveEra)
+	}
 	return fmt.Sprintf("the delta applies to version %d, not to version %d; read the full table", e.Want, e.Have)
 }
 
--- a/pkg/mesh/change.go
+++ b/pkg/mesh/change.go
@@ -25,13 +25,16 @@
 	Evacuations []catalog.Evacuation `cbor:"7,keyasint,omitempty"`
 	// Restore is the last restore of the store; nil in era 0.
 	Restore *peerRestore `cbor:"8,keyasint,omitempty"`
-	// BaseEra is the era in which the table was read to which Delta applies.
+	// BaseEra is the era in which the table was read to which Delta or ReadAgain refers.
 	BaseEra uint64 `cbor:"9,keyasint,omitempty"`
+	// ReadAgain is the version of the table of the last frame if the sender has read it again, with the same
+	// contents, in a later era; 0 if it has not.
+	ReadAgain uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // empty reports whether the change contains no difference.
 func (c *change) empty() bool {
-	return !c.Whole && c.Table == nil && c.Delta == nil && len(c.Put) == 0 && len(c.Gone) == 0 && len(c.Evacuations) == 0
+	return !c.Whole && c.Table == nil && c.Delta == nil && c.ReadAgain == 0 && len(c.Put) == 0 && len(c.Gone) == 0 && len(c.Evacuations) == 0
 }
 
 // pack encodes and compresses a change. It returns nil for an empty one.
@@ -56,14 +59,7 @@
 func (c *change) state(view *catalog.View, revision uint64) (catalog.State, error) {
 	s := catalog.State{Revision: revision, Evacuations: c.Evacuations}
 	var err error
-	switch {
-	case c.Table != nil:
-		s.Table, err = route.New(c.Table.Version, c.Table.Routes, c.Table.Services, c.Table.Limits)
-	case c.Delta != nil && (view.Table == nil || c.Delta.From == view.Table.Version && c.BaseEra != view.TableEra):
-		err = &route.BaseError{Want: c.Delta.From}
-	case c.Delta != nil && c.Delta.To > view.Table.Version:
-		s.Table, err = view.Table.Apply(*c.Delta)
-	}
+	s.Table, err = c.table(view)
 	c.Restore.addTo(time.Now(), &s)
 	c.Lapses.restore(time.Now(), c.Put)
 	for i := range c.Put {
@@ -75,16 +71,38 @@
 	return s, err
 }
 
+// table returns the table that the change makes of that of the given view; nil if it does not concern it.
+func (c *change) table(view *catalog.View) (*route.Table, error) {
+	held := view.Table
+	switch {
+	case c.Table != nil:
+		return route.New(c.Table.Version, c.Table.Routes, c.Table.Services, c.Table.Limits)
+	case c.Delta != nil && held == nil:
+		return nil, &route.BaseError{Want: c.Delta.From}
+	case c.Delta != nil && c.Delta.From == held.Version && c.BaseEra != view.TableEra:
+		return nil, &route.BaseError{Have: held.Version, Want: c.Delta.From, HaveEra: view.TableEra, WantEra: c.BaseEra}
+	case c.Delta != nil && c.Delta.To > held.Version:
+		return held.Apply(*c.Delta)
+	case c.ReadAgain > 0 && held != nil && c.ReadAgain == held.Version && c.BaseEra == view.TableEra:
+		return held, nil // the catalog adopts the era
+	}
+	return nil, nil
+}
+
 // diffViews returns the change from the view that was sent last to the current one.
 func diffViews(sent, current *catalog.View) change {
 	var c change
-	if current.Table != sent.Table && current.Table != nil {
-		if sent.Table == nil || sent.Table.Version == current.Table.Version {
-			c.Table = encodeTable(current.Table)
-		} else {
-			delta := route.Diff(sent.Table, current.Table)
-			c.Delta, c.BaseEra = &delta, sent.TableEra
+	switch {
+	case current.Table == nil:
+	case current.Table == sent.Table:
+		if current.TableEra != sent.TableEra {
+			c.ReadAgain, c.BaseEra = current.Table.Version, sent.TableEra
 		}
+	case sent.Table == nil || sent.Table.Version == current.Table.Version:
+		c.Table = encodeTable(current.Table)
+	default:
+		delta := route.Diff(sent.Table, current.Table)
+		c.Delta, c.BaseEra = &delta, sent.TableEra
 	}
 	c.Restore = encodeRestore(time.Now(), current)
 	if catalog.Era(current.Revision) != catalog.Era(sent.Revision) {
--- a/pkg/mesh/store_era_test.go
+++ b/pkg/mesh/store_era_test.go
@@ -134,6 +134,77 @@
 	require.Equal(t, uint64(8), fed.View().Table.Version)
 }
 
+// A reader reads the table that it and the daemons that it feeds hold again in a later era. Guards against a feed that
+// ends at the next table because the daemon has not learnt the era: in the frame that begins the era ("with the restore")
+// and in a later one ("written again with the same contents").
+func TestTableThatIsReadAgainInALaterEra(t *testing.T) {
+	for _, name := range []string{"with the restore", "written again with the same contents"} {
+		t.Run(name, func(t *testing.T) {
+			reader, fed := catalog.New(), catalog.New()
+			for _, c := range []*catalog.Catalog{reader, fed} {
+				c.Replace(time.Now(), catalog.State{Revision: 500, Table: limitedTable(t, 7, 1)})
+			}
+			sent := reader.View()
+			frame := func() change {
+				c := diffViews(sent, reader.View())
+				sent = reader.View()
+				return c
+			}
+			restored := catalog.State{Revision: catalog.Position(1, 450)}
+			if name == "with the restore" {
+				restored.Table = limitedTable(t, 7, 1)
+			}
+			reader.Replace(time.Now(), restored)
+			next := frame()
+			require.True(t, next.Whole)
+			require.Nil(t, next.Table)
+			require.NoError(t, receive(t, fed, &next, reader.Revision()))
+			reader.Apply(time.Now(), catalog.State{Revision: catalog.Position(1, 451), Table: limitedTable(t, 7, 1)})
+			next = frame()
+			require.Nil(t, next.Table)
+			require.NoError(t, receive(t, fed, &next, reader.Revision()))
+			require.Equal(t, uint64(1), reader.View().TableEra)
+			require.Equal(t, uint64(1), fed.View().TableEra)
+
+			reader.Apply(time.Now(), catalog.State{Revision: catalog.Position(1, 452), Table: limitedTable(t, 8, 2)})
+			next = frame()
+			require.NotNil(t, next.Delta)
+			require.NoError(t, receive(t, fed, &next, reader.Revision()))
+			require.Equal(t, reader.View().Table, fed.View().Table)
+		})
+	}
+}
+
+// Guards against a daemon that takes its table for the one that its reader has read again although it holds another
+// version, or other contents under the same version, and against an error that names two equal versions.
+func TestOtherTableThanTheOneThatIsReadAgain(t *testing.T) {
+	reader := catalog.New()
+	reader.Replace(time.Now(), catalog.State{Revision: 500, Table: limitedTable(t, 7, 1)})
+	before := reader.View()
+	reader.Replace(time.Now(), catalog.State{Revision: catalog.Position(2, 450), Table: limitedTable(t, 7, 1)})
+	after := reader.View()
+	reader.Apply(time.Now(), catalog.State{Revision: catalog.Position(2, 451), Table: limitedTable(t, 8, 2)})
+	readAgain, delta := diffViews(before, after), diffViews(after, reader.View())
+
+	otherVersion := catalog.New()
+	otherVersion.Replace(time.Now(), catalog.State{Revision: 500, Table: limitedTable(t, 6, 1)})
+	require.NoError(t, receive(t, otherVersion, &readAgain, after.Revision))
+	require.Zero(t, otherVersion.View().TableEra)
+	require.EqualError(t, receive(t, otherVersion, &delta, reader.Revision()), "the delta applies to version 7, not to version 6; read the full table")
+
+	otherContents := catalog.New()
+	otherContents.Replace(time.Now(), catalog.State{Revision: 500, Table: limitedTable(t, 6, 1)})
+	otherContents.Replace(time.Now(), catalog.State{Revision: catalog.Position(1, 450), Table: limitedTable(t, 7, 3)})
+	require.NoError(t, receive(t, otherContents, &readAgain, after.Revision))
+	require.Equal(t, uint64(1), otherContents.View().TableEra)
+	require.EqualError(t, receive(t, otherContents, &delta, reader.Revision()),
+		"the delta applies to version 7 as it was read in era 2, not to version 7 of era 1; read the full table")
+
+	none := catalog.New()
+	require.NoError(t, receive(t, none, &readAgain, after.Revision))
+	require.Nil(t, none.View().Table)
+}
+
 // Guards against a guard that refuses jobs for a live upstream until its next heartbeat because the copy lists its
 // draining predecessor.
 func TestGuardAndThePredecessorInTheCopy(t *testing.T) {
