Check a job again directly before it is sent

A job whose body arrives late may wait until its deadline for the rate of a cold upstream, and the checks for an evacuation and the list of regions came before that wait, so that jobs were sent after an evacuation had begun, a table had withdrawn the region, or the instance had left. One function now checks all of these directly before the send and before a request is sent again, and a change of any of them ends the wait.

--- a/pkg/mesh/cold.go
+++ b/pkg/mesh/cold.go
@@ -282,7 +282,7 @@
 
 // chargeLateBody counts a job again whose body has taken long to arrive since the job was admitted: bodies
 // that arrive together would otherwise reach a cold upstream at once. It waits until the rate allows the
-// job, or returns a refusal if that takes too long.
+// job, or returns a refusal if that takes too long or the job must not be sent any more.
 func (g *Guard) chargeLateBody(ctx context.Context, j *Job, admitted time.Time) *refusal.Refusal {
 	if time.Since(admitted) <= maxBodyDelay {
 		return nil
@@ -290,13 +290,14 @@
 	for {
 		g.mu.Lock()
 		now := time.Now()
-		wait, charged := g.queue.ColdWait(now), true
-		if g.queue.ColdRate(now) > 0 {
+		refused := g.checkSend(now, j)
+		wait, charged, recheck := g.queue.ColdWait(now), true, g.recheck
+		if refused == nil && g.queue.ColdRate(now) > 0 {
 			charged = g.queue.Charge(now)
 		}
 		g.mu.Unlock()
-		if charged {
-			return nil
+		if refused != nil || charged {
+			return refused
 		}
 		if !now.Add(wait).Before(j.Deadline) {
 			return coldRefusal(wait)
@@ -304,6 +305,7 @@
 		select {
 		case <-ctx.Done():
 			return notRun(refusal.Cut, "the caller has disconnected", 0)
+		case <-recheck:
 		case <-time.After(max(wait, time.Millisecond)):
 		}
 	}
--- a/pkg/mesh/evacuation.go
+++ b/pkg/mesh/evacuation.go
@@ -17,13 +17,6 @@
 	Unknown bool `json:"unknown,omitempty"`
 }
 
-// isEvacuated reports whether the upstream's data centre is evacuated.
-func (g *Guard) isEvacuated() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.evacuated
-}
-
 // evacuatedRefusal returns the refusal of a job for an upstream in an evacuated data centre.
 func evacuatedRefusal() *refusal.Refusal {
 	return notRun(refusal.Leaving, "the data centre of the instance is evacuated; send the request to another one", 0)
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -81,9 +81,10 @@
 	// evacuated is set while the upstream's data centre is evacuated.
 	evacuated bool
 	timer     *time.Timer
-	// tableChanged is closed and replaced when a table takes effect that has a list of regions.
-	tableChanged chan struct{}
-	cold         coldGuard
+	// recheck is closed and replaced when a job that waits may no longer be sent: a table with a list of
+	// regions takes effect, the queue closes, or an instance departs.
+	recheck chan struct{}
+	cold    coldGuard
 }
 
 // NewGuard returns a guard for the upstream at the address. budget limits the memory for responses
@@ -91,7 +92,7 @@
 func NewGuard(address string, headers Headers, budget *exchange.Budget, log *requestLog) *Guard {
 	g := &Guard{
 		suspects: newSuspects(log.log), address: address, headers: headers, log: log, queue: intake.New(0), departed: make(map[model.InstanceID]time.Time),
-		runs: newRuns(), tableChanged: make(chan struct{}),
+		runs: newRuns(), recheck: make(chan struct{}),
 		client: exchange.NewClient(exchange.Config{RequestID: headers.RequestID, DialTimeout: upstreamDialTimeout, Budget: budget}),
 	}
 	g.cold.wake = make(chan struct{}, 1)
@@ -136,6 +137,7 @@
 func (g *Guard) openOrClose(now time.Time) {
 	if g.stopping || g.evacuated || g.leaving() {
 		g.queue.Close()
+		g.notifyRecheck()
 	} else if g.queue.Closed() {
 		g.queue.Open()
 		g.assumeCold(now, coldResumed, false)
@@ -165,6 +167,7 @@
 		clear(g.departed)
 	}
 	g.departed[id] = until
+	g.notifyRecheck()
 }
 
 // hasDeparted reports whether an instance is no longer at the address. The caller holds the mutex.
@@ -269,21 +272,16 @@
 		return Result{Refusal: refused}
 	}
 	started := time.Now()
-	refused, ok := g.loadBody(j, call)
-	if ok && g.isEvacuated() {
-		// The evacuation has begun while the body was arriving.
-		refused, ok = Result{Refusal: evacuatedRefusal()}, false
-	}
-	if !ok {
+	if refused, ok := g.loadBody(j, call); !ok {
 		g.withdraw(call)
 		return refused
 	}
-	// A table may have taken effect during the wait for the body.
-	if refused := g.checkRegion(j); refused != nil {
+	if refused := g.chargeLateBody(ctx, j, started); refused != nil {
 		g.withdraw(call)
 		return Result{Refusal: refused}
 	}
-	if refused := g.chargeLateBody(ctx, j, started); refused != nil {
+	// The state may have changed during the waits for the body and the rate.
+	if refused := g.checkBeforeSend(j); refused != nil {
 		g.withdraw(call)
 		return Result{Refusal: refused}
 	}
@@ -342,7 +340,7 @@
 	g.mu.Lock()
 	refused := g.checkBeforeAdmission(now, j)
 	g.adoptLimit(now, j)
-	tableChanged := g.tableChanged
+	recheck := g.recheck
 	var verdict intake.Verdict
 	var retryAfter time.Duration
 	if refused == nil {
@@ -357,7 +355,7 @@
 		return refused
 	}
 	if verdict == intake.Waiting {
-		if verdict, retryAfter, cold = g.wait(ctx, j, call, decided, tableChanged); verdict == intake.Started {
+		if verdict, retryAfter, cold = g.wait(ctx, j, call, decided, recheck); verdict == intake.Started {
 			return nil
 		}
 		if refused = g.checkRegion(j); refused != nil {
@@ -373,13 +371,13 @@
 // wait waits for the verdict on a queued call. If the context ends first, or a table takes effect that
 // does not allow the job in this region, the call is removed from the queue. cold says that the call is
 // refused because the upstream is cold.
-func (g *Guard) wait(ctx context.Context, j *Job, call *intake.Call, decided <-chan intake.Verdict, tableChanged <-chan struct{}) (verdict intake.Verdict, retryAfter time.Duration, cold bool) {
+func (g *Guard) wait(ctx context.Context, j *Job, call *intake.Call, decided <-chan intake.Verdict, recheck <-chan struct{}) (verdict intake.Verdict, retryAfter time.Duration, cold bool) {
 	for waiting := true; waiting; {
 		select {
 		case verdict = <-decided:
 			waiting = false
-		case <-tableChanged:
-			if tableChanged = g.followTable(); g.checkRegion(j) != nil {
+		case <-recheck:
+			if recheck = g.nextRecheck(); g.checkRegion(j) != nil {
 				g.cancel(call, decided)
 				return intake.Overloaded, 0, false
 			}
@@ -407,10 +405,34 @@
 	}
 }
 
-// checkBeforeAdmission refuses a job whose deadline has passed, that the table in force does not allow in
-// this region, whose instance is leaving, in an evacuated data centre or no longer at the address, or
-// whose upstream is down. The caller holds the mutex.
+// checkBeforeAdmission refuses a job that must not be sent, that arrives while the daemon stops or before
+// the first table, or whose upstream is down. The caller holds the mutex.
 func (g *Guard) checkBeforeAdmission(now time.Time, j *Job) *refusal.Refusal {
+	if refused := g.checkSend(now, j); refused != nil {
+		return refused
+	}
+	switch {
+	case g.stopping:
+		return leavingRefusal()
+	case g.unready():
+		return notRun(refusal.Overloaded, "the daemon does not know yet what a cold upstream takes; try again", noRuleRetry)
+	case now.Before(g.downUntil):
+		return notRun(refusal.UpstreamFailed, downRemedy, downTime)
+	}
+	return nil
+}
+
+// checkBeforeSend refuses an admitted job that must not be sent any more.
+func (g *Guard) checkBeforeSend(j *Job) *refusal.Refusal {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.checkSend(time.Now(), j)
+}
+
+// checkSend refuses a job whose deadline has passed, that the table in force does not allow in this
+// region, or whose instance is leaving, in an evacuated data centre or no longer at the address. The
+// caller holds the mutex.
+func (g *Guard) checkSend(now time.Time, j *Job) *refusal.Refusal {
 	if refused := g.checkRegion(j); refused != nil {
 		return refused
 	}
@@ -419,16 +441,17 @@
 		return notRun(refusal.Deadline, "allow more time", 0)
 	case g.evacuated:
 		return evacuatedRefusal()
-	case g.stopping, g.leaving(), g.hasDeparted(now, j.Instance):
-		return notRun(refusal.Leaving, "the instance is leaving; send the request to another one", 0)
-	case g.unready():
-		return notRun(refusal.Overloaded, "the daemon does not know yet what a cold upstream takes; try again", noRuleRetry)
-	case now.Before(g.downUntil):
-		return notRun(refusal.UpstreamFailed, downRemedy, downTime)
+	case g.leaving(), g.hasDeparted(now, j.Instance):
+		return leavingRefusal()
 	}
 	return nil
 }
 
+// leavingRefusal returns the refusal of a job for an instance that is leaving or has left.
+func leavingRefusal() *refusal.Refusal {
+	return notRun(refusal.Leaving, "the instance is leaving; send the request to another one", 0)
+}
+
 // notRun returns a refusal of a request that has certainly not run.
 func notRun(kind refusal.Kind, remedy string, after time.Duration) *refusal.Refusal {
 	return &refusal.Refusal{Kind: kind, Run: refusal.NotRun, Remedy: remedy, RetryAfter: after}
@@ -459,7 +482,7 @@
 	started := time.Now()
 	resp, err := g.client.Do(ctx, request)
 	g.recordExchange(ctx, started, err)
-	if j.MayRepeat && reusedConnFailed(err) && ctx.Err() == nil && time.Since(started) < immediateFailureLimit && g.checkRegion(j) == nil {
+	if j.MayRepeat && reusedConnFailed(err) && ctx.Err() == nil && time.Since(started) < immediateFailureLimit && g.checkBeforeSend(j) == nil {
 		if !g.chargeResend() {
 			return g.errorResult(ctx, err)
 		}
--- a/pkg/mesh/notices.go
+++ b/pkg/mesh/notices.go
@@ -56,6 +56,7 @@
 		g.notices.leaving = true
 		g.log.log.Info("upstream_leaving", zap.String("instance", string(from)))
 		g.queue.Close()
+		g.notifyRecheck()
 	}
 	g.schedule(now)
 }
--- a/pkg/mesh/regions.go
+++ b/pkg/mesh/regions.go
@@ -20,16 +20,22 @@
 // setTable sets the table in force. The caller holds the mutex.
 func (g *Guard) setTable(table *route.Table) {
 	if g.table.Swap(table) != table && table.Regional() {
-		close(g.tableChanged)
-		g.tableChanged = make(chan struct{})
+		g.notifyRecheck()
 	}
 }
 
-// followTable returns the channel that is closed when the next table with a list of regions takes effect.
-func (g *Guard) followTable() <-chan struct{} {
+// notifyRecheck makes the jobs that wait check again whether they may be sent. The caller holds the mutex.
+func (g *Guard) notifyRecheck() {
+	close(g.recheck)
+	g.recheck = make(chan struct{})
+}
+
+// nextRecheck returns the channel that is closed at the next change after which the jobs that wait have to
+// be checked again.
+func (g *Guard) nextRecheck() <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.tableChanged
+	return g.recheck
 }
 
 // checkRegion returns a refusal if the table in force does not allow the job's request in this region.
