Count requests that a new process got before its entry

A new incarnation, another instance's response and a 421 dropped the debt of all requests sent until then from the rate of the cold upstream, although the new process may have got some of them before. Only connections that are refused or break in the middle of a run now drop it, since the requests are known to have gone to the process before then; the others keep a debt of at most a second.

--- a/core/intake/cold.go
+++ b/core/intake/cold.go
@@ -154,8 +154,8 @@
 	return began
 }
 
-// assume records an event after which the upstream may be cold. replaced says that another process is at
-// its address, which has not got the requests that were sent before. Those sent while the upstream was cold
+// assume records an event after which the upstream may be cold. replaced says that the requests that were
+// sent before are known to have gone to a process that is gone. Those sent while the upstream was cold
 // still count, because the platform may count them by address.
 func (c *cold) assume(now time.Time, replaced bool) {
 	if c.rule.PerSecond == 0 {
--- a/core/intake/cold_queue.go
+++ b/core/intake/cold_queue.go
@@ -10,8 +10,8 @@
 	return began
 }
 
-// AssumeCold records an event after which the upstream may be cold: another process is at its address
-// (replaced), or it was not in use for a while.
+// AssumeCold records an event after which the upstream may be cold, such as a time in which it was not in
+// use. replaced says that all requests until now are known to have gone to a process that is gone.
 func (q *Queue) AssumeCold(now time.Time, replaced bool) {
 	q.cold.assume(now, replaced)
 	q.advance(now)
--- a/pkg/mesh/cold.go
+++ b/pkg/mesh/cold.go
@@ -101,8 +101,8 @@
 	g.wakeHealth()
 }
 
-// assumeCold records an event after which the upstream may be cold. replaced says that the process before
-// is certainly gone. The caller holds the mutex.
+// assumeCold records an event after which the upstream may be cold. replaced says that all requests until
+// now are known to have gone to a process that is gone. The caller holds the mutex.
 func (g *Guard) assumeCold(now time.Time, reason string, replaced bool) {
 	g.queue.AssumeCold(now, replaced)
 	g.noteCold(now, reason)
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -631,7 +631,7 @@
 	}
 	g.markDeparted(id, now.Add(misdirectedTime))
 	if g.instance == nil || g.instance.ID == id {
-		g.assumeCold(now, coldReplaced, true)
+		g.assumeCold(now, coldReplaced, false)
 	}
 }
 
--- a/pkg/mesh/notices.go
+++ b/pkg/mesh/notices.go
@@ -104,12 +104,14 @@
 	}
 }
 
-// forgetNotices forgets what an earlier process has said. The caller holds the mutex.
+// forgetNotices forgets what an earlier process has said. The requests sent until now keep counting,
+// because the new process may have got some of them before its entry or its first response arrived. The
+// caller holds the mutex.
 func (g *Guard) forgetNotices(now time.Time) {
 	g.notices = notices{}
 	g.queue.ResetLimit(now)
 	g.queue.ResetHostPace()
-	g.assumeCold(now, coldReplaced, true)
+	g.assumeCold(now, coldReplaced, false)
 }
 
 // instanceID returns the ID of the upstream's instance, empty if it is not known. The caller holds the
