Set the timer after a cancelled call and at the end of an update

Cancel frees the slot of a call that has just got one, and Update may add slots or change the cold phase after its last call of schedule. Both advance the queue, whose next tick then was not in the timer, so that waiting calls started only with the next event. Both now set the timer at their end.

Failed before: TestTimerIsSetAfterACancelledCall (10 s instead of less than 0.15 s) and TestTimerIsSetAfterAddedSlots (1.9 s instead of less than 1.3 s), both in virtual time.

--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -107,7 +107,10 @@
 func (g *Guard) Update(now time.Time, v *catalog.View) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	defer g.openOrClose(now)
+	defer func() {
+		g.openOrClose(now)
+		g.schedule(now)
+	}()
 	g.evacuated = v.IsEvacuated(g.dataCentre)
 	if v.Table == nil {
 		return
@@ -403,6 +406,7 @@
 	if !g.queue.Cancel(now, call) && <-decided == intake.Started {
 		g.queue.Done(now, call, false)
 	}
+	g.schedule(now)
 }
 
 // checkBeforeAdmission refuses a job that must not be sent, that arrives while the daemon stops or before
