Let entries that may be old only lengthen a cold phase

The first entry that a daemon knows, and one of the same incarnation with a longer remaining time than the entry before, replaced the end of an assumed cold phase, also by an earlier one, and ended the state in which the upstream refuses connections. Such an entry may have been written before the upstream became cold. It now only lengthens the phase; the entry of a new incarnation still sets it.

--- a/pkg/mesh/cold.go
+++ b/pkg/mesh/cold.go
@@ -89,12 +89,22 @@
 }
 
 // hearListedCold applies the remaining cold time in the entry of the upstream's instance: of a new
-// incarnation, or if it has become longer. An entry never ends a cold phase of the same incarnation,
-// because it may have been written before the upstream became cold. The caller holds the mutex.
+// incarnation, or if it has become longer. An entry of the same incarnation, or the first one that this
+// daemon knows, may have been written before the upstream became cold, so that it only lengthens a cold
+// phase. The caller holds the mutex.
 func (g *Guard) hearListedCold(now time.Time, old, current *catalog.Instance) {
-	if current.Warm <= 0 || old != nil && old.ID == current.ID && old.Incarnation == current.Incarnation && current.Warm <= old.Warm {
+	if current.Warm <= 0 {
 		return
 	}
+	if old == nil || old.ID == current.ID && current.Incarnation <= old.Incarnation {
+		if old != nil && current.Warm <= old.Warm {
+			return
+		}
+		until, active := g.queue.Cold(now)
+		if active && (until.IsZero() || !until.Before(now.Add(current.Warm))) {
+			return
+		}
+	}
 	g.queue.AssumeCold(now, false)
 	g.queue.ReportCold(now, now, current.Warm)
 	g.noteCold(now, coldListed)
