Add a millisecond to the reported remaining cold time

Upstreams round the remaining time down to milliseconds, so that a cold phase ended up to 1 ms before that of the upstream. A time above 0 is now a millisecond longer, and so is the bound above which a report is ignored.

TestRemainingColdTimeIsRoundedUp failed before.

--- a/core/intake/cold.go
+++ b/core/intake/cold.go
@@ -22,9 +22,9 @@
 	minColdShare = 0.1
 	// defaultColdStart is the duration of a cold phase if the table gives a rate without one.
 	defaultColdStart = 3 * time.Second
-	// maxColdRemaining bounds the remaining time that an upstream may report. A longer one is no
-	// cold phase.
-	maxColdRemaining = time.Hour
+	// maxColdRemaining bounds the remaining time that an upstream may report: an hour, and the millisecond
+	// that is added because upstreams round down. A longer one is no cold phase.
+	maxColdRemaining = time.Hour + time.Millisecond
 	// healthInterval is the time between two health requests while calls arrive, idleHealthInterval
 	// without calls: the platform bills each of them.
 	healthInterval     = time.Second
--- a/pkg/mesh/cold.go
+++ b/pkg/mesh/cold.go
@@ -281,12 +281,16 @@
 	return parseCold(text)
 }
 
-// parseCold parses the remaining cold time in milliseconds. It returns false if the text is not one.
+// parseCold parses the remaining cold time in milliseconds. It returns false if the text is not one. The
+// result is a millisecond longer unless it is 0, because the upstream rounds down.
 func parseCold(text string) (time.Duration, bool) {
 	ms, err := strconv.ParseInt(text, 10, 32)
 	if err != nil || ms < 0 {
 		return 0, false
 	}
+	if ms > 0 {
+		ms++
+	}
 	return time.Duration(ms) * time.Millisecond, true
 }
 
--- a/pkg/mesh/cold_encoding_test.go
+++ b/pkg/mesh/cold_encoding_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -50,3 +51,39 @@
 		}{limit, leaving, cold})
 	}
 }
+
+// Guards against a cold phase that ends up to a millisecond too early, because upstreams round its remaining
+// time down.
+func TestRemainingColdTimeIsRoundedUp(t *testing.T) {
+	for _, test := range []struct {
+		text      string
+		remaining time.Duration
+		ok        bool
+	}{
+		{"0", 0, true},
+		{"1", 2 * time.Millisecond, true},
+		{"2999", 3 * time.Second, true},
+		{"", 0, false},
+		{"-1", 0, false},
+		{"1.5", 0, false},
+		{"2147483648", 0, false},
+	} {
+		remaining, ok := parseCold(test.text)
+		require.Equal(t, test.ok, ok, test.text)
+		require.Equal(t, test.remaining, remaining, test.text)
+	}
+}
+
+// Guards against a report of exactly an hour that is ignored because a millisecond is added to it.
+func TestReportOfAnHourCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := newPipeUpstream()
+		u.start(time.Hour, false)
+		g := startColdGuard(t, u)
+		g.Update(time.Now(), coldView(t, 14, nil))
+		synctest.Wait()
+		until, active := g.queue.Cold(time.Now())
+		require.True(t, active)
+		require.Equal(t, time.Hour+time.Millisecond, time.Until(until))
+	})
+}
