Do not count the wait for the rate as run time

A job that waited with its body for the rate of a cold upstream counted the wait as run time, so that the upstream looked slow, and waited for up to a second after the upstream had turned warm. The call now counts as waiting for its body meanwhile, its run time begins afterwards, and the end of the cold phase ends the wait.

Failed before: TestWaitForTheRateIsNoRunTime (560 ms instead of at most 90 ms) and TestWaitForTheRateEndsWithTheColdPhase (1.07 s instead of less than 0.05 s), both in virtual time.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -127,8 +127,8 @@
 	// Objective is the latency objective of the route. It is used for the first guess of the run
 	// time.
 	Objective time.Duration
-	// AwaitingBody is set while the body of a started call is still arriving. The age of the call then
-	// says nothing about the upstream.
+	// AwaitingBody is set while the body of a started call is still arriving, or the call waits with it for
+	// the rate of a cold upstream. The age of the call then says nothing about the upstream.
 	AwaitingBody bool
 	// Decide is the callback for the verdict on a waiting call. It is called once, synchronously,
 	// from the Queue method that makes the decision.
@@ -449,6 +449,11 @@
 	return work
 }
 
+// RestartRun makes the run time of a started call that has not been sent yet begin now.
+func (q *Queue) RestartRun(now time.Time, c *Call) {
+	c.started, c.work, c.workAt = now, 0, time.Time{}
+}
+
 // Withdraw frees the slot of a started call that was not passed on to the upstream.
 func (q *Queue) Withdraw(now time.Time, c *Call) {
 	if c.running {
--- a/pkg/mesh/cold.go
+++ b/pkg/mesh/cold.go
@@ -159,6 +159,7 @@
 		g.log.log.Info("upstream_warm", zap.String("instance", string(g.instanceID())), zap.Duration("after", now.Sub(g.cold.since)),
 			zap.Int64("refused", g.cold.refused.Load()-g.cold.refusedBefore))
 		g.cold.since = time.Time{}
+		g.notifyRecheck()
 	}
 }
 
@@ -296,8 +297,9 @@
 
 // chargeLateBody counts a job again whose body has taken long to arrive since the job was admitted: bodies
 // that arrive together would otherwise reach a cold upstream at once. It waits until the rate allows the
-// job, or returns a refusal if that takes too long or the job must not be sent any more.
-func (g *Guard) chargeLateBody(ctx context.Context, j *Job, admitted time.Time) *refusal.Refusal {
+// job, or returns a refusal if that takes too long or the job must not be sent any more. The run time of a
+// job that has waited begins afterwards, so that the upstream does not look slow.
+func (g *Guard) chargeLateBody(ctx context.Context, j *Job, call *intake.Call, admitted time.Time) *refusal.Refusal {
 	if time.Since(admitted) <= maxBodyDelay {
 		return nil
 	}
@@ -309,6 +311,10 @@
 		if refused == nil && g.queue.ColdRate(now) > 0 {
 			charged = g.queue.Charge(now)
 		}
+		if charged && call.AwaitingBody {
+			g.queue.RestartRun(now, call)
+		}
+		call.AwaitingBody = !charged
 		g.mu.Unlock()
 		if refused != nil || charged {
 			return refused
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -82,7 +82,7 @@
 	evacuated bool
 	timer     *time.Timer
 	// recheck is closed and replaced when a job that waits may no longer be sent: a table with a list of
-	// regions takes effect, the queue closes, or an instance departs.
+	// regions takes effect, the queue closes, or an instance departs; and when the upstream turns warm.
 	recheck chan struct{}
 	cold    coldGuard
 }
@@ -279,7 +279,7 @@
 		g.withdraw(call)
 		return refused
 	}
-	if refused := g.chargeLateBody(ctx, j, started); refused != nil {
+	if refused := g.chargeLateBody(ctx, j, call, started); refused != nil {
 		g.withdraw(call)
 		return Result{Refusal: refused}
 	}
--- a/pkg/mesh/guard_late_body_test.go
+++ b/pkg/mesh/guard_late_body_test.go
@@ -122,3 +122,88 @@
 		})
 	}
 }
+
+// Guards against a cold upstream that is taken for slow, because the time for which jobs wait with their bodies
+// for its rate counts as run time.
+func TestWaitForTheRateIsNoRunTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := newPipeUpstream()
+		u.start(time.Hour, false)
+		g := startColdGuard(t, u)
+		g.Update(time.Now(), coldView(t, 14, func(i *catalog.Instance) { i.Slots = 100 }))
+		time.Sleep(2 * time.Second)
+		require.NotNil(t, g.Run(t.Context(), coldJob("first")).Response)
+		expected := func() time.Duration {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return g.queue.Expected(time.Now(), "r")
+		}
+		require.Equal(t, u.work, expected())
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		var longest, reported time.Duration
+		for n := range 60 {
+			group.Go(func() {
+				j := lateBodyJob(fmt.Sprint(n), time.Time{})
+				j.ReadBody = func(time.Time) ([]byte, error) {
+					time.Sleep(70 * time.Millisecond)
+					return []byte("body"), nil
+				}
+				res := g.Run(t.Context(), j)
+				require.NotNil(t, res.Response)
+				mu.Lock()
+				defer mu.Unlock()
+				reported = max(reported, res.Run)
+			})
+		}
+		done := make(chan struct{})
+		go func() {
+			group.Wait()
+			close(done)
+		}()
+		for waiting := true; waiting; {
+			select {
+			case <-done:
+				waiting = false
+			case <-time.After(10 * time.Millisecond):
+				longest = max(longest, expected())
+			}
+		}
+		require.LessOrEqual(t, reported, 70*time.Millisecond+u.work, "the body and the run")
+		require.LessOrEqual(t, longest, 70*time.Millisecond+u.work)
+	})
+}
+
+// Guards against a job that waits on for the rate of a cold upstream that has turned warm.
+func TestWaitForTheRateEndsWithTheColdPhase(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := newPipeUpstream()
+		u.start(0, false)
+		g := startColdGuard(t, u)
+		g.Update(time.Now(), coldView(t, 14, nil))
+		time.Sleep(3 * time.Second)
+		require.Zero(t, g.Cold())
+		arrives := time.Now().Add(100 * time.Millisecond)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			require.NotNil(t, g.Run(t.Context(), lateBodyJob("late", arrives)).Response)
+		}()
+		time.Sleep(99 * time.Millisecond)
+		g.mu.Lock()
+		now := time.Now()
+		for range 40 {
+			g.queue.Charge(now) // a debt of a second
+		}
+		g.assumeCold(now, coldDropped, false)
+		g.mu.Unlock()
+		time.Sleep(2 * time.Millisecond)
+		g.mu.Lock()
+		now = time.Now()
+		g.queue.ReportCold(now, now, 0)
+		g.noteCold(now, coldByItsReport)
+		g.mu.Unlock()
+		<-done
+		require.Less(t, time.Since(arrives), 50*time.Millisecond)
+	})
+}
--- a/pkg/mesh/regions.go
+++ b/pkg/mesh/regions.go
@@ -24,7 +24,7 @@
 	}
 }
 
-// notifyRecheck makes the jobs that wait check again whether they may be sent. The caller holds the mutex.
+// notifyRecheck makes the jobs that wait check again whether they may be sent, and when. The caller holds the mutex.
 func (g *Guard) notifyRecheck() {
 	close(g.recheck)
 	g.recheck = make(chan struct{})
