--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -64,9 +64,8 @@
 
 // neededSlotLoss is added to the loss of a request without a list of regions that would wait for an
 // instance in a region that another route of the service lists: it displaces requests that cannot go
-// elsewhere. By the load alone, 1,044 of 1,184 of those failed beside free slots in another region, 38 of
-// 1,182 with 0.1 and none with 0.15 (TestRequestsWithoutAListLeaveTheirSlotsToThoseWithOne). A request
-// that has more than about 6 kB with its response still waits instead of crossing a link between regions.
+// elsewhere. With 0.1, some of those still failed beside free slots in another region. A request that has
+// more than about 6 kB with its response still waits instead of crossing a link between regions.
 const neededSlotLoss = 0.25
 
 // FreeSlotWait is the expected wait up to which an instance is assumed to have a free slot.
