Bound the memory for the bodies of all requests

Cause: each request held a body of up to max_body_bytes, and nothing bounded all of them: 12 unfinished bodies of 16 MB took a daemon with limits.memory_mb 128 to 217 MB, in chunks to 449 MB, six chunked ones over the limit to 719 MB, and a single chunked body of 64 MB a daemon of 184 MB to 252 MB. Change: a budget of 0.35 of limits.memory_mb for the bodies of callers and of jobs, with a reserve for small ones; what both budgets need takes precedence over responses up to 0.6 for both. A body that finds no memory is refused with 503, not run, with a Retry-After: at its announced length before it is read, or while it arrives. One that has stalled makes room first. Old buffers of growing bodies are collected in time.

--- a/pkg/exchange/budget.go
+++ b/pkg/exchange/budget.go
@@ -8,6 +8,9 @@
 type Budget struct {
 	over BoundError
 
+	// beside returns the bytes that the limit is reduced by; nil for none.
+	beside func() int64
+
 	mu sync.Mutex
 	// freed is signalled when bytes come back and when an answer is given up.
 	freed    *sync.Cond
@@ -25,6 +28,21 @@
 	return b
 }
 
+// Beside sets a function that returns the bytes by which other use of the memory reduces the limit. It must be set
+// before the budget is used, and must not use the budget.
+func (b *Budget) Beside(bytes func() int64) { b.beside = bytes }
+
+// Reduced returns the bytes by which the limit is reduced now.
+func (b *Budget) Reduced() int64 {
+	if b.beside == nil {
+		return 0
+	}
+	return b.beside()
+}
+
+// limit returns the bytes that may be held now.
+func (b *Budget) limit() int64 { return b.over.Limit - b.Reduced() }
+
 // Limit returns the bytes that may be held.
 func (b *Budget) Limit() int64 { return b.over.Limit }
 
@@ -64,8 +82,8 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for !s.givenUp && b.held+n > b.over.Limit {
-		if b.held+n-b.leaving() > b.over.Limit && !b.giveUpLargest(s, n) {
+	for !s.givenUp && b.held+n > b.limit() {
+		if b.held+n-b.leaving() > b.limit() && !b.giveUpLargest(s, n) {
 			return &b.over
 		}
 		b.freed.Wait()
--- a/pkg/mesh/announce_end.go
+++ b/pkg/mesh/announce_end.go
@@ -101,7 +101,7 @@
 		http.Error(w, "the query parameter \"in\" must be the number of milliseconds until the daemon ends", http.StatusBadRequest)
 		return
 	}
-	body, refused, err := readBody(w, r, maxEndsBytes, time.Now().Add(endsTimeout))
+	body, refused, err := readBody(w, r, nil, maxEndsBytes, time.Now().Add(endsTimeout))
 	var ids []string
 	if err != nil || refused != nil || cbor.Unmarshal(body, &ids) != nil {
 		http.Error(w, "the body must be the CBOR array of the IDs of the waiting jobs", http.StatusBadRequest)
--- a/pkg/mesh/announce_suspects.go
+++ b/pkg/mesh/announce_suspects.go
@@ -92,7 +92,7 @@
 
 // serveSuspects handles an announcement of another daemon.
 func (d *Daemon) serveSuspects(w http.ResponseWriter, r *http.Request) {
-	text, refused, err := readBody(w, r, maxAnnouncementBytes, time.Now().Add(announceTimeout))
+	text, refused, err := readBody(w, r, nil, maxAnnouncementBytes, time.Now().Add(announceTimeout))
 	if err != nil || refused != nil {
 		http.Error(w, "the body must be a list of entries of the quarantine", http.StatusBadRequest)
 		return
--- a/pkg/mesh/body.go
+++ b/pkg/mesh/body.go
@@ -1,10 +1,8 @@
 package mesh
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -60,8 +58,9 @@
 
 // readBody reads the whole body into memory, so that it can be sent again on a retry. The error is
 // errBodyLate if the body has not arrived by the given time, and the connection is closed then. It
-// fails as well if the process ends before the body has arrived.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, by time.Time) ([]byte, *refusal.Refusal, error) {
+// fails as well if the process ends before the body has arrived. The memory is that of held, which the
+// caller releases.
+func readBody(w http.ResponseWriter, r *http.Request, held *heldBody, limit int64, by time.Time) ([]byte, *refusal.Refusal, error) {
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
@@ -74,15 +73,19 @@
 	}
 	setReadDeadline(w, by)
 	stop := abortReadOnExit(w, r)
-	body, err := readAll(w, r, limit)
+	body, err := held.readAll(r, limit)
 	stop()
-	var over *http.MaxBytesError
+	var refused *refusal.Refusal
 	switch {
 	case err == nil:
 		setReadDeadline(w, time.Time{}) // the server goes on reading to notice that the sender disconnects
 		return body, nil, nil
-	case errors.As(err, &over):
-		return nil, bodyTooLarge(limit), nil
+	case errors.As(err, &refused):
+		dropBody(w)
+		return nil, refused, nil
+	case held.wasGivenUp():
+		dropBody(w)
+		return nil, noBodyMemory(), nil
 	case errors.Is(err, os.ErrDeadlineExceeded) && !processEnds(r.Context()):
 		dropBody(w)
 		return nil, nil, errBodyLate
@@ -90,18 +93,6 @@
 	return nil, nil, err
 }
 
-// readAll reads the body of a request, of at most limit bytes.
-func readAll(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
-	}
-	buffer := bytes.NewBuffer(make([]byte, 0, bodyBufferBytes))
-	_, err := buffer.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
-	return buffer.Bytes(), err
-}
-
 // bodyTooLarge returns the refusal of a request whose body has more bytes than the limit.
 func bodyTooLarge(limit int64) *refusal.Refusal {
 	return &refusal.Refusal{
@@ -145,5 +136,9 @@
 	case errors.Is(err, errBodyLate):
 		return Result{Refusal: notRun(refusal.Cut, bodyLateRemedy, 0), bodyLate: true}, false
 	}
+	var noMemory *refusal.Refusal
+	if errors.As(err, &noMemory) {
+		return Result{Refusal: noMemory, bodyLate: true}, false
+	}
 	return Result{Refusal: notRun(refusal.Cut, "the body of the request could not be read: "+err.Error(), 0)}, false
 }
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -72,6 +72,7 @@
 	ingress  *Ingress
 	follower *Follower
 	feed     *feedServer
+	bodies   *bodyBudget
 	reach    *reachability
 
 	jobs     atomic.Int64 // number of jobs of other daemons whose results are not written yet
@@ -119,6 +120,9 @@
 	if err := registerGuard(d.registry, d.guard); err != nil {
 		return nil, err
 	}
+	if err := registerBodies(d.registry, d.bodies); err != nil {
+		return nil, err
+	}
 	if err := d.bind(); err != nil {
 		d.closeListeners()
 		return nil, err
@@ -132,6 +136,7 @@
 	now := time.Now()
 	log := newRequestLog(d.log, s.Limits.LogLinesPerSecond)
 	seed := uint64(now.UnixNano()) ^ uint64(os.Getpid())<<48
+	d.bodies = newBodyBudget(&s.Limits, d.platform.Answers)
 	d.fleet = NewFleet(d.log, d.applyView)
 	d.guard = NewGuard(s.Upstream.Address, d.platform.Headers, d.platform.Answers, log)
 	d.guard.region = s.Instance.Region
@@ -145,7 +150,7 @@
 	d.sender.reach = d.reach
 	d.ingress = &Ingress{
 		service: s.Instance.Service, parent: d.platform.Parent, headers: d.platform.Headers, fleet: d.fleet, placer: d.placer, sender: d.sender,
-		budget: d.budget, metrics: d.metrics, log: log, random: random{src: rand.New(rand.NewPCG(seed, uint64(os.Getpid())))},
+		budget: d.budget, metrics: d.metrics, log: log, bodies: d.bodies, random: random{src: rand.New(rand.NewPCG(seed, uint64(os.Getpid())))},
 	}
 	d.follower = &Follower{
 		Store: d.platform.Store, Fleet: d.fleet, Peers: d.sender, Log: d.log, Region: s.Instance.Region, OwnAddr: s.Listen.ForwardAddress,
@@ -253,6 +258,7 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	lastTick, lastBoot := time.Now(), bootTime()
+	var refusedBodies, stalledBodies int64
 	for n := 1; ; n++ {
 		select {
 		case <-ctx.Done():
@@ -266,6 +272,7 @@
 		}
 		lastTick, lastBoot = now, boot
 		d.fleet.Expire(now)
+		d.bodies.logChanges(d.log, &refusedBodies, &stalledBodies)
 		if n%pruneTicks == 0 {
 			d.sender.Prune(now)
 			d.guard.client.Prune(now, func(string) bool { return true })
@@ -302,13 +309,20 @@
 	peerBlocks := d.guard.suspects.mergeGossip(now, from.gossip)
 	j.ID = r.Header.Get(d.platform.Headers.RequestID)
 	j.HasBody = r.ContentLength != 0 || r.Header.Get("Content-Length") != ""
+	held := d.bodies.open(w, r)
+	defer held.release()
 	j.ReadBody = func(by time.Time) ([]byte, error) {
-		body, refused, err := readBody(w, r, 0, by)
+		body, refused, err := readBody(w, r, held, 0, by)
 		if refused != nil {
-			return nil, refused
+			return nil, jobRefusal(refused)
 		}
 		return body, err
 	}
+	if refused := held.announced(r.ContentLength); refused != nil {
+		dropBody(w)
+		d.writePeerResult(w, r, j, Result{Refusal: jobRefusal(refused), Load: d.guard.Load(), bodyLate: true}, now, peerBlocks)
+		return
+	}
 	if r.Header.Get("Expect") == "" {
 		// The sender does not wait for "100 Continue" before it sends the body.
 		body, err := j.ReadBody(j.Deadline)
@@ -329,9 +343,12 @@
 // bodyResult returns the result of a job whose body could not be read before admission; nil without an
 // error. It aborts the response if the sender has disconnected.
 func (d *Daemon) bodyResult(r *http.Request, err error) *Result {
+	var refused *refusal.Refusal
 	switch {
 	case err == nil:
 		return nil
+	case errors.As(err, &refused):
+		return &Result{Refusal: refused, Load: d.guard.Load(), bodyLate: true}
 	case processEnds(r.Context()):
 		return &Result{Refusal: notRun(refusal.Leaving, "the daemon stopped before the whole body of the request had arrived", 0), Load: d.guard.Load()}
 	case errors.Is(err, errBodyLate):
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -52,6 +52,8 @@
 	budget  *retry.FleetBudget
 	metrics *metrics
 	log     *requestLog
+	// bodies is the memory for the bodies of requests; nil for no bound.
+	bodies *bodyBudget
 
 	active         atomic.Int64
 	tableWaiters   atomic.Int64               // requests that wait for the first table
@@ -122,7 +124,9 @@
 	i.active.Add(1)
 	defer i.active.Add(-1)
 	arrived := time.Now()
-	req, refused := i.accept(w, r, arrived)
+	held := i.bodies.open(w, r)
+	defer held.release()
+	req, refused := i.accept(w, r, held, arrived)
 	if refused != nil {
 		i.refuse(w, r, nil, refused)
 		return
@@ -224,7 +228,7 @@
 
 // accept reads and checks a request. It returns either the request or a refusal, or neither if the
 // caller aborted the request.
-func (i *Ingress) accept(w http.ResponseWriter, r *http.Request, arrived time.Time) (*request, *refusal.Refusal) {
+func (i *Ingress) accept(w http.ResponseWriter, r *http.Request, held *heldBody, arrived time.Time) (*request, *refusal.Refusal) {
 	if refused := i.refuseIfStopping(r, 0); refused != nil {
 		return nil, refused
 	}
@@ -244,7 +248,7 @@
 		return nil, &refusal.Refusal{Kind: refusal.TooLarge, Run: refusal.NotRun, Remedy: "send at most " + strconv.FormatInt(limit, 10) + " bytes of headers"}
 	}
 	deadline := i.deadline(r, arrived, matched)
-	body, refused, err := readBody(w, r, view.Table.Limits.MaxBodyBytes, deadline)
+	body, refused, err := readBody(w, r, held, view.Table.Limits.MaxBodyBytes, deadline)
 	switch {
 	case err != nil && processEnds(r.Context()):
 		return nil, notRun(refusal.Leaving, "the daemon stopped before it had received the whole request; connect again", stoppingRetryAfter)
--- a/pkg/mesh/ingress_drain_test.go
+++ b/pkg/mesh/ingress_drain_test.go
@@ -53,7 +53,7 @@
 	r := httptest.NewRequest(http.MethodPost, "/x", body)
 	r.Host = "app"
 	r.Header.Set("Id", id)
-	return i.accept(httptest.NewRecorder(), r, time.Now())
+	return i.accept(httptest.NewRecorder(), r, nil, time.Now())
 }
 
 // Guards against a new request that is accepted shortly before the daemon stops.
--- a/pkg/mesh/metrics.go
+++ b/pkg/mesh/metrics.go
@@ -52,6 +52,26 @@
 	}, func() float64 { return float64(g.awaitingBody.Load()) }))
 }
 
+// registerBodies registers the metrics of the memory for the bodies of requests.
+func registerBodies(registry prometheus.Registerer, b *bodyBudget) error {
+	metric := func(name, help string) prometheus.Opts {
+		return prometheus.Opts{Namespace: telemetry.Namespace, Name: name, Help: help}
+	}
+	for _, c := range [...]prometheus.Collector{
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts(metric("bodies_held_bytes", "Memory that the bodies of requests hold.")),
+			func() float64 { return float64(b.held.Load()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts(metric("bodies_refused_total", "Bodies of requests that found no memory.")),
+			func() float64 { return float64(b.refused.Load()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts(metric("bodies_stalled_total", "Bodies of requests that stalled and were given up for others.")),
+			func() float64 { return float64(b.stalled.Load()) }),
+	} {
+		if err := registry.Register(c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // recordOutcome records the outcome and the latency of a placed request.
 func (m *metrics) recordOutcome(req *request, outcome string) {
 	kind := req.route.Kind.String()
