Apply the timeouts of the table to callers and bound connections and heads

Cause: idle_timeout and header_timeout of the table were not applied, and nothing bounded the connections and the heads of requests: crowds of 700 connections took all 600 descriptors of a daemon, and beside idle ones no ordinary request was answered in 30 s. Heads of very many short fields took a daemon to 98 MB (limit 72) and, unfinished, 333 MB (limit 128). Change: pkg/closing measures how long a connection waits for its peer. At a limit of connections, half of the descriptors beyond 200, those that have waited longest are closed: idle ones, heads and bodies that do not arrive, responses that are not read. Heads have at most 256 fields, the bytes that the table allows, and a budget together. The readiness and admin listeners get the same with at most 64 connections. A metric and log lines tell what was closed.

--- a/pkg/closing/conn.go
+++ b/pkg/closing/conn.go
@@ -21,11 +21,17 @@
 }
 
 // listener wraps the connections that it accepts in conn, which tracks whether they are idle.
-type listener struct{ net.Listener }
+type listener struct {
+	net.Listener
+	server *Server
+}
 
 // Accept waiting for a connection. Connections other than sockets are returned unwrapped.
 func (l listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
+	for ; err == nil && !l.server.admit(); c, err = l.Listener.Accept() {
+		_ = c.Close()
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -37,7 +43,7 @@
 	if err != nil {
 		return c, nil // closed already; the server finds that out when it reads
 	}
-	return &conn{socket: s, raw: raw, accepted: time.Now()}, nil
+	return &conn{socket: s, raw: raw, server: l.server, accepted: time.Now()}, nil
 }
 
 // conn tracks whether a connection is idle: the last response has been sent and no byte of the next
@@ -45,9 +51,11 @@
 type conn struct {
 	socket
 	raw      syscall.RawConn
+	server   *Server
 	accepted time.Time
 
 	mu   sync.Mutex
+	wait waiting
 	idle bool
 	used bool // at least one byte has been read
 }
@@ -66,9 +74,13 @@
 	err := c.raw.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
+		if failed = c.beforeRead(); failed != nil {
+			return true
+		}
 		n, failed = readSocket(int(fd), p)
 		if n > 0 {
 			c.idle, c.used = false, true
+			c.afterRead(p[:n])
 		}
 		return !errors.Is(failed, syscall.EAGAIN)
 	})
@@ -77,6 +89,8 @@
 		return c.readPlain(p)
 	case err != nil:
 		return 0, err
+	case errors.Is(failed, errHead):
+		return 0, failed
 	case failed != nil:
 		return 0, &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", failed)}
 	case n == 0 && len(p) > 0:
--- a/pkg/closing/conn_test.go
+++ b/pkg/closing/conn_test.go
@@ -27,7 +27,7 @@
 	peer, err := net.Dial("tcp4", l.Addr().String())
 	require.NoError(t, err)
 	defer func() { _ = peer.Close() }()
-	accepted, err := listener{l}.Accept()
+	accepted, err := listener{Listener: l}.Accept()
 	require.NoError(t, err)
 	defer func() { _ = accepted.Close() }()
 	c := accepted.(*conn)
--- a/pkg/closing/server.go
+++ b/pkg/closing/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,8 +23,14 @@
 	// UnusedTimeout is the time after which a connection on which no byte has ever arrived counts
 	// as idle; 0 means never. It must be set before Serve.
 	UnusedTimeout time.Duration
+	// Bounds limit what peers may use. They must be set before Serve.
+	Bounds Bounds
+	// Counts are the connections that were closed because of Bounds and Timeouts.
+	Counts Counts
 
-	http *http.Server
+	http     *http.Server
+	timeouts atomic.Pointer[Timeouts]
+	heads    atomic.Int64 // bytes that count towards Bounds.HeldHeads
 	// serving counts the calls of Serve that have not returned.
 	serving sync.WaitGroup
 
@@ -31,6 +38,7 @@
 	stopped   bool
 	listeners []net.Listener
 	conns     map[*conn]struct{}
+	evicted   int // connections in conns that were closed at the limit of open ones
 }
 
 // New returns a server that does not listen yet. It replaces h.ConnState.
@@ -48,7 +56,7 @@
 		return http.ErrServerClosed
 	}
 	defer s.serving.Done()
-	err := s.http.Serve(listener{l})
+	err := s.http.Serve(listener{Listener: l, server: s})
 	if errors.Is(err, net.ErrClosed) && s.hasStopped() {
 		return http.ErrServerClosed
 	}
@@ -92,6 +100,7 @@
 		return
 	}
 	conn.setIdle(state == http.StateIdle)
+	conn.setState(state)
 	switch state {
 	case http.StateNew:
 		s.mu.Lock()
@@ -101,6 +110,9 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.conns, conn)
+		if conn.wasEvicted() {
+			s.evicted--
+		}
 	}
 }
 
--- a/pkg/mesh/body.go
+++ b/pkg/mesh/body.go
@@ -37,6 +37,7 @@
 func boundBodies(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength != 0 {
+			awaitBody(r, true)
 			setReadDeadline(w, time.Now().Add(unreadBodyTimeout))
 		}
 		next.ServeHTTP(w, r)
@@ -78,6 +79,7 @@
 	var refused *refusal.Refusal
 	switch {
 	case err == nil:
+		awaitBody(r, false)
 		setReadDeadline(w, time.Time{}) // the server goes on reading to notice that the sender disconnects
 		return body, nil, nil
 	case errors.As(err, &refused):
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -31,10 +31,12 @@
 )
 
 const (
-	// headerTimeout is the timeout for reading a request's header. idleTimeout is the timeout for
-	// the next request on a connection; it is longer than the idle timeouts in route tables.
+	// headerTimeout is the timeout for reading a request's header, and idleTimeout that for the next
+	// request on a connection, for connections of callers as long as no table sets others.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 90 * time.Second
+	// callerAddressKey is the settings key of the listen address for callers, and the name of its server.
+	callerAddressKey = "caller_address"
 	// maxHeaderBytes bounds a request's header before the limit of the route table is checked.
 	maxHeaderBytes = 256 << 10
 	// callerUserTimeout is the TCP user timeout: a connection is closed if sent data remains
@@ -192,13 +194,14 @@
 	for _, s := range [...]struct {
 		key, address string
 		handler      http.Handler
-		idle         time.Duration
+		head, idle   time.Duration
+		peers        bool
 	}{
-		{"caller_address", l.CallerAddress, d.ingress, idleTimeout},
-		{"forward_address", l.ForwardAddress, peers, peerServerIdle},
-		{"ready_address", l.ReadyAddress, http.HandlerFunc(d.serveReady), idleTimeout},
-		{"seed_address", l.SeedAddress, peers, peerServerIdle},
-		{"admin_address", l.AdminAddress, d.adminHandler(), idleTimeout},
+		{callerAddressKey, l.CallerAddress, d.ingress, lastHeaderTimeout, lastIdleTimeout, false},
+		{"forward_address", l.ForwardAddress, peers, headerTimeout, peerServerIdle, true},
+		{"ready_address", l.ReadyAddress, http.HandlerFunc(d.serveReady), lastHeaderTimeout, lastIdleTimeout, false},
+		{"seed_address", l.SeedAddress, peers, headerTimeout, peerServerIdle, true},
+		{"admin_address", l.AdminAddress, d.adminHandler(), lastHeaderTimeout, lastIdleTimeout, false},
 	} {
 		if s.address == "" {
 			continue
@@ -207,13 +210,17 @@
 		if err != nil {
 			return &SocketError{Key: s.key, Address: s.address, Err: err}
 		}
-		d.servers = append(d.servers, newServer(s.key, listener, &http.Server{
+		server := newServer(s.key, listener, &http.Server{
 			Handler: boundBodies(s.handler), MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.errorLog(s.key),
-			ReadHeaderTimeout: headerTimeout, WriteTimeout: maxExchangeTime, IdleTimeout: s.idle,
+			ReadHeaderTimeout: s.head, WriteTimeout: maxExchangeTime, IdleTimeout: s.idle,
 			DisableGeneralOptionsHandler: true, ConnContext: withConnection, BaseContext: func(net.Listener) context.Context { return d.requestsCtx },
-		}))
+		})
+		if !s.peers {
+			d.boundServer(server)
+		}
+		d.servers = append(d.servers, server)
 	}
-	return nil
+	return registerServers(d.registry, d.servers)
 }
 
 // listen opens a listener whose connections fail when sent data remains unacknowledged.
@@ -272,6 +279,7 @@
 		}
 		lastTick, lastBoot = now, boot
 		d.fleet.Expire(now)
+		d.sweepServers(now)
 		d.bodies.logChanges(d.log, &refusedBodies, &stalledBodies)
 		if n%pruneTicks == 0 {
 			d.sender.Prune(now)
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -247,6 +247,9 @@
 	if limit := view.Table.Limits.MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
 		return nil, &refusal.Refusal{Kind: refusal.TooLarge, Run: refusal.NotRun, Remedy: "send at most " + strconv.FormatInt(limit, 10) + " bytes of headers"}
 	}
+	if refused := tooManyFields(r); refused != nil {
+		return nil, refused
+	}
 	deadline := i.deadline(r, arrived, matched)
 	body, refused, err := readBody(w, r, held, view.Table.Limits.MaxBodyBytes, deadline)
 	switch {
--- a/pkg/mesh/server.go
+++ b/pkg/mesh/server.go
@@ -17,6 +17,10 @@
 	*closing.Server
 	name     string
 	listener net.Listener
+	// bounded is set if the server's peers are callers, probes or operators, not other daemons.
+	bounded bool
+	// logged is the number of closed connections that the log has.
+	logged int64
 }
 
 // newServer returns a server that accepts connections from the listener.
