--- a/pkg/mesh/body_budget.go
+++ b/pkg/mesh/body_budget.go
@@ -38,6 +38,11 @@
 	// bodyGarbageShare is the share of the memory limit that unused large buffers of bodies may take before they
 	// are collected: with the runtime's pacing alone, six growing bodies took a daemon of 128 MB to 124 MB.
 	bodyGarbageShare = 0.08
+	// A request whose head takes more than heavyHeadBytes counts with it: each field costs headFieldBytes in the
+	// copies of the head between the caller and the upstream, and its bytes are held headCopies times.
+	heavyHeadBytes = 32 << 10
+	headFieldBytes = 512
+	headCopies     = 3
 	// bodyRetryAfter is the Retry-After of requests whose bodies find no memory.
 	bodyRetryAfter = time.Second
 )
@@ -77,6 +82,7 @@
 type heldBody struct {
 	budget *bodyBudget
 	bytes  int64
+	head   int64 // what the head of the request takes, if that is much
 	// givenUp is set if the body has to make room for others; abort ends its reads. Both are guarded by the
 	// budget's mutex.
 	givenUp bool
@@ -87,9 +93,42 @@
 	progress         atomic.Int64
 }
 
-// open returns the memory of a body that begins to arrive; nil if the request has none.
+// headCost returns the memory that the head of a request takes; 0 if that is little.
+func headCost(r *http.Request) int64 {
+	bytes, fields := headerBytes(r), int64(0)
+	for _, values := range r.Header {
+		fields += int64(len(values))
+	}
+	if cost := headCopies*bytes + headFieldBytes*fields; cost > heavyHeadBytes {
+		return cost
+	}
+	return 0
+}
+
+// takeHead takes the memory of the head of a request.
+func (h *heldBody) takeHead(r *http.Request) *refusal.Refusal {
+	if h == nil {
+		return nil
+	}
+	cost := headCost(r)
+	if cost == 0 {
+		return nil
+	}
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.fits(0, cost, 0) {
+		b.refused.Add(1)
+		return noBodyMemory()
+	}
+	h.head = cost
+	b.held.Add(cost)
+	return nil
+}
+
+// open returns the memory of a body that begins to arrive, or of a heavy head; nil if the request has neither.
 func (b *bodyBudget) open(w http.ResponseWriter, r *http.Request) *heldBody {
-	if b == nil || r.ContentLength == 0 {
+	if b == nil || r.ContentLength == 0 && headCost(r) == 0 {
 		return nil
 	}
 	h := &heldBody{budget: b, abort: func() { setReadDeadline(w, time.Unix(1, 0)) }}
@@ -102,7 +141,7 @@
 
 // noBodyMemory returns the refusal of a body that finds no memory.
 func noBodyMemory() *refusal.Refusal {
-	return notRun(refusal.Overloaded, "the bodies of other requests use the memory that the daemon has for bodies; retry, or raise limits.memory_mb", bodyRetryAfter)
+	return notRun(refusal.Overloaded, "other requests use the memory that the daemon has for their bodies and large headers; retry, or raise limits.memory_mb", bodyRetryAfter)
 }
 
 // jobRefusal returns the refusal of a job for one of its body. A body that is larger than the memory of this
@@ -222,7 +261,7 @@
 	var n int64
 	for h := range b.arriving {
 		if h.givenUp {
-			n += h.bytes
+			n += h.bytes + h.head
 		}
 	}
 	return n
@@ -298,9 +337,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.arriving, h)
-	b.held.Add(-h.bytes)
+	b.held.Add(-h.bytes - h.head)
 	b.discard(h.bytes)
-	h.bytes = 0
+	h.bytes, h.head = 0, 0
 	b.freed.Broadcast()
 }
 
--- a/pkg/mesh/body_budget_test.go
+++ b/pkg/mesh/body_budget_test.go
@@ -129,3 +129,28 @@
 		require.Zero(t, b.copied)
 	}
 }
+
+// Guards against requests with large heads that together pass the memory of the process, and against ordinary ones that
+// take part of the budget.
+func TestHeavyHeadsTakeMemory(t *testing.T) {
+	b := bodyTest()
+	r := httptest.NewRequest(http.MethodGet, "/", http.NoBody)
+	r.Header.Set("A", strings.Repeat("x", 2000))
+	require.Nil(t, b.open(httptest.NewRecorder(), r), "an ordinary head")
+	r.Header.Set("A", strings.Repeat("x", 16<<10))
+	var all []*heldBody
+	for {
+		h := b.open(httptest.NewRecorder(), r)
+		if refused := h.takeHead(r); refused != nil {
+			require.Equal(t, refusal.NotRun, refused.Run)
+			require.Equal(t, http.StatusServiceUnavailable, refused.StatusCode())
+			break
+		}
+		all = append(all, h)
+	}
+	require.InDelta(t, (b.limit+b.small)/(headCopies*(16<<10)), len(all), 30)
+	for _, h := range all {
+		h.release()
+	}
+	require.Zero(t, b.held.Load())
+}
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -326,7 +326,11 @@
 		}
 		return body, err
 	}
-	if refused := held.announced(r.ContentLength); refused != nil {
+	refused := held.takeHead(r)
+	if refused == nil {
+		refused = held.announced(r.ContentLength)
+	}
+	if refused != nil {
 		dropBody(w)
 		d.writePeerResult(w, r, j, Result{Refusal: jobRefusal(refused), Load: d.guard.Load(), bodyLate: true}, now, peerBlocks)
 		return
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -250,6 +250,9 @@
 	if refused := tooManyFields(r); refused != nil {
 		return nil, refused
 	}
+	if refused := held.takeHead(r); refused != nil {
+		return nil, refused
+	}
 	deadline := i.deadline(r, arrived, matched)
 	body, refused, err := readBody(w, r, held, view.Table.Limits.MaxBodyBytes, deadline)
 	switch {
