--- a/pkg/closing/conn.go
+++ b/pkg/closing/conn.go
@@ -23,12 +23,16 @@
 // listener wraps the connections that it accepts in conn, which tracks whether they are idle.
 type listener struct {
 	net.Listener
+	server     *Server
 	pipelining *Pipelining // nil without read-ahead
 }
 
 // Accept waiting for a connection. Connections other than sockets are returned unwrapped.
 func (l listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
+	for ; err == nil && !l.server.admit(); c, err = l.Listener.Accept() {
+		_ = c.Close()
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -40,7 +44,7 @@
 	if err != nil {
 		return c, nil // closed already; the server finds that out when it reads
 	}
-	return &conn{socket: s, raw: raw, accepted: time.Now(), pipelining: l.pipelining}, nil
+	return &conn{socket: s, raw: raw, server: l.server, accepted: time.Now(), pipelining: l.pipelining}, nil
 }
 
 // conn tracks whether a connection is idle: the last response has been sent and no byte of the next
@@ -48,10 +52,12 @@
 type conn struct {
 	socket
 	raw        syscall.RawConn
+	server     *Server
 	accepted   time.Time
 	pipelining *Pipelining // nil without read-ahead
 
 	mu   sync.Mutex
+	wait waiting
 	idle bool
 	used bool // at least one byte has been read
 
@@ -82,6 +88,8 @@
 		switch n, state := c.beginRead(p); state {
 		case readEnded:
 			return 0, io.EOF
+		case readOverBound:
+			return 0, errHead
 		case readBackground:
 			return c.readInBackground(p)
 		case readBuffered:
@@ -95,12 +103,16 @@
 	err := c.raw.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
+		if failed = c.beforeRead(); failed != nil {
+			return true
+		}
 		n, failed = readSocket(int(fd), p)
 		if n > 0 {
 			c.idle, c.used = false, true
 			if c.pipelining != nil {
 				n = c.passRead(p[:n])
 			}
+			c.afterRead(p[:n]) // what was read ahead belongs to a later request
 		}
 		return !errors.Is(failed, syscall.EAGAIN)
 	})
@@ -109,6 +121,8 @@
 		return c.readPlain(p)
 	case err != nil:
 		return 0, err
+	case errors.Is(failed, errHead):
+		return 0, failed
 	case failed != nil:
 		return 0, c.readError(failed)
 	case n == 0 && len(p) > 0:
@@ -129,6 +143,7 @@
 	readBuffered                    // that many bytes were taken from those read ahead
 	readBackground                  // net/http waits for the end of the connection
 	readEnded                       // the connection has ended
+	readOverBound                   // the head exceeds a bound
 )
 
 // beginRead passes bytes that were read ahead, or tells how to read others.
@@ -141,7 +156,13 @@
 	case c.position == between && len(p) == 1:
 		return 0, readBackground
 	case c.buffered() > 0 && len(p) > 0:
-		return c.passBuffered(p), readBuffered
+		// The head of a request that has been started was checked then.
+		if len(c.ahead.runs) == 0 && c.beforeRead() != nil {
+			return 0, readOverBound
+		}
+		n := c.passBuffered(p)
+		c.afterRead(p[:n])
+		return n, readBuffered
 	case c.position == inBody && int64(len(p)) > c.bodyLeft:
 		return int(c.bodyLeft), readSocketUpTo
 	}
--- a/pkg/closing/server.go
+++ b/pkg/closing/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -24,8 +25,14 @@
 	UnusedTimeout time.Duration
 	// Pipelining makes the server read requests ahead; nil for not. It must be set before Serve.
 	Pipelining *Pipelining
+	// Bounds limit what peers may use. They must be set before Serve.
+	Bounds Bounds
+	// Counts are the connections that were closed because of Bounds and Timeouts.
+	Counts Counts
 
-	http *http.Server
+	http     *http.Server
+	timeouts atomic.Pointer[Timeouts]
+	heads    atomic.Int64 // bytes that count towards Bounds.HeldHeads
 	// serving counts the calls of Serve that have not returned.
 	serving sync.WaitGroup
 
@@ -33,6 +40,7 @@
 	stopped   bool
 	listeners []net.Listener
 	conns     map[*conn]struct{}
+	evicted   int // connections in conns that were closed at the limit of open ones
 }
 
 // New returns a server that does not listen yet. It replaces h.ConnState.
@@ -50,7 +58,7 @@
 		return http.ErrServerClosed
 	}
 	defer s.serving.Done()
-	err := s.http.Serve(listener{l, s.Pipelining})
+	err := s.http.Serve(listener{Listener: l, server: s, pipelining: s.Pipelining})
 	if errors.Is(err, net.ErrClosed) && s.hasStopped() {
 		return http.ErrServerClosed
 	}
@@ -94,6 +102,7 @@
 		return
 	}
 	conn.setIdle(state == http.StateIdle)
+	conn.setState(state)
 	switch state {
 	case http.StateNew:
 		s.mu.Lock()
@@ -103,6 +112,9 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.conns, conn)
+		if conn.wasEvicted() {
+			s.evicted--
+		}
 	}
 }
 
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -55,6 +55,8 @@
 	budget  *retry.FleetBudget
 	metrics *metrics
 	log     *requestLog
+	// bodies is the memory for the bodies of requests; nil for no bound.
+	bodies *bodyBudget
 
 	active         atomic.Int64
 	tableWaiters   atomic.Int64               // requests that wait for the first table
@@ -134,7 +136,9 @@
 		return
 	}
 	arrived := time.Now()
-	req, refused := i.accept(w, r, arrived)
+	held := i.bodies.open(w, r)
+	defer held.release()
+	req, refused := i.accept(w, r, held, arrived)
 	if refused != nil {
 		i.refuse(w, r, nil, refused)
 		return
@@ -240,7 +244,7 @@
 
 // accept reads and checks a request. It returns either the request or a refusal, or neither if the
 // caller aborted the request.
-func (i *Ingress) accept(w http.ResponseWriter, r *http.Request, arrived time.Time) (*request, *refusal.Refusal) {
+func (i *Ingress) accept(w http.ResponseWriter, r *http.Request, held *heldBody, arrived time.Time) (*request, *refusal.Refusal) {
 	if refused := i.refuseIfStopping(r, 0); refused != nil {
 		return nil, refused
 	}
@@ -248,11 +252,11 @@
 	if view.Table == nil {
 		return nil, notRun(refusal.NoVersion, "the daemon has no route table yet; try again", noTableRetry)
 	}
-	return i.acceptIn(w, r, arrived, view)
+	return i.acceptIn(w, r, held, arrived, view)
 }
 
 // acceptIn is accept with the view whose table routes the request.
-func (i *Ingress) acceptIn(w http.ResponseWriter, r *http.Request, arrived time.Time, view *catalog.View) (*request, *refusal.Refusal) {
+func (i *Ingress) acceptIn(w http.ResponseWriter, r *http.Request, held *heldBody, arrived time.Time, view *catalog.View) (*request, *refusal.Refusal) {
 	if r.URL.Host != "" || !strings.HasPrefix(r.RequestURI, "/") {
 		return nil, &refusal.Refusal{Kind: refusal.BadRequest, Run: refusal.NotRun, Remedy: "send only the path and query as the request target", Status: http.StatusBadRequest}
 	}
@@ -264,8 +268,14 @@
 	if limit := view.Table.Limits.MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
 		return nil, &refusal.Refusal{Kind: refusal.TooLarge, Run: refusal.NotRun, Remedy: "send at most " + strconv.FormatInt(limit, 10) + " bytes of headers"}
 	}
+	if refused := tooManyFields(r); refused != nil {
+		return nil, refused
+	}
+	if refused := held.takeHead(r); refused != nil {
+		return nil, refused
+	}
 	deadline := i.deadline(r, arrived, matched)
-	body, refused, err := readBody(w, r, view.Table.Limits.MaxBodyBytes, deadline)
+	body, refused, err := readBody(w, r, held, view.Table.Limits.MaxBodyBytes, deadline)
 	switch {
 	case err != nil && processEnds(r.Context()):
 		return nil, notRun(refusal.Leaving, "the daemon stopped before it had received the whole request; connect again", stoppingRetryAfter)
