--- a/pkg/closing/pipeline.go
+++ b/pkg/closing/pipeline.go
@@ -116,6 +116,8 @@
 	blocked bool
 	// head holds what the server has of a head that has not arrived as a whole.
 	head []byte
+	// counted is the part of Bounds.HeldHeads that the buffer takes.
+	counted int64
 }
 
 // started is a request that was started ahead.
@@ -147,12 +149,12 @@
 	a := c.ahead
 	if len(a.runs) == 0 {
 		n := c.pass(p[:copy(p, a.buffer)])
-		a.discard(n)
+		c.discardAhead(n)
 		return n
 	}
 	first := &a.runs[0]
 	n := copy(p, a.buffer[:first.size])
-	a.discard(n)
+	c.discardAhead(n)
 	first.size -= n
 	c.position = inHead
 	if first.size == 0 {
@@ -166,12 +168,24 @@
 	return n
 }
 
-// discard removes bytes from the front of the buffer.
-func (a *ahead) discard(n int) {
+// discardAhead removes bytes from the front of the buffer. The caller holds the mutex.
+func (c *conn) discardAhead(n int) {
+	a := c.ahead
 	a.buffer = a.buffer[n:]
 	if len(a.buffer) == 0 {
 		a.buffer = nil
 	}
+	c.countAhead()
+}
+
+// keepAhead adds bytes to the buffer, unless the connection has ended. The caller holds the mutex.
+func (c *conn) keepAhead(b []byte) {
+	if c.ended {
+		return
+	}
+	a := c.readAhead()
+	a.buffer = append(a.buffer, b...)
+	c.countAhead()
 }
 
 // dropCurrent drops a run that the handler has not taken.
@@ -239,8 +253,7 @@
 func (c *conn) passRead(b []byte) int {
 	n := c.pass(b)
 	if n < len(b) {
-		a := c.readAhead()
-		a.buffer = append(a.buffer, b[n:]...)
+		c.keepAhead(b[n:])
 	}
 	return n
 }
@@ -255,9 +268,10 @@
 	for _, s := range a.runs {
 		begun += s.size
 	}
-	for !c.held && c.position == between && !a.blocked && len(a.runs) < c.pipelining.Requests {
+	for !c.held && !c.wait.closed && c.position == between && !a.blocked && len(a.runs) < c.pipelining.Requests {
 		m, state := scanHead(a.buffer[begun:])
 		if state == headPartial {
+			a.blocked = c.headOverBound(a.buffer[begun:]) // it is refused in its turn and need not be scanned again
 			return
 		}
 		run, ok := c.start(a.buffer[begun:], m, state)
@@ -273,7 +287,7 @@
 
 // start starts the request that the bytes begin with, unless it has to wait.
 func (c *conn) start(b []byte, m message, state headState) (Run, bool) {
-	if state != headWhole || m.body > 0 || !wellFormed(b[:m.size]) {
+	if state != headWhole || m.body > 0 || c.headOverBound(b[:m.size]) || !wellFormed(b[:m.size]) {
 		return nil, false
 	}
 	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(b[:m.size])))
@@ -296,7 +310,8 @@
 	for _, s := range a.runs {
 		s.run.Drop()
 	}
-	a.runs = nil
+	a.runs, a.buffer = nil, nil
+	c.countAhead()
 }
 
 // awaitEnd is the read of a single byte by which net/http waits for the end of the connection while a
@@ -346,7 +361,7 @@
 // fill reads what has arrived on the socket into the buffer, up to the bound. It returns EAGAIN if
 // nothing has arrived, and no bytes and no error at the end of the connection. The caller holds the mutex.
 func (c *conn) fill(fd int) (int, error) {
-	room := c.pipelining.Bytes - c.buffered()
+	room := min(c.pipelining.Bytes-c.buffered(), c.aheadRoom())
 	if room <= 0 {
 		if exchange.HungUp(fd) {
 			return 0, nil
@@ -357,8 +372,7 @@
 	defer scratch.Put(read)
 	n, err := readSocket(fd, read[:min(room, len(read))])
 	if n > 0 {
-		a := c.readAhead()
-		a.buffer = append(a.buffer, read[:n]...)
+		c.keepAhead(read[:n])
 	}
 	return n, err
 }
--- a/pkg/closing/pipeline_test.go
+++ b/pkg/closing/pipeline_test.go
@@ -36,16 +36,22 @@
 	cancels  map[string]context.Context // of handled requests
 }
 
+// connKey is the context key for a request's connection.
 type connKey struct{}
 
 func startPipelineServer(t *testing.T, requests, bytes int) *pipelineServer {
+	return startBoundedPipelineServer(t, requests, bytes, Bounds{})
+}
+
+func startBoundedPipelineServer(t *testing.T, requests, bytes int, bounds Bounds) *pipelineServer {
 	s := &pipelineServer{
 		t: t, runs: make(map[string]*runAhead), finished: make(map[string]chan struct{}), cancels: make(map[string]context.Context),
 	}
 	s.server = New(&http.Server{
 		Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: testTimeout, IdleTimeout: testTimeout,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ConnContext: withConn,
 	})
+	s.server.Bounds = bounds
 	s.server.Pipelining = &Pipelining{Requests: requests, Bytes: bytes, Start: s.start}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/pkg/mesh/ahead.go
+++ b/pkg/mesh/ahead.go
@@ -57,6 +57,7 @@
 	req     *request         // nil if it was refused
 	refused *refusal.Refusal // before an instance was chosen
 	cancel  context.CancelCauseFunc
+	memory  int64         // taken from the budget; returned when the run has been answered, or dropped and has ended
 	done    chan struct{} // closed when res is set
 
 	res     Result
@@ -67,7 +68,8 @@
 
 // startAhead starts a request that was read ahead, if it may run before the requests before it have been
 // answered. Its arrival is the time of the call, at which the request has just been read or a bound or
-// barrier that held it back has ended. It does not wait: the table is there and the request has no body.
+// barrier that held it back has ended. It does not wait: the table is there and the request has no body. A request
+// that finds no memory for a run waits for the responses before it.
 func (i *Ingress) startAhead(c net.Conn, r *http.Request) (closing.Run, bool) {
 	view := i.fleet.View()
 	if view.Table == nil || i.plan.Load() != nil {
@@ -78,9 +80,13 @@
 	if matched == nil || !mayRunAhead(r, matched) {
 		return nil, false
 	}
+	memory, ok := i.bodies.takeAhead(r)
+	if !ok {
+		return nil, false
+	}
 	ctx, cancel := context.WithCancelCause(withConnection(i.requestsCtx, c))
-	run := &aheadRun{ingress: i, r: r.WithContext(ctx), cancel: cancel, done: make(chan struct{})}
-	run.req, run.refused = i.acceptIn(nil, run.r, time.Now(), view)
+	run := &aheadRun{ingress: i, r: r.WithContext(ctx), cancel: cancel, memory: memory, done: make(chan struct{})}
+	run.req, run.refused = i.acceptIn(nil, run.r, nil, time.Now(), view) // its head is part of the memory of the run
 	i.active.Add(1)
 	i.metrics.pipelined.WithLabelValues(aheadStarted).Inc()
 	if run.req == nil {
@@ -133,6 +139,7 @@
 		return
 	}
 	a.res.Response.Release()
+	a.ingress.bodies.returnAhead(a.memory)
 	a.ingress.metrics.pipelined.WithLabelValues(aheadDropped).Inc()
 	if a.req != nil {
 		a.ingress.metrics.recordOutcome(a.req, outcomeDropped)
@@ -159,6 +166,7 @@
 // answerAhead responds to a request that was started ahead once its result is there.
 func (i *Ingress) answerAhead(w http.ResponseWriter, r *http.Request, run *aheadRun) {
 	defer i.active.Add(-1)
+	defer i.bodies.returnAhead(run.memory)
 	defer run.cancel(nil)
 	select {
 	case <-run.done:
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -31,10 +31,12 @@
 )
 
 const (
-	// headerTimeout is the timeout for reading a request's header. idleTimeout is the timeout for
-	// the next request on a connection; it is longer than the idle timeouts in route tables.
+	// headerTimeout is the timeout for reading a request's header, and idleTimeout that for the next
+	// request on a connection, for connections of callers as long as no table sets others.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 90 * time.Second
+	// callerAddressKey is the settings key of the listen address for callers, and the name of its server.
+	callerAddressKey = "caller_address"
 	// maxHeaderBytes bounds a request's header before the limit of the route table is checked.
 	maxHeaderBytes = 256 << 10
 	// callerUserTimeout is the TCP user timeout: a connection is closed if sent data remains
@@ -72,6 +74,7 @@
 	ingress  *Ingress
 	follower *Follower
 	feed     *feedServer
+	bodies   *bodyBudget
 	reach    *reachability
 
 	jobs     atomic.Int64 // number of jobs of other daemons whose results are not written yet
@@ -122,6 +125,9 @@
 	if err := registerFleet(d.registry, d.fleet); err != nil {
 		return nil, err
 	}
+	if err := registerBodies(d.registry, d.bodies); err != nil {
+		return nil, err
+	}
 	if err := d.bind(); err != nil {
 		d.closeListeners()
 		return nil, err
@@ -135,6 +141,7 @@
 	now := time.Now()
 	log := newRequestLog(d.log, s.Limits.LogLinesPerSecond)
 	seed := uint64(now.UnixNano()) ^ uint64(os.Getpid())<<48
+	d.bodies = newBodyBudget(&s.Limits, d.platform.Answers)
 	d.fleet = NewFleet(d.log, d.applyView)
 	d.guard = NewGuard(s.Upstream.Address, d.platform.Headers, d.platform.Answers, log)
 	d.guard.region = s.Instance.Region
@@ -151,7 +158,7 @@
 	d.sender.reach = d.reach
 	d.ingress = &Ingress{
 		requestsCtx: d.requestsCtx, service: s.Instance.Service, parent: d.platform.Parent, headers: d.platform.Headers, fleet: d.fleet, placer: d.placer, sender: d.sender,
-		budget: d.budget, metrics: d.metrics, log: log, random: random{src: rand.New(rand.NewPCG(seed, uint64(os.Getpid())))},
+		budget: d.budget, metrics: d.metrics, log: log, bodies: d.bodies, random: random{src: rand.New(rand.NewPCG(seed, uint64(os.Getpid())))},
 	}
 	d.follower = &Follower{
 		Store: d.platform.Store, Fleet: d.fleet, Peers: d.sender, Log: d.log, Region: s.Instance.Region, OwnAddr: s.Listen.ForwardAddress,
@@ -187,9 +194,6 @@
 	}
 }
 
-// callerKey is the key of the address for callers and the name of the server there.
-const callerKey = "caller_address"
-
 // bind opens the listeners and creates a server for each.
 func (d *Daemon) bind() error {
 	l := d.settings.Listen
@@ -197,13 +201,14 @@
 	for _, s := range [...]struct {
 		key, address string
 		handler      http.Handler
-		idle         time.Duration
+		head, idle   time.Duration
+		peers        bool
 	}{
-		{callerKey, l.CallerAddress, d.ingress, idleTimeout},
-		{"forward_address", l.ForwardAddress, peers, peerServerIdle},
-		{"ready_address", l.ReadyAddress, http.HandlerFunc(d.serveReady), idleTimeout},
-		{"seed_address", l.SeedAddress, peers, peerServerIdle},
-		{"admin_address", l.AdminAddress, d.adminHandler(), idleTimeout},
+		{callerAddressKey, l.CallerAddress, d.ingress, lastHeaderTimeout, lastIdleTimeout, false},
+		{"forward_address", l.ForwardAddress, peers, headerTimeout, peerServerIdle, true},
+		{"ready_address", l.ReadyAddress, http.HandlerFunc(d.serveReady), lastHeaderTimeout, lastIdleTimeout, false},
+		{"seed_address", l.SeedAddress, peers, headerTimeout, peerServerIdle, true},
+		{"admin_address", l.AdminAddress, d.adminHandler(), lastHeaderTimeout, lastIdleTimeout, false},
 	} {
 		if s.address == "" {
 			continue
@@ -214,15 +219,18 @@
 		}
 		server := newServer(s.key, listener, &http.Server{
 			Handler: boundBodies(s.handler), MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.errorLog(s.key),
-			ReadHeaderTimeout: headerTimeout, WriteTimeout: maxExchangeTime, IdleTimeout: s.idle,
+			ReadHeaderTimeout: s.head, WriteTimeout: maxExchangeTime, IdleTimeout: s.idle,
 			DisableGeneralOptionsHandler: true, ConnContext: withConnection, BaseContext: func(net.Listener) context.Context { return d.requestsCtx },
 		})
-		if s.key == callerKey {
+		if s.key == callerAddressKey {
 			server.Pipelining = d.ingress.pipelining(d.settings.Limits.PipelinedRequests)
 		}
+		if !s.peers {
+			d.boundServer(server)
+		}
 		d.servers = append(d.servers, server)
 	}
-	return nil
+	return registerServers(d.registry, d.servers)
 }
 
 // listen opens a listener whose connections fail when sent data remains unacknowledged.
@@ -268,6 +276,7 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	lastTick, lastBoot := time.Now(), bootTime()
+	var refusedBodies, stalledBodies int64
 	for n := 1; ; n++ {
 		select {
 		case <-ctx.Done():
@@ -281,6 +290,8 @@
 		}
 		lastTick, lastBoot = now, boot
 		d.fleet.Expire(now)
+		d.sweepServers(now)
+		d.bodies.logChanges(d.log, &refusedBodies, &stalledBodies)
 		if n%pruneTicks == 0 {
 			d.sender.Prune(now)
 			d.guard.client.Prune(now, func(string) bool { return true })
@@ -318,13 +329,24 @@
 	peerBlocks := d.guard.suspects.mergeGossip(now, from.gossip)
 	j.ID = r.Header.Get(d.platform.Headers.RequestID)
 	j.HasBody = r.ContentLength != 0 || r.Header.Get("Content-Length") != ""
+	held := d.bodies.open(w, r)
+	defer held.release()
 	j.ReadBody = func(by time.Time) ([]byte, error) {
-		body, refused, err := readBody(w, r, 0, by)
+		body, refused, err := readBody(w, r, held, 0, by)
 		if refused != nil {
-			return nil, refused
+			return nil, jobRefusal(refused)
 		}
 		return body, err
 	}
+	refused := held.takeHead(r)
+	if refused == nil {
+		refused = held.announced(r.ContentLength)
+	}
+	if refused != nil {
+		dropBody(w)
+		d.writePeerResult(w, r, j, Result{Refusal: jobRefusal(refused), Load: d.guard.Load(), bodyLate: true}, now, peerBlocks)
+		return
+	}
 	if r.Header.Get("Expect") == "" {
 		// The sender does not wait for "100 Continue" before it sends the body.
 		body, err := j.ReadBody(j.Deadline)
@@ -345,9 +367,12 @@
 // bodyResult returns the result of a job whose body could not be read before admission; nil without an
 // error. It aborts the response if the sender has disconnected.
 func (d *Daemon) bodyResult(r *http.Request, err error) *Result {
+	var refused *refusal.Refusal
 	switch {
 	case err == nil:
 		return nil
+	case errors.As(err, &refused):
+		return &Result{Refusal: refused, Load: d.guard.Load(), bodyLate: true}
 	case processEnds(r.Context()):
 		return &Result{Refusal: notRun(refusal.Leaving, "the daemon stopped before the whole body of the request had arrived", 0), Load: d.guard.Load()}
 	case errors.Is(err, errBodyLate):
