Let the most urgent calls precede nested calls of less urgent requests

A nested call now yields to calls that are more urgent than the request whose run makes it by two levels or more, and slots reserved for nested calls are free for these.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -4,7 +4,8 @@
 // An upstream has a fixed number of slots, each of which executes one request at a time; one such
 // execution is called a run. The queue never starts more runs than there are slots, because some
 // upstreams send no response to requests beyond their capacity. Nested calls, for which a run of
-// another upstream is waiting, go first, because that run occupies a slot there. The other calls
+// another upstream is waiting, go first, because that run occupies a slot there; they may yield to more
+// urgent calls. The other calls
 // are ordered by value density, the value of a response divided by the slot time that it needs:
 // high priority before low, short before long, calls that can still meet their latency objective
 // before late ones, and returning callers before new ones. While the rate that a cold upstream takes is
@@ -113,6 +114,8 @@
 	Returning bool
 	// Nested is true if a run of another upstream is waiting for the response.
 	Nested bool
+	// YieldsTo is the priority below which other calls precede a nested call; 0 for none.
+	YieldsTo int
 	// Repeated is true if an earlier attempt may have run elsewhere. Such a call fails unless
 	// this run succeeds.
 	Repeated bool
@@ -165,7 +168,9 @@
 	nestedRunning int
 	nestedLoad    float64
 	nestedAt      time.Time
-	ends          []time.Duration // buffer reused by wait
+	// nestedYieldsTo is that of the last nested call.
+	nestedYieldsTo int
+	ends           []time.Duration // buffer reused by wait
 	// abortAt is the time at which running calls are aborted because the process exits; zero
 	// while no shutdown is planned.
 	abortAt time.Time
@@ -386,8 +391,8 @@
 
 // before reports whether a precedes b.
 func (q *Queue) before(now time.Time, a, b *Call) bool {
-	if a.Nested != b.Nested {
-		return a.Nested
+	if ta, tb := q.tier(a), q.tier(b); ta != tb {
+		return ta < tb
 	}
 	da, db := q.rank(now, a), q.rank(now, b)
 	if da > db*densityTolerance || db > da*densityTolerance {
--- a/core/intake/nested.go
+++ b/core/intake/nested.go
@@ -5,10 +5,30 @@
 	"time"
 )
 
+// The tiers of calls: those of a tier precede all of the next one.
+const (
+	urgentCalls = iota
+	nestedCalls
+	otherCalls
+)
+
+// tier returns the tier of a call. Without a nested call the run that waits for it fails, so nested calls
+// precede all others but those to which the last nested call yields. If the most urgent calls waited as
+// well, runs of little value would take their slots under overload.
+func (q *Queue) tier(c *Call) int {
+	switch {
+	case c.Nested:
+		return nestedCalls
+	case c.Priority < q.nestedYieldsTo:
+		return urgentCalls
+	}
+	return otherCalls
+}
+
 // recordNestedArrival adds the expected run time of a new nested call to the nested load.
 func (q *Queue) recordNestedArrival(now time.Time, c *Call) {
 	q.nestedLoad = q.nestedSlotsNeeded(now) + q.expected(c).Seconds()/nestedLoadWindow.Seconds()
-	q.nestedAt = now
+	q.nestedAt, q.nestedYieldsTo = now, c.YieldsTo
 }
 
 // nestedSlotsNeeded returns the average number of slots that nested calls need.
@@ -34,7 +54,7 @@
 	if !q.pace.allows(now, c.pressing) || q.ShortOfColdRate(now) {
 		return false
 	}
-	if c.Nested {
+	if q.tier(c) < otherCalls {
 		return len(q.running) < q.slots
 	}
 	return len(q.running)+q.reservedSlots(now) < q.slots
--- a/pkg/mesh/guard.go
+++ b/pkg/mesh/guard.go
@@ -265,6 +265,9 @@
 		Route: j.Route, Priority: j.Priority, Returning: j.Returning, Nested: j.Nested, Repeated: j.Repeated, Goal: j.Goal, Deadline: j.Deadline,
 		ID: j.ID, SenderEnds: j.SenderEnds, Objective: j.Objective,
 	}
+	if j.Nested {
+		call.YieldsTo = j.Priority
+	}
 	if refused := g.admit(ctx, j, call); refused != nil {
 		return Result{Refusal: refused}
 	}
@@ -309,7 +312,7 @@
 		return Result{Refusal: notRun(refusal.Overloaded, "the request is suspected of crashing an upstream and may only run while no other suspect does; try again", downTime)}
 	case quarantine.Allowed:
 	}
-	g.runs.begin(j.ID)
+	g.runs.begin(j.ID, j.Priority)
 	res := g.send(ctx, j)
 	res.CallFailed = g.runs.end(j.ID, j.Route, res.Response != nil)
 	res.Calls = g.runs.report(j.Route)
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -364,8 +364,10 @@
 		arrived: arrived, deadline: deadline, goal: arrived.Add(matched.Goal - spent),
 		returning: spent > 0, id: r.Header.Get(i.headers.RequestID), stoppingFor: i.stoppingFor(arrived),
 	}
+	priority := matched.Priority
 	if nested {
 		parent, _ := i.parent(req.id)
+		priority = i.sender.guard.runs.callPriority(parent, priority)
 		req.call = i.sender.guard.runs.call(parent, service, i.calls.Of(matched.Name))
 	}
 	if callerRemaining < unknownRemaining {
@@ -377,7 +379,7 @@
 	delete(header, i.headers.Caller)
 	delete(header, i.headers.Expected)
 	req.job = Job{
-		Service: req.service, Route: matched.Name, Caller: i.service, Priority: matched.Priority, Returning: req.returning,
+		Service: req.service, Route: matched.Name, Caller: i.service, Priority: priority, Returning: req.returning,
 		MayRepeat: matched.Kind.MayRepeat(), Nested: nested, Goal: req.goal, Deadline: req.deadline, Objective: matched.Goal,
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, ID: req.id, Header: header, Body: body,
 		HasBody: r.ContentLength != 0 || r.Method == http.MethodPost || r.Method == http.MethodPut,
--- a/pkg/mesh/ingress_drain_test.go
+++ b/pkg/mesh/ingress_drain_test.go
@@ -35,7 +35,7 @@
 	fleet := NewFleet(zap.NewNop(), func(time.Time, *catalog.View) {})
 	fleet.view.Store(oneRoute(t, time.Second))
 	guard := NewGuard("127.0.0.1:1", Headers{RequestID: "Id"}, nil, newRequestLog(zap.NewNop(), 1))
-	guard.runs.begin("parent")
+	guard.runs.begin("parent", 0)
 	return &Ingress{
 		headers: Headers{RequestID: "Id"}, random: random{src: rand.New(rand.NewPCG(1, 1))}, fleet: fleet, sender: &Sender{guard: guard},
 		parent: func(id string) (string, bool) { return "parent", id == "nested" },
--- a/pkg/mesh/job.go
+++ b/pkg/mesh/job.go
@@ -48,7 +48,9 @@
 	Service string
 	Route   string
 	// Caller is the service of the daemon at which the request entered the mesh.
-	Caller   string
+	Caller string
+	// Priority is that of the route. That of a nested job is one level more urgent than the request whose
+	// run makes it, and the job yields to more urgent ones.
 	Priority int
 	// MayWait lets the request wait for a slot. Returning is set if its caller has been refused
 	// before, MayRepeat if it may run more than once, Nested if a run of another upstream waits
--- a/pkg/mesh/runs.go
+++ b/pkg/mesh/runs.go
@@ -28,6 +28,7 @@
 // run is a request in flight to the upstream. Requests with the same ID share one entry.
 type run struct {
 	inFlight int
+	priority int // of the route
 	made     retry.Calls
 	// unanswered counts the calls of which an attempt has failed and that have not succeeded since;
 	// callFailed is set once one of them was given up.
@@ -37,13 +38,13 @@
 
 func newRuns() *runs { return &runs{byID: make(map[string]*run), meter: retry.NewCallMeter()} }
 
-// begin records the start of a run.
-func (r *runs) begin(id string) {
+// begin records the start of a run of a route with the priority.
+func (r *runs) begin(id string, priority int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	entry := r.byID[id]
 	if entry == nil {
-		entry = &run{made: make(retry.Calls)}
+		entry = &run{made: make(retry.Calls), priority: priority}
 		r.byID[id] = entry
 	}
 	entry.inFlight++
@@ -75,6 +76,19 @@
 	return r.byID[id] != nil
 }
 
+// callPriority returns the priority of a call that the run of a request with the ID makes: it is one level
+// more urgent than the request, because the run has taken a slot and fails without the call. It returns own,
+// the priority of the call's route, if no such run is in flight.
+func (r *runs) callPriority(id string, own int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	entry := r.byID[id]
+	if entry == nil {
+		return own
+	}
+	return max(0, entry.priority-1)
+}
+
 // report returns the mean number of calls that the runs of a route make, nil if it is unknown or need
 // not be reported with the run that has just ended.
 func (r *runs) report(route string) retry.Calls {
--- a/pkg/mesh/runs_test.go
+++ b/pkg/mesh/runs_test.go
@@ -17,7 +17,7 @@
 // reverse.
 func TestRunsRecordTheirCalls(t *testing.T) {
 	r := newRuns()
-	r.begin("p")
+	r.begin("p", 0)
 	first, second := r.call("p", "records", retry.Calls{"photos": 0.5}), r.call("p", "records", nil)
 	require.False(t, first.attemptFailed(), "the only call that was refused")
 	require.False(t, first.attemptFailed())
@@ -30,7 +30,7 @@
 	require.Nil(t, r.call("p", "records", nil), "the run has ended")
 
 	for range 7 {
-		r.begin("q")
+		r.begin("q", 0)
 		failed := r.call("q", "records", nil)
 		failed.attemptFailed()
 		failed.ended(false)
@@ -38,7 +38,7 @@
 	}
 	require.InDelta(t, 9.0/8, r.report("view")["records"], 0.01)
 	require.InDelta(t, 0.5/8, r.report("view")["photos"], 0.01)
-	r.begin("other")
+	r.begin("other", 0)
 	require.False(t, r.end("other", "view", true))
 	require.Nil(t, r.report("view"), "one run of eight reports its calls")
 
@@ -120,3 +120,14 @@
 		})
 	}
 }
+
+// Guards against calls that are as urgent as the service that they call says, whatever the request needs
+// that makes them, and against an unknown request that makes its calls the most urgent ones.
+func TestCallsAreAsUrgentAsTheRequestThatMakesThem(t *testing.T) {
+	r := newRuns()
+	r.begin("least", 2)
+	r.begin("most", 0)
+	require.Equal(t, 1, r.callPriority("least", 0), "the run has taken a slot already")
+	require.Equal(t, 0, r.callPriority("most", 3))
+	require.Equal(t, 3, r.callPriority("unknown", 3))
+}
