--- a/core/intake/cold_queue.go
+++ b/core/intake/cold_queue.go
@@ -90,29 +90,3 @@
 
 // Closed reports whether the queue refuses all calls.
 func (q *Queue) Closed() bool { return q.closed }
-
-// updateOrder decides whether calls are ordered by value rather than by value density: while the upstream
-// is cold and its rate is too low to fill the slots, slot time is not short.
-func (q *Queue) updateOrder(now time.Time) {
-	q.byValue = false
-	if len(q.waiting) == 0 || !q.cold.active(now) {
-		return
-	}
-	var sum time.Duration
-	for _, c := range q.waiting {
-		sum += q.expected(c)
-	}
-	for _, c := range q.running {
-		sum += q.expected(c)
-	}
-	mean := sum.Seconds() / float64(len(q.waiting)+len(q.running))
-	q.byValue = q.cold.rate.rate*mean < float64(q.slots)
-}
-
-// rank returns the figure by which waiting calls are ordered.
-func (q *Queue) rank(now time.Time, c *Call) float64 {
-	if q.byValue {
-		return q.value(now, c)
-	}
-	return q.valueDensity(now, c)
-}
