Show which hosts a daemon does not use, since when and why

Cause: after daemon_unreachable nothing told whether a host was still left out, and a request that found no instance did not say why the listed ones could not be used.

Change: request_ended with outcome no_instance counts the instances that were passed over by reason.

--- a/core/placement/candidates.go
+++ b/core/placement/candidates.go
@@ -102,11 +102,12 @@
 // candidates returns the instances to compare: all that may get the request, or a random sample of
 // them if there are many. Instances that are excluded for a time are returned only if there are no
 // others. The work does not grow with the number of instances while most of them can be used, and never
-// with the number of those in regions that the query does not allow.
-func (p *Placer) candidates(now time.Time, q Query) []*catalog.Instance {
+// with the number of those in regions that the query does not allow. The second result counts the
+// instances that were passed over; without candidates, these are all that the query allows.
+func (p *Placer) candidates(now time.Time, q Query) ([]*catalog.Instance, Unusable) {
 	g := p.groups[q.Service]
 	if g == nil {
-		return nil
+		return nil, Unusable{}
 	}
 	near, far := g.allowed(&q, p.self, p.lists[:0])
 	p.lists = far
@@ -118,9 +119,16 @@
 		s.add(farCandidates, far...)
 	}
 	if len(s.available) == 0 {
-		return s.excluded
+		return s.excluded, s.unusable
 	}
-	return s.available
+	return s.available, s.unusable
+}
+
+// Unusable counts instances that a request could not be sent to, by the reason.
+type Unusable struct {
+	// Tried counts those that the query excludes, Unreachable those whose daemon does not respond, Leaving
+	// those that are leaving by their own word, and OverLimit those whose limit allows no request now.
+	Tried, Unreachable, Leaving, OverLimit int
 }
 
 // sampler draws the candidates of one query.
@@ -131,6 +139,7 @@
 	// available holds the instances drawn so far that may get the request now, excluded those that
 	// are excluded for a time.
 	available, excluded []*catalog.Instance
+	unusable            Unusable
 }
 
 // add draws instances of all lists together at random until n of them are available, or none is left.
@@ -140,7 +149,12 @@
 		inst := draw(lists, s.p.random.IntN(left))
 		stats := s.p.stats[inst.ID]
 		switch {
-		case contains(s.q.Exclude, inst.ID) || s.p.unreachable[inst.Host()] || stats.leaving:
+		case contains(s.q.Exclude, inst.ID):
+			s.unusable.Tried++
+		case s.p.unreachable[inst.Host()]:
+			s.unusable.Unreachable++
+		case stats.leaving:
+			s.unusable.Leaving++
 		case s.now.Before(stats.excludedUntil) || s.now.Before(s.p.evacuatedUntil[inst.Place.DataCentre]):
 			s.excluded = append(s.excluded, inst)
 		default:
--- a/core/placement/overflow.go
+++ b/core/placement/overflow.go
@@ -21,8 +21,10 @@
 func (p *Placer) best(now time.Time, q Query) Choice {
 	var best, near Choice
 	least, leastNear := 0.0, 0.0
-	for _, inst := range p.candidates(now, q) {
+	candidates, unusable := p.candidates(now, q)
+	for _, inst := range candidates {
 		if q.NeedsAllowance && p.stats[inst.ID].lacksAllowance(now) {
+			unusable.OverLimit++
 			continue
 		}
 		c := p.score(now, q, inst)
@@ -34,6 +36,9 @@
 			near, leastNear = c, loss
 		}
 	}
+	if best.Instance == nil {
+		best.Unusable = unusable
+	}
 	if near.Instance != nil && near.Expected <= time.Duration(p.stayShare*float64(q.Slack)) {
 		return near
 	}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -314,9 +314,11 @@
 	// Distance is that from the daemon's data centre to the instance's.
 	Distance model.Distance
 	// Limit is the limit of the instance in the last report.
-	Limit   float64
-	tooLate bool
-	at      time.Time
+	Limit float64
+	// Unusable counts the instances of the service that could not be chosen. It is set if Instance is nil.
+	Unusable Unusable
+	tooLate  bool
+	at       time.Time
 }
 
 // Choose returns the candidate with the least expected loss and counts a request in flight there
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -145,7 +145,7 @@
 	p := placer(view(places...))
 	q := query()
 	g := p.group(q.Service)
-	drawn := p.candidates(now, q)
+	drawn, _ := p.candidates(now, q)
 	require.Len(t, drawn, nearCandidates+farCandidates)
 	require.Len(t, g.near, 125)
 	for _, inst := range drawn[:nearCandidates] {
--- a/core/placement/regions_test.go
+++ b/core/placement/regions_test.go
@@ -93,7 +93,7 @@
 	p := placer(view(places...))
 	count := map[string]int{}
 	for range 500 {
-		drawn := p.candidates(now, in("b", "c"))
+		drawn, _ := p.candidates(now, in("b", "c"))
 		require.Len(t, drawn, farCandidates)
 		seen := map[model.InstanceID]bool{}
 		for _, inst := range drawn {
--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -12,7 +12,9 @@
 package reach
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -42,6 +44,18 @@
 	// pause is the current pause between probes, and due the time of the next probe.
 	pause time.Duration
 	due   time.Time
+	// since is the time at which the host became unreachable, and cause the error of its last probe.
+	since time.Time
+	cause string
+}
+
+// Exclusion describes an unreachable host.
+type Exclusion struct {
+	Host string
+	// Since is the time at which the host became unreachable.
+	Since time.Time
+	// Cause is the error of the last probe.
+	Cause string
 }
 
 // Monitor tracks the reachability of all hosts of the fleet.
@@ -60,17 +74,22 @@
 }
 
 // SetHosts sets the hosts of the fleet except the own one, and drops the state of hosts that are
-// no longer in it.
-func (m *Monitor) SetHosts(hosts []string) {
+// no longer in it. It returns those of them that were unreachable.
+func (m *Monitor) SetHosts(hosts []string) (forgotten []Exclusion) {
 	m.known = make(map[string]bool, len(hosts))
 	for _, name := range hosts {
 		m.known[name] = true
 	}
-	for name := range m.suspected {
-		if !m.known[name] {
-			delete(m.suspected, name)
+	for name, h := range m.suspected {
+		if m.known[name] {
+			continue
+		}
+		if h.unreachable {
+			forgotten = append(forgotten, h.exclusion(name))
 		}
+		delete(m.suspected, name)
 	}
+	return forgotten
 }
 
 // RequestFailed records that a request to a host got no response.
@@ -114,15 +133,18 @@
 	return due
 }
 
-// ProbeFailed records that a probe got no response. It reports whether the host was only suspect
+// ProbeFailed records that a probe got no response, and why. It reports whether the host was only suspect
 // and is unreachable from now on.
-func (m *Monitor) ProbeFailed(now time.Time, name string) (becameUnreachable bool) {
+func (m *Monitor) ProbeFailed(now time.Time, name, cause string) (becameUnreachable bool) {
 	h := m.suspected[name]
 	if h == nil {
 		return false // recovered during the probe, or no longer in the fleet
 	}
 	becameUnreachable = !h.unreachable
-	h.unreachable, h.probing = true, false
+	if becameUnreachable {
+		h.since = now
+	}
+	h.unreachable, h.probing, h.cause = true, false, cause
 	h.pause = min(max(2*h.pause, initialPause), maxPause)
 	h.due = now.Add(h.pause/2 + time.Duration(m.random.Int64N(int64(h.pause))))
 	return becameUnreachable
@@ -134,6 +156,31 @@
 	return h != nil && h.unreachable
 }
 
+// Exclusion describes a host if it is unreachable.
+func (m *Monitor) Exclusion(name string) (Exclusion, bool) {
+	h := m.suspected[name]
+	if h == nil || !h.unreachable {
+		return Exclusion{}, false
+	}
+	return h.exclusion(name), true
+}
+
+// Exclusions describes all unreachable hosts. Those that became unreachable first come first.
+func (m *Monitor) Exclusions() []Exclusion {
+	var list []Exclusion
+	for name, h := range m.suspected {
+		if h.unreachable {
+			list = append(list, h.exclusion(name))
+		}
+	}
+	slices.SortFunc(list, func(a, b Exclusion) int { return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.Host, b.Host)) })
+	return list
+}
+
+func (h *hostState) exclusion(name string) Exclusion {
+	return Exclusion{Host: name, Since: h.since, Cause: h.cause}
+}
+
 // UnreachableCount returns the number of unreachable hosts.
 func (m *Monitor) UnreachableCount() int {
 	n := 0
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -43,7 +43,7 @@
 		m.MarkAlive(at(ms), "h2")
 		for _, name := range m.DueProbes(at(ms)) {
 			probes++
-			m.ProbeFailed(at(ms), name)
+			m.ProbeFailed(at(ms), name, "no response")
 			require.True(t, m.Unreachable("h1"))
 		}
 	}
@@ -71,7 +71,7 @@
 	isolated := -1
 	for ms := 0; ms < 3000; ms += 10 {
 		for _, name := range m.DueProbes(at(ms)) {
-			m.ProbeFailed(at(ms), name)
+			m.ProbeFailed(at(ms), name, "no response")
 		}
 		if isolated < 0 && m.Isolated(at(ms)) {
 			isolated = ms
@@ -92,7 +92,7 @@
 	m, _ = newMonitor(5)
 	require.False(t, m.Isolated(at(60_000)))
 	m.RequestFailed(at(60_000), "h1")
-	m.ProbeFailed(at(60_100), "h1")
+	m.ProbeFailed(at(60_100), "h1", "no response")
 	require.False(t, m.Isolated(at(60_200)), "one host of five")
 }
 
@@ -101,7 +101,7 @@
 	m, hosts := newMonitor(5)
 	m.RequestFailed(at(0), "h1")
 	m.RequestFailed(at(0), "stranger")
-	m.ProbeFailed(at(100), "h1")
+	m.ProbeFailed(at(100), "h1", "no response")
 	require.Equal(t, 1, m.UnreachableCount())
 	m.SetHosts(hosts[2:])
 	require.Zero(t, m.UnreachableCount())
--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -153,6 +153,7 @@
 		return Result{Refusal: i.tooLittleTime()}, false
 	}
 	if !ok {
+		req.unusable = &choice.Unusable
 		return Result{Refusal: noInstance(req.service, regions)}, false
 	}
 	i.metrics.attempts.WithLabelValues(choice.Distance.String()).Inc()
--- a/pkg/mesh/daemon.go
+++ b/pkg/mesh/daemon.go
@@ -128,6 +128,9 @@
 	if err := registerBodies(d.registry, d.bodies); err != nil {
 		return nil, err
 	}
+	if err := d.registry.Register(newUnreachableCollector(d.reach)); err != nil {
+		return nil, err
+	}
 	if err := d.bind(); err != nil {
 		d.closeListeners()
 		return nil, err
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -124,6 +124,8 @@
 	// failed there.
 	failed       []model.InstanceID
 	lastInstance model.InstanceID
+	// unusable is set if no instance could be chosen.
+	unusable *placement.Unusable
 }
 
 // ServeHTTP handles one request of a caller.
--- a/pkg/mesh/reachability.go
+++ b/pkg/mesh/reachability.go
@@ -36,6 +36,8 @@
 	monitor   *reach.Monitor
 	addresses map[string]string // forward address of a daemon on each host
 	isolated  bool
+	// reportAt is the time of the next log line about unreachable hosts.
+	reportAt time.Time
 }
 
 func newReachability(now time.Time, ownHost string, seed uint64, client *exchange.Client, placer *placement.Placer, log *zap.Logger) *reachability {
@@ -44,8 +46,8 @@
 
 // update sets the hosts to track from a new view of the fleet.
 func (r *reachability) update(v *catalog.View) {
+	now := time.Now()
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	clear(r.addresses)
 	var hosts []string
 	daemons := v.Daemons()
@@ -56,7 +58,11 @@
 			hosts = append(hosts, host)
 		}
 	}
-	r.monitor.SetHosts(hosts)
+	forgotten := r.monitor.SetHosts(hosts)
+	r.mu.Unlock()
+	for _, e := range forgotten {
+		r.log.Info("unreachable_daemon_unlisted", zap.String("host", e.Host), zap.Duration("after", now.Sub(e.Since)))
+	}
 }
 
 // requestFailed records that a request to a daemon on the host got no response.
@@ -69,10 +75,11 @@
 // markAlive records traffic from a daemon on the host: a response, or a request that it sent.
 func (r *reachability) markAlive(now time.Time, host string) {
 	r.mu.Lock()
+	before, _ := r.monitor.Exclusion(host)
 	recovered := r.monitor.MarkAlive(now, host)
 	r.mu.Unlock()
 	if recovered {
-		r.log.Info("daemon_reachable", zap.String("host", host))
+		r.log.Info("daemon_reachable", zap.String("host", host), zap.Duration("after", now.Sub(before.Since)))
 		r.placer.SetReachable(host, true)
 	}
 }
@@ -80,7 +87,7 @@
 // probeFailed records that a probe of the host failed.
 func (r *reachability) probeFailed(now time.Time, host string, err error) {
 	r.mu.Lock()
-	becameUnreachable := r.monitor.ProbeFailed(now, host)
+	becameUnreachable := r.monitor.ProbeFailed(now, host, err.Error())
 	r.mu.Unlock()
 	if becameUnreachable {
 		r.log.Info("daemon_unreachable", zap.String("host", host), zap.Error(err))
@@ -121,7 +128,9 @@
 	changed := isolated != r.isolated
 	r.isolated = isolated
 	unreachable := r.monitor.UnreachableCount()
+	report := r.dueReport(now)
 	r.mu.Unlock()
+	logUnreachable(r.log, now, report)
 	if changed {
 		r.log.Warn("isolation_changed", zap.Bool("isolated", isolated), zap.Int("unreachable", unreachable))
 	}
--- a/pkg/mesh/request_log.go
+++ b/pkg/mesh/request_log.go
@@ -94,6 +94,9 @@
 	if req.lastInstance != "" {
 		fields = append(fields, zap.String("last_instance", string(req.lastInstance)))
 	}
+	if u := req.unusable; u != nil {
+		fields = append(fields, zap.Int("tried", u.Tried), zap.Int("unreachable", u.Unreachable), zap.Int("leaving", u.Leaving), zap.Int("over_limit", u.OverLimit))
+	}
 	if res.Load.Slots > 0 {
 		fields = append(fields, zap.String("load", encodeLoad(res.Load)))
 	}
--- a/pkg/mesh/status.go
+++ b/pkg/mesh/status.go
@@ -45,6 +45,10 @@
 	AnswerBytes int64 `json:"answer_bytes"`
 	// Evacuated are the evacuated data centres, sorted by name.
 	Evacuated []EvacuatedDataCentre `json:"evacuated"`
+	// Unreachable are the hosts that get no requests because their daemon does not respond, those that have
+	// been unreachable for longest first; UnreachableTotal is their number, also beyond the length of the list.
+	Unreachable      []UnreachableHost `json:"unreachable"`
+	UnreachableTotal int               `json:"unreachable_total"`
 }
 
 // View returns the daemon's current view of the fleet.
@@ -63,6 +67,7 @@
 		Limit: d.guard.Limit(), Pace: d.guard.Pace(), ColdRate: d.guard.Cold(),
 		AnswerBytes: d.platform.Answers.Held(), Evacuated: d.evacuatedDataCentres(v),
 	}
+	s.Unreachable, s.UnreachableTotal = d.reach.status()
 	if v.Table != nil {
 		s.Version, s.Routes = v.Table.Version, len(v.Table.Routes)
 	}
