Ask the monitor whether a host responds instead of keeping a copy

Callers saw: after the machines of a service had stood still for 5 s, every request to that service got 503 (no_instance) from all other daemons, on old and on added routes, until those daemons were restarted. Any outage of a machine that lasts longer than its entry in the store leads there.

Cause: whether a host responds was kept by core/reach and, as a copy, by core/placement. The monitor forgets a host that leaves the view, the copy did not; and a response between a failed probe and its report left the copy wrong as well. An excluded host gets no requests, so that nothing ever corrected it.

Change: the placer keeps no copy and asks the monitor for each candidate. A host that the monitor does not hold to be unreachable cannot be excluded, whatever the order of events.

--- a/core/placement/candidates.go
+++ b/core/placement/candidates.go
@@ -151,7 +151,7 @@
 		switch {
 		case contains(s.q.Exclude, inst.ID):
 			s.unusable.Tried++
-		case s.p.unreachable[inst.Host()]:
+		case s.p.unreachable(inst.Host()):
 			s.unusable.Unreachable++
 		case stats.leaving:
 			s.unusable.Leaving++
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -180,12 +180,11 @@
 	// own data centre is chosen without a look at the others; 0 compares all.
 	stayShare float64
 	// host is the host of this daemon; byteTime is the time that a byte takes over a host's link.
-	host     string
-	byteTime float64 // nanoseconds
-	// unreachable holds the hosts whose daemons do not respond.
-	unreachable map[string]bool
-	warmUpEnd   map[model.InstanceID]time.Time
-	roundTrips  map[model.Place]measuredRoundTrip
+	host       string
+	byteTime   float64 // nanoseconds
+	hosts      Hosts   // nil if all hosts count as reachable
+	warmUpEnd  map[model.InstanceID]time.Time
+	roundTrips map[model.Place]measuredRoundTrip
 	// evacuatedUntil holds the end of evacuatedExclusion by data centre.
 	evacuatedUntil map[string]time.Time
 }
@@ -196,7 +195,7 @@
 	return &Placer{
 		self: self, costs: costs, random: rand.New(rand.NewPCG(seed, seed)), stats: make(map[model.InstanceID]*instanceStats),
 		runs: make(map[string]*routeAverages), means: make(map[string]float64), groups: make(map[string]*group), warmUpEnd: make(map[model.InstanceID]time.Time),
-		unreachable: make(map[string]bool), roundTrips: make(map[model.Place]measuredRoundTrip), failures: make(map[string]*failureRate),
+		roundTrips: make(map[model.Place]measuredRoundTrip), failures: make(map[string]*failureRate),
 		evacuatedUntil: make(map[string]time.Time),
 	}
 }
@@ -257,17 +256,29 @@
 // bitsPerByte converts a link's rate from bits to bytes.
 const bitsPerByte = 8
 
-// SetReachable records whether the daemon of a host responds. While it does not, the instances of
-// the host are excluded. Once it does, they can be chosen again at once, also if they had been
-// excluded after failures.
-func (p *Placer) SetReachable(host string, reachable bool) {
+// Hosts knows which hosts respond. The placer keeps no copy of that: a copy that misses a change, for
+// example because the host has left the view, would exclude the host for good.
+type Hosts interface {
+	// Unreachable reports whether the daemon of a host does not respond, so that the instances of the host
+	// are excluded. It is called while the placer is locked and must not call the placer.
+	Unreachable(host string) bool
+}
+
+// SetHosts sets what knows which hosts respond.
+func (p *Placer) SetHosts(hosts Hosts) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hosts = hosts
+}
+
+// unreachable reports whether the daemon of a host does not respond.
+func (p *Placer) unreachable(host string) bool { return p.hosts != nil && p.hosts.Unreachable(host) }
+
+// HostRecovered ends the exclusion of a host's instances after failures, because the host responds again.
+// Without this call they would be excluded for maxSuspectTime at most.
+func (p *Placer) HostRecovered(host string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !reachable {
-		p.unreachable[host] = true
-		return
-	}
-	delete(p.unreachable, host)
 	if p.view == nil {
 		return
 	}
--- a/core/placement/regions_test.go
+++ b/core/placement/regions_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -21,6 +22,11 @@
 	return q
 }
 
+// lostHosts are hosts that do not respond.
+type lostHosts []string
+
+func (l lostHosts) Unreachable(host string) bool { return slices.Contains(l, host) }
+
 // Guards against a choice outside the listed regions when the instances in them are busy, excluded for a
 // time after failures, unreachable, leaving or absent.
 func TestOnlyListedRegionsAreChosen(t *testing.T) {
@@ -39,7 +45,7 @@
 		"own region":            {func(*Placer) {}, []string{"a"}, "a"},
 		"excluded for a time":   {excludeForATime, []string{"b"}, "b"},
 		"no such region":        {func(*Placer) {}, []string{"x"}, ""},
-		"no instance reachable": {func(p *Placer) { p.SetReachable("10.0.0.2", false); p.SetReachable("10.0.0.3", false) }, []string{"b"}, ""},
+		"no instance reachable": {func(p *Placer) { p.SetHosts(lostHosts{"10.0.0.2", "10.0.0.3"}) }, []string{"b"}, ""},
 		"all leave":             {func(p *Placer) { p.stats["i02"].leaving, p.stats["i03"].leaving = true, true }, []string{"b"}, ""},
 		"own region leaves":     {func(p *Placer) { p.stats["i00"].leaving, p.stats["i01"].leaving = true, true }, []string{"a"}, ""},
 		"full": {func(p *Placer) {
--- a/pkg/mesh/reachability.go
+++ b/pkg/mesh/reachability.go
@@ -24,8 +24,9 @@
 	probeTimeout = 400 * time.Millisecond
 )
 
-// reachability tracks which hosts of other daemons are reachable and updates the placer. It is safe
-// for concurrent use.
+// reachability tracks which hosts of other daemons are reachable. The placer asks it for each candidate.
+// It is safe for concurrent use. It does not call the placer while its own mutex is locked, because the
+// placer calls Unreachable while it is locked itself.
 type reachability struct {
 	ownHost string // host of this daemon
 	client  *exchange.Client
@@ -41,7 +42,16 @@
 }
 
 func newReachability(now time.Time, ownHost string, seed uint64, client *exchange.Client, placer *placement.Placer, log *zap.Logger) *reachability {
-	return &reachability{ownHost: ownHost, client: client, placer: placer, log: log, monitor: reach.New(now, seed), addresses: make(map[string]string)}
+	r := &reachability{ownHost: ownHost, client: client, placer: placer, log: log, monitor: reach.New(now, seed), addresses: make(map[string]string)}
+	placer.SetHosts(r)
+	return r
+}
+
+// Unreachable implements placement.Hosts.
+func (r *reachability) Unreachable(host string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.monitor.Unreachable(host)
 }
 
 // update sets the hosts to track from a new view of the fleet.
@@ -80,7 +90,7 @@
 	r.mu.Unlock()
 	if recovered {
 		r.log.Info("daemon_reachable", zap.String("host", host), zap.Duration("after", now.Sub(before.Since)))
-		r.placer.SetReachable(host, true)
+		r.placer.HostRecovered(host)
 	}
 }
 
@@ -91,7 +101,6 @@
 	r.mu.Unlock()
 	if becameUnreachable {
 		r.log.Info("daemon_unreachable", zap.String("host", host), zap.Error(err))
-		r.placer.SetReachable(host, false)
 	}
 }
 
