Begin with new statistics when an instance starts again under its ID

Callers would see: requests that are slow at an upstream which has just started again, because as many are sent there as to a warm one; and an upstream that is left out for up to 3 s after its restart.

Cause: the placer kept the end of the warm-up time, failures, slowness and load by ID; a new incarnation reset only the limit, the leaving and the pace.

Evidence: TestRestartedInstanceWarmsUpAgain, TestRestartedInstanceIsNotChargedWithEarlierFailures.

Change: a new incarnation gets new statistics; the count of requests in flight is kept.

Measured: both tests failed before the change and pass; all tests of core/placement and pkg/mesh passed.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -133,8 +133,9 @@
 	Pace intake.HostPace
 }
 
-// instanceStats holds the load, slowness and failures of one instance.
+// instanceStats holds the load, slowness and failures of one incarnation of an instance.
 type instanceStats struct {
+	incarnation   uint64
 	inFlight      int
 	load          intake.Load
 	loadAt        time.Time
@@ -144,10 +145,11 @@
 	failures      failureRate
 	failuresInRow int
 	excludedUntil time.Time
-	// limit and leaving are those of the last report. They belong to one incarnation.
-	limit       float64
-	leaving     bool
-	incarnation uint64
+	// warmUntil is the end of the warm-up time, zero if the instance has none.
+	warmUntil time.Time
+	// limit and leaving are those of the last report.
+	limit   float64
+	leaving bool
 	// pace is the last known pace of the instance's host. Unlike the slowness it changes many times a
 	// second.
 	pace intake.HostPace
@@ -183,7 +185,6 @@
 	host       string
 	byteTime   float64 // nanoseconds
 	hosts      Hosts   // nil if all hosts count as reachable
-	warmUpEnd  map[model.InstanceID]time.Time
 	roundTrips map[model.Place]measuredRoundTrip
 	// evacuatedUntil holds the end of evacuatedExclusion by data centre.
 	evacuatedUntil map[string]time.Time
@@ -194,14 +195,15 @@
 func New(self model.Place, costs Costs, seed uint64) *Placer {
 	return &Placer{
 		self: self, costs: costs, random: rand.New(rand.NewPCG(seed, seed)), stats: make(map[model.InstanceID]*instanceStats),
-		runs: make(map[string]*routeAverages), means: make(map[string]float64), groups: make(map[string]*group), warmUpEnd: make(map[model.InstanceID]time.Time),
+		runs: make(map[string]*routeAverages), means: make(map[string]float64), groups: make(map[string]*group),
 		roundTrips: make(map[model.Place]measuredRoundTrip), failures: make(map[string]*failureRate),
 		evacuatedUntil: make(map[string]time.Time),
 	}
 }
 
-// Update sets a new view. The statistics of instances that are in both views are kept. Instances that
-// are leaving or in an evacuated data centre are never chosen, even if there are no others.
+// Update sets a new view. The statistics of an instance that is in both views are kept, unless it has started
+// again under its ID. Instances that are leaving or in an evacuated data centre are never chosen, even if there
+// are no others.
 func (p *Placer) Update(now time.Time, v *catalog.View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -209,7 +211,6 @@
 	p.view = v
 	p.groups = make(map[string]*group)
 	p.stats = make(map[model.InstanceID]*instanceStats, len(v.Instances))
-	warmUpEnd := make(map[model.InstanceID]time.Time)
 	for i := range v.Instances {
 		inst := &v.Instances[i]
 		s := old[inst.ID]
@@ -217,21 +218,19 @@
 			s = &instanceStats{slowness: 1, incarnation: inst.Incarnation}
 		}
 		if inst.Incarnation > s.incarnation {
-			s.incarnation, s.limit, s.leaving, s.pace = inst.Incarnation, 0, false, intake.HostPace{}
+			*s = instanceStats{slowness: 1, incarnation: inst.Incarnation, inFlight: s.inFlight}
 		}
 		p.stats[inst.ID] = s
-		if inst.Warm > 0 {
-			if at, ok := p.warmUpEnd[inst.ID]; ok {
-				warmUpEnd[inst.ID] = at
-			} else {
-				warmUpEnd[inst.ID] = now.Add(inst.Warm)
-			}
+		switch {
+		case inst.Warm <= 0:
+			s.warmUntil = time.Time{}
+		case s.warmUntil.IsZero():
+			s.warmUntil = now.Add(inst.Warm)
 		}
 		if inst.State == model.Live && !v.IsEvacuated(inst.Place.DataCentre) {
 			p.group(inst.Service).add(inst, p.self)
 		}
 	}
-	p.warmUpEnd = warmUpEnd
 	p.needed = nil
 	if v.Table != nil && v.Table.Regional() {
 		for _, g := range p.groups {
@@ -376,7 +375,7 @@
 	averages := p.averages(q.Route)
 	run := averages.run
 	slowness := 1 + (s.slowness-1)*decay(now.Sub(s.slownessAt), slownessDecay)
-	if at, ok := p.warmUpEnd[inst.ID]; ok && now.Before(at) {
+	if now.Before(s.warmUntil) {
 		slowness = max(slowness, coldSlowness)
 	}
 	slowness *= s.pace.Current(now)
