Put a mean run time to the test that refuses all requests of a route

Callers saw: after 9 s of slow upstreams and a configuration that adds a route again with a shorter timeout, every request on the route got 503 at once beside idle upstreams, until the daemons were restarted.

Cause: a request is refused if less than half of its route's mean run time is left, and the mean changes with answered requests alone. A mean over twice the time of all requests of the route stays for good.

Change: core/trial spaces out requests that are sent although the mean leaves them too little time: the first half a second after the last answer, then at pauses that double up to 8 s until one is answered. The answer counts half. Requests of returning callers and of a stopping daemon are left out.

--- a/core/placement/learn.go
+++ b/core/placement/learn.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"mangoshed.example/mangoshed/core/trial"
+)
 
 // Done reports the outcome of the request for which a choice was made.
 func (p *Placer) Done(now time.Time, c Choice, route string, r Report) {
@@ -29,7 +33,7 @@
 	case Answered:
 		s.failuresInRow, s.excludedUntil = 0, time.Time{}
 		p.recordOutcome(now, c.Instance.Service, s, 0)
-		p.recordRun(c.Instance.Service, route, r)
+		p.recordRun(now, c, route, r)
 	case Refused:
 		s.failuresInRow = 0
 	case Leaving:
@@ -63,8 +67,8 @@
 	s.slowness, s.slownessAt = min(max(float64(r.Expected)/averages.run, minSlowness), maxSlowness), now
 }
 
-// recordRun updates the mean run time and response size of a route with one response.
-func (p *Placer) recordRun(service, route string, r Report) {
+// recordRun updates the mean run time and response size of a route with the response to the request of a choice.
+func (p *Placer) recordRun(now time.Time, c Choice, route string, r Report) {
 	if r.Run <= 0 {
 		return
 	}
@@ -77,10 +81,16 @@
 		averages = &routeAverages{run: runTime, bytes: float64(r.Bytes)}
 		p.runs[route] = averages
 	}
+	averages.trials.Confirm(now)
+	weight := runWeight
+	if c.trial {
+		weight = trial.Weight
+	}
+	service := c.Instance.Service
 	mean := p.meanServiceRun(service)
 	p.means[service] = mean + runWeight*(min(runTime, 4*mean)-mean)
 	// The cap keeps one very slow response from dominating the mean.
-	averages.run += runWeight * (min(runTime, 4*averages.run) - averages.run)
+	averages.run += weight * (min(runTime, 4*averages.run) - averages.run)
 	averages.bytes += runWeight * (float64(r.Bytes) - averages.bytes)
 }
 
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -18,6 +18,7 @@
 	"mangoshed.example/mangoshed/core/catalog"
 	"mangoshed.example/mangoshed/core/intake"
 	"mangoshed.example/mangoshed/core/model"
+	"mangoshed.example/mangoshed/core/trial"
 )
 
 // Parameters of the selection.
@@ -34,6 +35,8 @@
 	// reportLifetime is the age at which a load report has no weight any more: about a few run
 	// times.
 	reportLifetime = 500 * time.Millisecond
+	// LeastRunShare is the part of the mean run time that a typical run takes at least.
+	LeastRunShare = 0.5
 	// defaultRun is the expected run time before a response was received.
 	defaultRun = 80 * time.Millisecond
 	// runWeight is the weight of one response in the mean run time and response size of a route
@@ -159,6 +162,8 @@
 type routeAverages struct {
 	run   float64 // mean run time in nanoseconds
 	bytes float64 // mean size of a response
+	// trials spaces out the requests that are sent although the mean run time leaves them too little time.
+	trials trial.Pacer
 }
 
 // Placer selects instances. It is safe for concurrent use.
@@ -307,6 +312,9 @@
 	Regions []string
 	// ExcludeRegions lists regions whose instances must not be chosen.
 	ExcludeRegions []string
+	// Trial allows instances that cannot respond before the caller's deadline if a run takes as long as the
+	// mean says. See TakeTrial.
+	Trial bool
 	// NeedsAllowance excludes instances whose limit on requests per second is known to allow none now.
 	NeedsAllowance bool
 }
@@ -328,6 +336,7 @@
 	// Unusable counts the instances of the service that could not be chosen. It is set if Instance is nil.
 	Unusable Unusable
 	tooLate  bool
+	trial    bool
 	at       time.Time
 }
 
@@ -389,9 +398,12 @@
 	expected += time.Duration(p.excessFailures(now, inst.Service, s) * float64(failurePenalty))
 	// A small random part keeps daemons with equal views from making the same choice.
 	expected += time.Duration(p.random.Float64() * run / 16)
-	// A typical run takes at least half of the mean.
-	tooLate := q.Remaining > 0 && networkTime+time.Duration(run/2) > q.Remaining
-	return Choice{Instance: inst, Expected: expected, Wait: wait, RoundTrip: roundTrip, Distance: inst.Place.DistanceTo(p.self), Limit: s.limit, tooLate: tooLate}
+	needed := networkTime
+	if !q.Trial {
+		needed += time.Duration(run * LeastRunShare)
+	}
+	tooLate := q.Remaining > 0 && needed > q.Remaining
+	return Choice{trial: q.Trial, Instance: inst, Expected: expected, Wait: wait, RoundTrip: roundTrip, Distance: inst.Place.DistanceTo(p.self), Limit: s.limit, tooLate: tooLate}
 }
 
 // wait returns the expected wait for a slot and the expected utilisation from 0 to 1. As a load
@@ -476,6 +488,16 @@
 	return time.Duration(p.averages(route).run)
 }
 
+// TakeTrial reports whether a request may be sent although the mean run time of its route leaves it too little
+// time. Without that, a mean that refuses all requests of a route, because its upstreams were slow while its
+// timeout was longer, would never change again.
+func (p *Placer) TakeTrial(now time.Time, route string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.runs[route]
+	return ok && r.trials.Take(now)
+}
+
 // transfer returns the time that bytes take over the links between this host and that of an
 // instance.
 func (p *Placer) transfer(inst *catalog.Instance, bytes float64) time.Duration {
--- a/pkg/mesh/attempts.go
+++ b/pkg/mesh/attempts.go
@@ -37,7 +37,7 @@
 func (i *Ingress) tryInstances(ctx context.Context, req *request) Result {
 	now := time.Now()
 	i.budget.RecordRequest(now, retry.Request{Service: req.service, Nested: req.call != nil, Calls: i.calls.Of(req.route.Name)})
-	if !i.hasTimeForAttempt(req, now) {
+	if !i.hasTimeForAttempt(req, now) && !i.takeTrial(req, now) {
 		res := Result{Refusal: i.tooLittleTime()}
 		return i.conclude(req, res, res)
 	}
@@ -125,7 +125,24 @@
 		}
 		end = earlier(end, plan.AbortAt)
 	}
-	return end.Sub(now) >= max(minAttemptTime, run/2)
+	if req.trial {
+		run = 0
+	}
+	return end.Sub(now) >= max(minAttemptTime, time.Duration(float64(run)*placement.LeastRunShare))
+}
+
+// takeTrial reports whether a request is sent although the mean run time of its route leaves it too little time,
+// in order to test the mean. A returning caller has less time than others, so that its request would prove
+// nothing.
+func (i *Ingress) takeTrial(req *request, now time.Time) bool {
+	if req.returning || i.plan.Load() != nil || req.deadline.Sub(now) < minAttemptTime {
+		return false
+	}
+	req.trial = i.placer.TakeTrial(now, req.route.Name)
+	if req.trial {
+		i.metrics.trials.Inc()
+	}
+	return req.trial
 }
 
 // mayQueue reports whether the request may wait in an instance's queue. A request that may have
@@ -144,7 +161,7 @@
 	choice, ok := i.placer.Choose(now, placement.Query{
 		Regions: regions, ExcludeRegions: req.refusedRegions,
 		Service: req.service, Route: req.route.Name, Exclude: req.excluded(), Slack: req.goal.Sub(now), Remaining: req.deadline.Sub(now),
-		Bytes: len(req.job.Body) + headerBytesEstimate, DeferredBody: req.job.deferBody(), NeedsAllowance: req.queueOverRate,
+		Bytes: len(req.job.Body) + headerBytesEstimate, DeferredBody: req.job.deferBody(), NeedsAllowance: req.queueOverRate, Trial: req.trial,
 	})
 	if !ok && req.queueOverRate && choice.Instance == nil {
 		return Result{}, false // the last refusal stands
--- a/pkg/mesh/ingress.go
+++ b/pkg/mesh/ingress.go
@@ -124,6 +124,8 @@
 	// failed there.
 	failed       []model.InstanceID
 	lastInstance model.InstanceID
+	// trial is set if the request is sent although the mean run time of its route leaves it too little time.
+	trial bool
 	// unusable is set if no instance could be chosen.
 	unusable *placement.Unusable
 }
--- a/pkg/mesh/metrics.go
+++ b/pkg/mesh/metrics.go
@@ -24,6 +24,7 @@
 	storeCalls *prometheus.CounterVec
 	pipelined  *prometheus.CounterVec
 	attempts   *prometheus.CounterVec
+	trials     prometheus.Counter
 }
 
 // newMetrics creates the metrics and registers them.
@@ -41,8 +42,11 @@
 		storeCalls: counter("store_calls_total", "Calls to the platform's store.", "call", "outcome"),
 		pipelined:  counter("ingress_pipelined_total", "Pipelined requests that were started before the requests before them were answered, and those of them whose result was dropped because the connection ended.", "event"),
 		attempts:   counter("ingress_attempts_total", "Attempts of requests at instances, by the distance of their data centre from this one.", "distance"),
+		trials: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: telemetry.Namespace, Name: "ingress_trials_total", Help: "Requests sent although the mean run time of their route leaves them too little time.",
+		}),
 	}
-	for _, c := range []prometheus.Collector{m.requests, m.latency, m.rejections, m.retries, m.storeCalls, m.pipelined, m.attempts} {
+	for _, c := range []prometheus.Collector{m.requests, m.latency, m.rejections, m.retries, m.storeCalls, m.pipelined, m.attempts, m.trials} {
 		if err := registry.Register(c); err != nil {
 			return nil, err
 		}
