Keep the trial of an estimate for a call that can start

Callers would see: a route whose estimate is wrong stays refused at an upstream whose slots are all in use.

Cause: a call that may not wait used up the trial although no slot was free; the same call, offered again as one that may wait, was then judged by the estimate.

Change: a trial is taken only by a call that finds a free slot or may wait for one.

Measured: TestTrialIsKeptForACallThatCanStart failed before the change and passes; all tests of core/intake passed.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -284,7 +284,10 @@
 	}
 	q.updateOrder(now)
 	c.queued, c.pressing = now, mayWait || c.Nested
-	c.trial = q.takeTrial(now, c)
+	c.trial = false
+	if startable := q.hasFreeSlot(now, c) && (len(q.waiting) == 0 || c.Nested); startable || mayWait {
+		c.trial = q.takeTrial(now, c)
+	}
 	if q.tooLateToStart(c, now) {
 		return Overloaded
 	}
--- a/core/intake/trial_test.go
+++ b/core/intake/trial_test.go
@@ -36,6 +36,24 @@
 	require.Equal(t, 10, started[4], "%v", started)
 }
 
+// Guards against trials that are used up by calls which may not wait, while no slot is free: those that may
+// wait would never be tried.
+func TestTrialIsKeptForACallThatCanStart(t *testing.T) {
+	q := New(1)
+	setRunTime(q, "r", 1560)
+	setRunTime(q, "other", 100)
+	other, _ := call("other", 0, 0, 1000, 1000)
+	require.Equal(t, Started, q.Offer(at(0), other, false))
+	for range 10 {
+		c, _ := call("r", 0, 0, 400, 500)
+		require.Equal(t, Busy, q.Offer(at(0), c, false))
+	}
+	c, o := call("r", 0, 0, 400, 500)
+	require.Equal(t, Waiting, q.Offer(at(0), c, true))
+	q.Done(at(100), other, true)
+	require.Equal(t, []Verdict{Started}, o.verdicts)
+}
+
 // Guards against slots that are lost to calls of a route whose runs do take longer than its calls have.
 func TestSlowRouteIsTriedRarely(t *testing.T) {
 	q := New(9)
