Let the estimate of callers' timeouts rise from zero

Callers would see: none; returning callers of a route are taken for new ones for good, if the first callers of the route named no time.

Cause: the estimate rises by a fraction of itself.

Change: it rises by a millisecond at least.

Measured: TestOneLongTimeoutDoesNotMakeLaterCallersRetryingOnes/after_callers_without_time failed before the change and passes.

--- a/pkg/mesh/caller_timeouts.go
+++ b/pkg/mesh/caller_timeouts.go
@@ -13,6 +13,8 @@
 	// timeout, as fractions of the estimate. One caller with a far longer timeout raises it by less than
 	// timeoutSpread. Retrying callers, which may be most of them, lower it by less than a new one raises it.
 	timeoutRise, timeoutFall = 0.1, 0.01
+	// minTimeoutRise is the least such rise, so that an estimate of 0 can rise.
+	minTimeoutRise = time.Millisecond
 	// learningCallers is the number of first callers of a route that move the estimate by more than that.
 	learningCallers = 32
 	// maxTimeoutRoutes limits the routes for which the timeout is recorded.
@@ -41,7 +43,7 @@
 		e.timeout = remaining
 		return
 	}
-	e.timeout = min(remaining, e.timeout+time.Duration(timeoutRise*float64(e.timeout)))
+	e.timeout = min(remaining, e.timeout+max(minTimeoutRise, time.Duration(timeoutRise*float64(e.timeout))))
 }
 
 // lower includes a caller that has spent time on earlier attempts, as far as the estimate tells.
--- a/pkg/mesh/caller_timeouts_test.go
+++ b/pkg/mesh/caller_timeouts_test.go
@@ -40,6 +40,16 @@
 		}
 		require.Zero(t, c.timeOnEarlierAttempts("r", time.Second))
 	})
+	t.Run("after callers without time", func(t *testing.T) {
+		var c callerTimeouts
+		for range 100 {
+			c.timeOnEarlierAttempts("r", 0)
+		}
+		for range 100 {
+			require.Zero(t, c.timeOnEarlierAttempts("r", time.Second))
+		}
+		require.Equal(t, 425*time.Millisecond, c.timeOnEarlierAttempts("r", 500*time.Millisecond))
+	})
 	t.Run("shortened", func(t *testing.T) {
 		var c callerTimeouts
 		for range 100 {
