review: start the daemons without a descriptor limit

Cause: the Go runtime raises the soft limit, so that the limit that the stand-ins set had no effect.

Change: the stand-ins set none.

--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -11,9 +11,8 @@
 )
 
 const (
-	// memoryMB and descriptors are the limits of a machine of a small deployment.
-	memoryMB    = 284
-	descriptors = 4100
+	// memoryMB is the memory limit of a machine of a small deployment.
+	memoryMB = 284
 	// contact is the time after which a calm machine is in touch.
 	contact = 3 * time.Second
 	// work is the usual time of a run of advance-status, response the size of its largest response in bytes.
--- a/review/standin-3/machine.go
+++ b/review/standin-3/machine.go
@@ -92,7 +92,7 @@
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "MANGOSHED_CONFIG=" + m.settings}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := startLimited(cmd); err != nil {
+	if err := cmd.Start(); err != nil {
 		return err
 	}
 	m.cmd, m.ended = cmd, make(chan struct{})
@@ -100,20 +100,6 @@
 	return nil
 }
 
-// startLimited starts a process with the limit of open descriptors of a machine.
-func startLimited(cmd *exec.Cmd) error {
-	var old syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &old); err != nil {
-		return err
-	}
-	limited := syscall.Rlimit{Cur: min(descriptors, old.Max), Max: old.Max}
-	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limited); err != nil {
-		return err
-	}
-	defer func() { _ = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &old) }()
-	return cmd.Start()
-}
-
 // entry returns what the target says of itself in the store.
 func (m *machine) entry(slots int) string {
 	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","cold_remaining":"0ms","sequence":1,"born":%d}`,
