review: entries that lack fields take a service out of service

Cause: the decoder of instances asks for five of the nine fields that the users' page lists, and the entry of another writer that lacks the others counts as an instance. With a later start it takes the place of the target's own entry at its address.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -15,9 +15,10 @@
 )
 
 var cases = map[string]func(s *site, trouble bool) (broken bool, err error){
-	"pipelined-stop": pipelinedStop,
-	"popular-path":   popularPath,
-	"shared-path":    sharedPath,
+	"foreign-entries": foreignEntries,
+	"pipelined-stop":  pipelinedStop,
+	"popular-path":    popularPath,
+	"shared-path":     sharedPath,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin-3/site.go
+++ b/review/standin-3/site.go
@@ -152,7 +152,13 @@
 		resources = append(resources, fmt.Sprintf(`{"resource_kind":"routes","metadata":{"name":%q},"specification":{"host":"app.example","prefix":%q,"kind":"safe","timeout":"%dms","latency_goal":"%dms","priority":2,"service":%q,"max_attempts":2}}`,
 			r.name, r.prefix, r.timeout.Milliseconds(), r.goal.Milliseconds(), r.service))
 	}
-	resources = append(resources, fmt.Sprintf(`{"resource_kind":"services","metadata":{"name":%q},"specification":{"health_path":"/health","max_connections":130,"protocol":"h1","tls":false}}`, routes[0].service),
-		`{"resource_kind":"limits","metadata":{},"specification":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}}`)
+	named := make(map[string]bool)
+	for _, r := range routes {
+		if !named[r.service] {
+			resources = append(resources, fmt.Sprintf(`{"resource_kind":"services","metadata":{"name":%q},"specification":{"health_path":"/health","max_connections":130,"protocol":"h1","tls":false}}`, r.service))
+		}
+		named[r.service] = true
+	}
+	resources = append(resources, `{"resource_kind":"limits","metadata":{},"specification":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}}`)
 	return fmt.Sprintf(`{"version":"%08x","base_version":"00000000","resources":[%s]}`, version, strings.Join(resources, ","))
 }
