review: a crowd that sends ahead takes all descriptors

Cause: half of the descriptors are for the connections of callers, and nothing bounds the connections to other daemons: each job has one of its own, pipelined requests add several to each caller's connection, and idle ones are kept for 20 s. Accepting then fails, while the daemon says that it is ready.

--- a/review/standin-3/machine.go
+++ b/review/standin-3/machine.go
@@ -23,6 +23,7 @@
 	admin, seed            string
 	target                 string
 	settings, log          string
+	oneCore                bool // the daemon sees one core, as on the platform's machines
 	cmd                    *exec.Cmd
 	ended                  chan struct{}
 }
@@ -90,6 +91,9 @@
 	defer func() { _ = log.Close() }()
 	cmd := exec.Command(program, "mesh", "run")
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "MANGOSHED_CONFIG=" + m.settings}
+	if m.oneCore {
+		cmd.Env = append(cmd.Env, "GOMAXPROCS=1")
+	}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -15,6 +15,7 @@
 )
 
 var cases = map[string]func(s *site, trouble bool) (broken bool, err error){
+	"ahead-crowd":     aheadCrowd,
 	"foreign-entries": foreignEntries,
 	"pipelined-stop":  pipelinedStop,
 	"popular-path":    popularPath,
