--- a/review/standin-3/pipelined.go
+++ b/review/11/play.go
@@ -9,10 +9,10 @@
 	"time"
 )
 
-// pipelinedStop stops one daemon in calm. The consumers on its machine keep two requests on their connections:
+// play stops one daemon in calm. The consumers on its machine keep two requests on their connections:
 // each sends the next one when it has read a response. They read slowly, but steadily, and send nothing after
 // "Connection: close", nor later than a second after the signal: the platform needs that long for two questions.
-func pipelinedStop(s *site, trouble bool) (bool, error) {
+func play(s *site, trouble bool) (bool, error) {
 	const (
 		consumers = 6
 		depth     = 2
--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review-3/standin-3 ] || exit 2
-exec target/review-3/standin-3 pipelined-stop review/11/record.txt
+[ -x target/mangoshed ] && [ -x target/review-3/play-11 ] || exit 2
+exec target/review-3/play-11 review/11/record.txt
--- a/review/standin-3/foreign.go
+++ b/review/12/play.go
@@ -11,9 +11,9 @@
 // heartbeat is the time between two writes of an entry.
 const heartbeat = 870 * time.Millisecond
 
-// foreignEntries has another writer put an entry for each target of a service into the store. The entries lack fields that
+// play has another writer put an entry for each target of a service into the store. The entries lack fields that
 // the entry of a target has. In calm, a route to the service is added later.
-func foreignEntries(s *site, trouble bool) (bool, error) {
+func play(s *site, trouble bool) (bool, error) {
 	const (
 		late     = "workshop"
 		every    = 400 * time.Millisecond // between requests of a machine on each route
--- a/review/standin-3/added.go
+++ b/review/standin-3/routes.go
@@ -38,11 +38,10 @@
 
 func (c *served) share() float64 { return float64(c.ok) / float64(max(1, c.sent)) }
 
-// playAddedRoute plays requests on a first and an added route to five targets. path returns the path of a request on the
-// route with the prefix, by the number of its machine and its own; every is the interval of the requests of each machine on
-// each route, and troubleAt the time of the disruption. The rule is broken if the added route is served less than a quarter as
-// often as the first one.
-func (s *site) playAddedRoute(every, troubleAt time.Duration, path func(prefix string, machine, k int) string, disrupt func()) (bool, error) {
+// sendOnTwoRoutes sends requests on a first and an added route to five targets, and returns those that were judged. path returns the
+// path of a request on the route with the prefix, by the number of its machine and its own; every is the interval of the requests
+// of each machine on each route, and troubleAt the time at which disrupt is called.
+func (s *site) sendOnTwoRoutes(every, troubleAt time.Duration, path func(prefix string, machine, k int) string, disrupt func()) (onFirst, onAdded *served, err error) {
 	const (
 		service = "workshop"
 		timeout = 10 * time.Second
@@ -55,17 +54,17 @@
 	first, added := route{"r-1", "/cure/", service, timeout, goal}, route{"r-2", "/board/", service, timeout, goal}
 	s.store.put("op/config", configuration(7, first))
 	if err := s.start(); err != nil {
-		return false, err
+		return nil, nil, err
 	}
 	s.store.put("op/config", configuration(9, first, added))
 	time.Sleep(contact)
 	began := time.Now()
 	judgedFrom := troubleAt + judgedAfter
 	length := judgedFrom + judgedFor
-	var onFirst, onAdded served
+	onFirst, onAdded = &served{}, &served{}
 	var all sync.WaitGroup
 	for _, m := range s.machines {
-		for n, count := range [...]*served{&onFirst, &onAdded} {
+		for n, count := range [...]*served{onFirst, onAdded} {
 			prefix := [...]string{first.prefix, added.prefix}[n]
 			all.Go(func() {
 				for k := 0; time.Since(began) < length; k++ {
@@ -84,60 +83,7 @@
 	disrupt()
 	all.Wait()
 	s.record.say("first route: %d of %d served; added route: %d of %d", onFirst.ok, onFirst.sent, onAdded.ok, onAdded.sent)
-	return onAdded.sent >= fewest && onAdded.share() < onFirst.share()/4, nil
-}
-
-// sharedPath sends one request that crashes each target that begins to run it, and sends it again, as its consumers do. All
-// other requests of the route have the same path and a query of their own, and harm nobody.
-func sharedPath(s *site, trouble bool) (bool, error) {
-	const (
-		harmful = "filter=bad"
-		times   = 5
-		pause   = 200 * time.Millisecond
-		// All runs have ended when the harmful request is sent: the longest takes 1,260 ms.
-		every  = 2 * time.Second
-		sendAt = 4*every + 1600*time.Millisecond
-	)
-	path := func(prefix string, machine, k int) string {
-		return fmt.Sprintf("%slist?filter=%d-%d", prefix, machine, k)
-	}
-	return s.playAddedRoute(every, sendAt, path, func() {
-		if !trouble {
-			return
-		}
-		for _, t := range s.targets {
-			t.crashOn(harmful)
-		}
-		for k := range times {
-			s.ask(s.machines[(k+1)%len(s.machines)], fmt.Sprintf("bad%013x", k+1), "/board/list?"+harmful)
-			time.Sleep(pause)
-		}
-	})
-}
-
-// popularPath has two of the five targets crash, one after the other. The consumers of the added route all ask for the same
-// page.
-func popularPath(s *site, trouble bool) (bool, error) {
-	const (
-		every = 350 * time.Millisecond
-		// Runs are on their way at the first crash, and the next requests are sent shortly after it.
-		crashAt = 8*every + 280*time.Millisecond
-		gap     = 600 * time.Millisecond
-	)
-	path := func(prefix string, machine, k int) string {
-		if prefix == "/board/" {
-			return prefix + "today"
-		}
-		return fmt.Sprintf("%s%d-%d", prefix, machine, k)
-	}
-	return s.playAddedRoute(every, crashAt, path, func() {
-		if !trouble {
-			return
-		}
-		s.targets[0].crash()
-		time.Sleep(gap)
-		s.targets[3].crash()
-	})
+	return onFirst, onAdded, nil
 }
 
 // ask sends a request as a consumer of a machine, on a new connection, and reports whether it was answered with success.
